Take the limits service sets, bound long statements together, reload on SIGHUP

The bound in config.cpp set 32 MB aside for the process itself, 400 KB for each client. SIGHUP had its default: it ends the process.

Now: 12 MB for the process; of the rest a half for clients at 96 KB each (16 KB read ahead, an answer unread), a quarter for long statements, reserved from their head on and refused beyond (53200), the rest for answers. SIGHUP reads the file by the same checks and moves the watch; a bad file is logged and nothing changes.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-int serve(const sablespur::Config& config) {
+int serve(const sablespur::Config& config, const char* path) {
   using namespace sablespur;
   const EventBase base(event_base_new());
   Engine engine(base.get(), config);
@@ -37,6 +37,25 @@
   event_add(term.get(), nullptr);
   event_add(interrupt.get(), nullptr);
 
+  // SIGHUP: the file is read anew by the same checks; what may change while the program serves is where
+  // discovery is. A file that does not pass changes nothing. It is read within the loop: it is small and
+  // local.
+  struct Reload {
+    Discovery& discovery;
+    const char* path;
+  } reload{discovery, path};
+  const auto onReload = [](evutil_socket_t, short, void* p) {
+    const auto& r = *static_cast<Reload*>(p);
+    try {
+      r.discovery.move(readConfig(r.path).discovery);
+      logLine("configuration read again");
+    } catch (const std::exception& e) {
+      logLine("the configuration stays as it was: %s", e.what());
+    }
+  };
+  const Event hangup(evsignal_new(base.get(), SIGHUP, onReload, &reload));
+  event_add(hangup.get(), nullptr);
+
   engine.start(upstream, discovery);
   logLine("%s listens on port %d", config.name.c_str(), clients.port());
   while (running) {
@@ -50,10 +69,11 @@
 
 int main() {
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);  // until the loop handles it: by default it ends the process
   const char* const path = std::getenv("NODE_CONFIG");
   try {
     if (!path) throw sablespur::BadInput("variable NODE_CONFIG is not set");
-    return serve(sablespur::readConfig(path));
+    return serve(sablespur::readConfig(path), path);
   } catch (const std::exception& e) {
     std::fprintf(stderr, "sablespur: %s\n", e.what());
     return 1;
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -21,9 +21,10 @@
 constexpr Time kLastCall = std::chrono::milliseconds(500);
 // After the last call, what is taken is finished within the longest deadline and this.
 constexpr Time kFinish = std::chrono::seconds(1);
-constexpr timeval kStartupTimeout{60, 0};   // a connection that never says who it is
-constexpr timeval kWriteTimeout{10, 0};     // a client that takes nothing of its answer
-constexpr std::size_t kUnread = 256 << 10;  // answers that a client has not read yet: no more is taken then
+constexpr timeval kStartupTimeout{60, 0};     // a connection that never says who it is
+constexpr timeval kWriteTimeout{10, 0};       // a client that takes nothing of its answer
+constexpr std::size_t kReadAhead = 16 << 10;  // read of a client before it is known what is coming
+constexpr std::size_t kUnread = 16 << 10;     // answers that a client has not read yet: no more is taken then
 constexpr std::uint32_t kLongestWaitMs = 3600 * 1000;
 
 std::uint64_t fnv1a(std::string_view text) {
@@ -46,12 +47,13 @@
         bev_.get(), [](bufferevent*, void* self) { static_cast<Session*>(self)->read(); },
         [](bufferevent*, void* self) { static_cast<Session*>(self)->flushed(); },
         [](bufferevent*, short what, void* self) { static_cast<Session*>(self)->event(what); }, this);
-    bufferevent_setwatermark(bev_.get(), EV_READ, 0, pg::kLongestMessage + pg::kHead);
+    bufferevent_setwatermark(bev_.get(), EV_READ, 0, kReadAhead);
     bufferevent_set_timeouts(bev_.get(), &kStartupTimeout, &kWriteTimeout);
     bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
   }
   ~Session() override {
     if (request_ != 0) owner_.engine_.left(request_);
+    release();
   }
 
   void served(Buffer answer) override {
@@ -93,6 +95,7 @@
     read();  // what was left while the client did not read its answers
   }
   void answered() {
+    release();
     append(output(), pg::readyForQuery());
     settle();
   }
@@ -109,6 +112,22 @@
     answered();
   }
 
+  // Guards against clients that fill the memory together: a statement longer than what is read ahead takes
+  // its part of what the configuration leaves for all such, from its head to its answer.
+  bool reserve(std::size_t whole) {
+    if (whole <= kReadAhead || reserved_ > 0) return true;
+    if (whole > owner_.config_.largeStatements - owner_.reserved_) return false;
+    owner_.reserved_ += reserved_ = whole;
+    bufferevent_setwatermark(bev_.get(), EV_READ, 0, whole);
+    return true;
+  }
+  void release() {
+    if (reserved_ == 0) return;
+    owner_.reserved_ -= reserved_;
+    reserved_ = 0;
+    bufferevent_setwatermark(bev_.get(), EV_READ, 0, kReadAhead);
+  }
+
   void read() {
     lastActive_ = owner_.engine_.now();
     while (request_ == 0 && !ending_ && evbuffer_get_length(output()) < kUnread) {
@@ -158,6 +177,10 @@
       reject("0A000", "only simple queries are spoken here", true);
       return false;
     }
+    if (!reserve(sizeof bytes + head->body)) {
+      reject("53200", "too many long statements at once", true);
+      return false;
+    }
     if (evbuffer_get_length(input()) < sizeof bytes + head->body) return false;
     evbuffer_drain(input(), sizeof bytes);
     if (bytes[0] == 'X') {
@@ -219,7 +242,8 @@
   Clients& owner_;
   BufferEvent bev_;
   bool started_ = false, ending_ = false;
-  RequestId request_ = 0;  // that is out; 0: none
+  RequestId request_ = 0;     // that is out; 0: none
+  std::size_t reserved_ = 0;  // of Clients::reserved_
   Time lastActive_{};
 };
 
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -29,7 +29,8 @@
   event_base* const base_;
   Engine& engine_;
   const Config& config_;
-  const std::size_t most_;  // connections at once
+  const std::size_t most_;    // connections at once
+  std::size_t reserved_ = 0;  // bytes of long statements on their way, of Config::largeStatements
   Listener listener_;
   Event pause_, lastCall_;
   bool draining_ = false;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -16,8 +16,11 @@
 using simdjson::dom::element;
 using simdjson::dom::element_type;
 
-// The process itself: the loop, the listener, discovery, standard streams, connections about to be closed.
-constexpr std::size_t kOwnDescriptors = 24, kOwnMemory = std::size_t{32} << 20;
+// The process itself: code, the loop, the listener, discovery, standard streams, connections about to be
+// closed.
+constexpr std::size_t kOwnDescriptors = 24, kOwnMemory = std::size_t{12} << 20;
+// A client that asks nothing large: what is read ahead and an answer that it has not read yet.
+constexpr std::size_t kClientMemory = 96 << 10;
 
 std::string plain(const element& e) {
   switch (e.type()) {
@@ -105,11 +108,13 @@
     throw BadInput("key seed: '" + std::string(seed) + "' is no hexadecimal number");
   const auto limits = jsonField<element>(root, "limits", "");
   const auto sockets = static_cast<std::size_t>(whole(limits, "sockets", "limits.", 128, 1 << 20));
-  const auto memory = static_cast<std::size_t>(whole(limits, "memory_mb", "limits.", 64, 1 << 20)) << 20;
+  const auto memory = static_cast<std::size_t>(whole(limits, "memory_mb", "limits.", 24, 1 << 20)) << 20;
   // A client has one request out at most, so with fewer clients than server connections every attempt finds
-  // room; each client may hold a message in its input, one under way and an answer.
-  c.clientConnections = std::min((sockets - kOwnDescriptors) * 45 / 100,
-                                 (memory - kOwnMemory) / (2 * pg::kLongestMessage + pg::kLongestMessage / 2));
+  // room. Of the memory beyond the process itself a quarter is for large statements, whoever sends them, a
+  // half for what each client may hold at any time, the rest for answers on their way.
+  c.clientConnections =
+      std::min((sockets - kOwnDescriptors) * 45 / 100, (memory - kOwnMemory) / 2 / kClientMemory);
+  c.largeStatements = (memory - kOwnMemory) / 4;
   c.serverConnections = sockets - kOwnDescriptors - (sockets - kOwnDescriptors) * 45 / 100;
   c.known = readInstances(jsonField<element>(root, "known", ""), "known.");
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -44,6 +44,14 @@
       this);
 }
 
+// Goes on from the list as it is known. A watch at the old address ends silently: what it has still to tell,
+// the new one tells.
+void Discovery::move(const sockaddr_in& address) {
+  if (address.sin_addr.s_addr == address_.sin_addr.s_addr && address.sin_port == address_.sin_port) return;
+  address_ = address;
+  watch(engine_.generation());
+}
+
 void Discovery::read() {
   startTimer(silence_.get(), kSilence);
   evbuffer* const in = bufferevent_get_input(connection_.get());
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -11,6 +11,7 @@
  public:
   Discovery(event_base*, Engine&, const sockaddr_in&);
   void watch(std::uint64_t after) override;  // a watch that is on ends silently
+  void move(const sockaddr_in&);             // goes on with the watch at another address
 
  private:
   void read();
@@ -19,7 +20,7 @@
 
   event_base* const base_;
   Engine& engine_;
-  const sockaddr_in address_;
+  sockaddr_in address_;
   BufferEvent connection_;
   Event silence_;
   http::Response response_;
--- a/src/net/engine.hpp
+++ b/src/net/engine.hpp
@@ -98,6 +98,7 @@
   void listed(InstanceList);
   void listFailed();
 
+  std::uint64_t generation() const { return generation_; }  // of the list as it is known
   bool pending() const { return !events_.empty(); }
   void turn();
   Time now() const { return clock_.now(); }
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <fstream>
 
+#include "net/config.hpp"
 #include "scenario.hpp"
 
 namespace sablespur::test {
@@ -164,6 +165,49 @@
     s1 expect drained
   )");
 }
+// A program without a handler ends on SIGHUP; a file that cannot be used must not end it either.
+TEST(Proxy, ReadsTheConfigurationAnewOnHangupAndMovesItsWatch) {
+  Scenario t;
+  t.run(R"(
+    c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    s2 expect query id=1
+    proxy reload broken
+    proxy expect log the configuration stays as it was: no JSON
+    proxy reload moved
+    list expect watch after=5
+    s2 send row v
+    c1 expect row v
+  )");
+  t.run("list send line " + t.list(2, "leaving", 6) + R"(
+    s2 expect closed
+    proxy send TERM
+    proxy reload moved
+    list expect watch after=6
+    proxy expect exit 0
+  )");
+}
+// The whole of the memory that the settings may give; a statement too long to be read ahead takes its part of
+// it.
+TEST(Proxy, BoundsLongStatementsTogetherByTheMemoryConfigured) {
+  Setting s;
+  s.memoryMb = 24;  // of which 3 MB are for long statements
+  Scenario t(s);
+  std::string many;
+  for (int k = 1; k <= 25; ++k) many += "c" + std::to_string(k) + " send bytes 51 0 2 0 0\n";
+  t.run("c26 send query\nc26 expect empty\n");
+  for (int k = 1; k <= 25; ++k)
+    t.run("c" + std::to_string(k) + " send query\nc" + std::to_string(k) + " expect empty\n");
+  t.run(many + R"(
+    c25 expect error 53200
+    c25 expect closed
+    c1 close
+    c2 close
+    c26 send query SELECT 'big' /* id=1,c=read,d=7000,cluster=3 */
+    s2 expect query id=1
+    s2 send row big
+    c26 expect row big
+  )");
+}
 TEST(Proxy, BadInputEndsThatClientAlone) {
   Scenario t;
   t.run(R"(
@@ -259,6 +303,20 @@
   EXPECT_EQ(std::count(said.begin(), said.end(), '\n'), 1) << said;
   return said;
 }
+// Guards the smallest limits in service, 32 MB and 256 descriptors, which an older bound turned down: a third
+// of the descriptors is for clients with requests, and each of them may need a connection to a data server.
+TEST(Configuration, TakesTheLimitsThatServiceSets) {
+  for (const auto& [memory, sockets] : {std::pair{32, 256}, {48, 384}, {64, 512}, {192, 1024}}) {
+    Setting s;
+    s.memoryMb = memory;
+    s.sockets = sockets;
+    const Config c = parseConfig(configuration(s, 1, {2}));
+    EXPECT_GE(c.clientConnections, static_cast<std::size_t>(sockets) / 3);
+    EXPECT_GE(c.serverConnections, c.clientConnections);
+    EXPECT_LE(c.clientConnections + c.serverConnections, static_cast<std::size_t>(sockets));
+    EXPECT_GE(c.largeStatements, std::size_t{20} * 2 * 65536);
+  }
+}
 TEST(Configuration, ErrorsNameTheKey) {
   const std::string good = configuration({}, 1, {2});
   const auto with = [&](const std::string& from, const std::string& to) {
@@ -275,6 +333,7 @@
   has(with("127.0.0.1:0", "127.0.0.1:99999"), "key listen:");
   has(with("8c1f30d27a5be964", "xyz"), "key seed:");
   has(with("\"sockets\":1024", "\"sockets\":7"), "key limits.sockets:");
+  has(with("\"memory_mb\":192", "\"memory_mb\":8"), "key limits.memory_mb:");
   has(with("\"sockets\":1024", "\"sockets\":\"many\""), "key limits.sockets:");
   has(with("\"lifecycle\":\"active\"", "\"lifecycle\":\"odd\""), "key known.instances[0].lifecycle:");
   has(with("\"keyed\"", "\"key\""), "classes.1.effect");
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -12,6 +12,7 @@
 
 #include <chrono>
 #include <cstdlib>
+#include <fstream>
 #include <sstream>
 
 #include "net/pg.hpp"
@@ -73,8 +74,8 @@
 std::string configuration(const Setting& setting, int discoveryPort, const std::vector<int>& ports) {
   std::ostringstream s;
   s << R"({"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" << discoveryPort
-    << R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":)" << setting.sockets
-    << R"(},"known":{"generation":5,"reset":true,"instances":[)";
+    << R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":)" << setting.memoryMb
+    << R"(,"sockets":)" << setting.sockets << R"(},"known":{"generation":5,"reset":true,"instances":[)";
   for (std::size_t k = 0; k < ports.size(); ++k)
     s << (k ? "," : "") << R"({"instanceId":"s-)" << k + 1 << R"(","hostPort":"127.0.0.1:)" << ports[k]
       << R"(","zone":"a","machineType":"m","cell":3,"lifecycle":"active","weight":1.0,"startedAtMs":0})";
@@ -111,21 +112,17 @@
   return pid;
 }
 
-Scenario::Scenario(const Setting& setting) : servers_(static_cast<std::size_t>(setting.servers)) {
-  std::vector<int> ports;
-  for (Server& s : servers_) {
-    s.listener = listenOn(s.port);
-    ports.push_back(s.port);
-  }
+Scenario::Scenario(const Setting& setting)
+    : setting_(setting), servers_(static_cast<std::size_t>(setting.servers)) {
+  for (Server& s : servers_) s.listener = listenOn(s.port);
   servers_.front().primary = true;
   int listPort = 0;
   listListener_ = listenOn(listPort);
   char path[] = "/tmp/sablespur-test-XXXXXX";
   const int file = mkstemp(path);
   configPath_ = path;
-  const std::string text = configuration(setting, listPort, ports);
-  if (write(file, text.data(), text.size()) != static_cast<ssize_t>(text.size())) abort();
   close(file);
+  configure(listPort);
   pid_ = spawn(configPath_, setting.descriptors, err_);
   at_ = "start";
   until([&] { return log_.find("listens on port ") != std::string::npos && log_.back() == '\n'; }, "a port");
@@ -136,6 +133,12 @@
   )");
 }
 
+void Scenario::configure(int listPort) const {
+  std::vector<int> ports;
+  for (const Server& s : servers_) ports.push_back(s.port);
+  std::ofstream(configPath_) << configuration(setting_, listPort, ports);
+}
+
 Scenario::~Scenario() {
   if (!exited_) {
     kill(pid_, SIGKILL);
@@ -215,7 +218,8 @@
     expectMessage(c, 'Z', "");
   } else if (what == "error") {
     expectMessage(c, 'E', "C" + rest);
-    if (rest != "08P01" && rest != "0A000") expectMessage(c, 'Z', "");  // those end the connection
+    if (rest != "08P01" && rest != "0A000" && rest != "53200")
+      expectMessage(c, 'Z', "");  // those end the connection
   } else {
     FAIL() << "no such step: " << at_;
   }
@@ -334,6 +338,18 @@
     kill(pid_, SIGTERM);
     return;
   }
+  if (verb == "reload") {
+    if (rest == "moved") {
+      int port = 0;
+      close(listListener_);
+      listListener_ = listenOn(port);
+      configure(port);
+    } else {
+      std::ofstream(configPath_) << "{\"name\":";
+    }
+    kill(pid_, SIGHUP);
+    return;
+  }
   until([&] { return exited_ = exited_ || waitpid(pid_, &status_, WNOHANG) == pid_; }, "its exit");
   EXPECT_TRUE(WIFEXITED(status_)) << at_;
   EXPECT_EQ(WEXITSTATUS(status_), std::stoi(rest)) << at_;
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -3,12 +3,13 @@
 //
 //   c1 send query TEXT     c1 expect row TEXT     c1 expect error CODE     c1 expect closed     c1 close
 //   s2 expect query TEXT   s2 send row TEXT       s2 send error CODE       s2 close             s2 wait idle
-//   2 s2 wait silent         list expect watch TEXT list send line JSON      list close proxy send TERM proxy
-//   expect exit 0    proxy expect log TEXT
+//   2 s2 wait silent         list expect watch TEXT list send line JSON      list close
+//   proxy send TERM          proxy expect exit 0     proxy expect log TEXT        proxy reload moved|broken
 //
-// c1, c2 ... are clients; s1 (the primary), s2 ... data servers that greet and report by themselves. All are
-// played by the test on loopback, at ports of the system's choice. An expect waits for what must come; the
-// watchdog only ends a test that has failed.
+// c1, c2 ... are clients; s1 (the primary), s2 ... data servers that greet and report by themselves. A
+// reload replaces the file and sends SIGHUP: `moved` names another discovery, which `list` is from then on.
+// All are played by the test on loopback, at ports of the system's choice. An expect waits for what must
+// come; the watchdog only ends a test that has failed.
 #pragma once
 
 #include <gtest/gtest.h>
@@ -23,7 +24,7 @@
 struct Setting {  // what a scenario's configuration may choose
   int servers = 2;
   std::string idleCloseUs = "15000000";
-  int sockets = 1024;
+  int sockets = 1024, memoryMb = 192;
   int descriptors = 0;  // RLIMIT_NOFILE of the process; 0: as it is
 };
 
@@ -51,6 +52,7 @@
     std::list<Connection> all;
     Connection* current = nullptr;
   };
+  void configure(int listPort) const;
   void step(const std::string& line);
   void client(Connection&, const std::string& verb, const std::string& what, const std::string& rest);
   void server(Server&, const std::string& verb, const std::string& what, const std::string& rest);
@@ -65,6 +67,7 @@
   void expectMessage(Connection&, char type, const std::string& within);
 
   std::string at_;  // the step under way
+  const Setting setting_;
   std::string configPath_, log_;
   int pid_ = -1, err_ = -1, port_ = 0, status_ = -1;
   bool exited_ = false;
