Make room among clients that never ask; end half messages; refuse the id of an open request

Cause: makeRoom gave up only started idle clients, a startup had 60 s, half a message no limit, so 896 silent connections filled the table of 162; at the bound nothing tried again. Ruled out: a loop that hangs (CPU 0.05 a second), data servers (174 connections free at once).

Now: what has never asked gives way first, after 25 ms; at the bound accept is tried again every 20 ms; no question within 2 s or half a message for 1.5 s ends the connection. A fatal error lingers, so that unread input does not reset it away. A refused statement pauses its client until the next round. An id that is open is refused, and a statement with a NUL inside.

--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -16,13 +16,22 @@
 
 constexpr std::size_t kTail = 512;   // the comment at a statement's end is shorter
 constexpr std::size_t kStart = 256;  // the quoted key at its start comes before
-constexpr Time kPause = std::chrono::milliseconds(50);
+constexpr Time kPause = std::chrono::milliseconds(20);
 // New connections may keep coming for 0.4 s after SIGTERM.
 constexpr Time kLastCall = std::chrono::milliseconds(500);
 // After the last call, what is taken is finished within the longest deadline and this.
 constexpr Time kFinish = std::chrono::seconds(1);
-constexpr timeval kStartupTimeout{60, 0};     // a connection that never says who it is
-constexpr timeval kWriteTimeout{10, 0};       // a client that takes nothing of its answer
+constexpr timeval kWriteTimeout{10, 0};  // a client that takes nothing of its answer
+// How often all clients are looked at for what takes too long.
+constexpr Time kRound = std::chrono::milliseconds(100);
+// A client that has not asked anything by then, or not sent the rest of what it began, is given up.
+constexpr Time kFirstAsk = std::chrono::milliseconds(2000), kHalfMessage = std::chrono::milliseconds(1500);
+// So long a new client is left to say who it is, however many others come.
+constexpr Time kNewcomer = std::chrono::milliseconds(25);
+// After its last word to a client that still sends, so much is read and thrown away before the close: closing
+// on unread input would reset the connection, and the error in it would be lost.
+constexpr Time kLinger = std::chrono::milliseconds(500);
+constexpr std::size_t kLingerBytes = 1 << 20;
 constexpr std::size_t kReadAhead = 16 << 10;  // read of a client before it is known what is coming
 constexpr std::size_t kUnread = 16 << 10;     // answers that a client has not read yet: no more is taken then
 constexpr std::uint32_t kLongestWaitMs = 3600 * 1000;
@@ -48,11 +57,13 @@
         [](bufferevent*, void* self) { static_cast<Session*>(self)->flushed(); },
         [](bufferevent*, short what, void* self) { static_cast<Session*>(self)->event(what); }, this);
     bufferevent_setwatermark(bev_.get(), EV_READ, 0, kReadAhead);
-    bufferevent_set_timeouts(bev_.get(), &kStartupTimeout, &kWriteTimeout);
+    bufferevent_set_timeouts(bev_.get(), nullptr, &kWriteTimeout);
     bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
+    lastActive_ = owner_.engine_.now();
   }
   ~Session() override {
     if (request_ != 0) owner_.engine_.left(request_);
+    forget();
     release();
   }
 
@@ -74,7 +85,13 @@
     answered();
   }
   bool idle() { return request_ == 0 && !ending_ && evbuffer_get_length(input()) == 0; }
-  bool started() const { return started_; }
+  // How readily this client gives up its place to a new one; 0: not at all.
+  int spare(Time now) {
+    if (lingering_) return 3;
+    if (request_ != 0 || ending_) return 0;
+    if (!asked_) return now - lastActive_ >= kNewcomer ? 2 : 0;
+    return idle() && evbuffer_get_length(output()) == 0 ? 1 : 0;
+  }
   Time lastActive() const { return lastActive_; }
   // Closes once all that was written has gone out; the object may be gone after this.
   void end() {
@@ -82,6 +99,16 @@
     bufferevent_disable(bev_.get(), EV_READ);
     if (evbuffer_get_length(output()) == 0) owner_.closed(*this);
   }
+  // Guards against clients that hold a place and do not ask: they are owed an end within 3 s. False: this one
+  // is to be closed.
+  bool looksAlive(Time now) {
+    if (paused_ && !ending_ && evbuffer_get_length(input()) > 0) readSoon();
+    paused_ = false;
+    if (lingering_) return now - lastActive_ < kLinger;
+    if (request_ != 0 || ending_ || evbuffer_get_length(output()) > 0) return true;
+    if (!asked_ && now - lastActive_ >= kFirstAsk) return false;
+    return halfSince_ == Time(0) || now - halfSince_ < kHalfMessage;
+  }
 
  private:
   evbuffer* input() { return bufferevent_get_input(bev_.get()); }
@@ -91,25 +118,46 @@
     if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) owner_.closed(*this);
   }
   void flushed() {
+    if (lingering_) {
+      shutdown(bufferevent_getfd(bev_.get()), SHUT_WR);
+      return;
+    }
     if (ending_) return owner_.closed(*this);
     read();  // what was left while the client did not read its answers
   }
   void answered() {
+    forget();
     release();
+    lastActive_ = owner_.engine_.now();
     append(output(), pg::readyForQuery());
     settle();
   }
+  void readSoon() {
+    bufferevent_trigger(bev_.get(), EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+  }
   // After an answer. What was pipelined behind comes next, but not within this answer: the turn is not over.
   void settle() {
     if (evbuffer_get_length(input()) > 0)
-      bufferevent_trigger(bev_.get(), EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+      readSoon();
     else if (owner_.draining_ && !owner_.listener_)
       end();
   }
+  // What cannot be read to its end is fatal. Otherwise nothing more is taken before the next round: guards
+  // against a client that sends the same again at full speed and keeps the loop from the others.
   void reject(const char* code, const char* text, bool fatal) {
     append(output(), pg::error(fatal ? "FATAL" : "ERROR", code, text));
-    if (fatal) return end();
-    answered();
+    paused_ = true;
+    if (!fatal) return answered();
+    release();
+    ending_ = lingering_ = true;
+    lastActive_ = owner_.engine_.now();
+    discard();
+  }
+  void discard() {
+    const std::size_t n = evbuffer_get_length(input());
+    evbuffer_drain(input(), n);
+    discarded_ += n;
+    if (discarded_ > kLingerBytes) owner_.closed(*this);
   }
 
   // Guards against clients that fill the memory together: a statement longer than what is read ahead takes
@@ -129,11 +177,13 @@
   }
 
   void read() {
-    lastActive_ = owner_.engine_.now();
-    while (request_ == 0 && !ending_ && evbuffer_get_length(output()) < kUnread) {
+    if (lingering_) return discard();
+    while (request_ == 0 && !ending_ && !paused_ && evbuffer_get_length(output()) < kUnread) {
       // Each takes one message, or leaves it for when the rest has come.
       if (!(started_ ? takeMessage() : takeStartup())) break;
+      halfSince_ = Time(0);
     }
+    if (halfSince_ == Time(0) && evbuffer_get_length(input()) > 0) halfSince_ = owner_.engine_.now();
   }
 
   bool takeStartup() {
@@ -183,6 +233,7 @@
     }
     if (evbuffer_get_length(input()) < sizeof bytes + head->body) return false;
     evbuffer_drain(input(), sizeof bytes);
+    asked_ = true;
     if (bytes[0] == 'X') {
       end();
       return false;
@@ -201,7 +252,9 @@
     evbuffer_ptr from;
     evbuffer_ptr_set(statement.get(), &from, length - n, EVBUFFER_PTR_SET);
     evbuffer_copyout_from(statement.get(), &from, tail, n);
-    if (n == 0 || tail[n - 1] != '\0') return reject("08P01", "a query without its end", true);
+    // Guards the data servers, which close on what they cannot read: the one NUL is the last byte.
+    if (n == 0 || evbuffer_search(statement.get(), "", 1, nullptr).pos != static_cast<ev_ssize_t>(length) - 1)
+      return reject("08P01", "a query's end is not where its length says", true);
     const std::string_view text(tail, n - 1);
     if (n == length && text.find_first_not_of(" \t\r\n;") == std::string_view::npos) {
       append(output(), pg::message('I', {}));  // EmptyQueryResponse
@@ -209,6 +262,9 @@
     }
     const pg::Comment comment = pg::parseComment(text);
     if (comment.fault) return reject("42601", comment.fault, false);
+    // Guards the one final answer that an id stands for: data servers know a request by it.
+    std::string id(comment.id);
+    if (owner_.openIds_.count(id) > 0) return reject("42710", "this id is that of an open request", false);
     const auto& classes = owner_.config_.classes;
     const auto cls = std::find(classes.begin(), classes.end(), comment.cls);
     if (cls == classes.end()) return reject("42704", "unknown class", false);
@@ -236,15 +292,26 @@
       evbuffer_remove_buffer(message.after.get(), message.before.get(), length - n + comment.waitAt);
       evbuffer_drain(message.after.get(), comment.waitLength);
     }
+    owner_.openIds_.insert(id);
+    id_ = std::move(id);
     request_ = owner_.engine_.request(*this, q, std::move(message));
   }
+  void forget() {
+    if (!id_.empty()) owner_.openIds_.erase(id_);
+    id_.clear();
+  }
 
   Clients& owner_;
   BufferEvent bev_;
-  bool started_ = false, ending_ = false;
+  bool started_ = false, asked_ = false, ending_ = false;
+  bool lingering_ = false;    // its last word is said; what still comes is thrown away
+  bool paused_ = false;       // until the next round
+  std::string id_;            // of the request that is out
   RequestId request_ = 0;     // that is out; 0: none
   std::size_t reserved_ = 0;  // of Clients::reserved_
-  Time lastActive_{};
+  std::size_t discarded_ = 0;
+  Time lastActive_{};  // when it came, or had its last answer
+  Time halfSince_{};   // since when there is input that makes no whole message; 0: there is none
 };
 
 Clients::Clients(event_base* base, Engine& engine, const Config& config)
@@ -259,11 +326,12 @@
   evconnlistener_set_error_cb(
       listener_.get(), [](evconnlistener*, void* self) { static_cast<Clients*>(self)->acceptFailed(); });
   pause_.reset(event_new(
-      base, -1, 0,
-      [](evutil_socket_t, short, void* self) {
-        if (const auto& l = static_cast<Clients*>(self)->listener_) evconnlistener_enable(l.get());
-      },
+      base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<Clients*>(self)->acceptAgain(); },
       this));
+  round_.reset(event_new(
+      base, -1, EV_PERSIST, [](evutil_socket_t, short, void* self) { static_cast<Clients*>(self)->round(); },
+      this));
+  startTimer(round_.get(), kRound);
   lastCall_.reset(event_new(
       base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<Clients*>(self)->stopListening(); },
       this));
@@ -280,19 +348,43 @@
 void Clients::accepted(evutil_socket_t fd) {
   auto session = std::make_unique<Session>(*this, fd);
   sessions_.emplace(session.get(), std::move(session));
-  if (sessions_.size() >= most_) makeRoom();
-  if (sessions_.size() >= most_) {  // the rest waits in the listener's backlog
-    logLine("%zu clients: no more are accepted for now", sessions_.size());
+  acceptAgain();
+}
+
+// Accepts while there is room, or someone to make it; the rest waits in the listener's backlog.
+void Clients::acceptAgain() {
+  if (!listener_) return;
+  if (sessions_.size() < most_ || makeRoom()) {
+    evconnlistener_enable(listener_.get());
+  } else {
     evconnlistener_disable(listener_.get());
+    startTimer(pause_.get(), kPause);
+  }
+}
+
+// Guards against connections that nobody uses keeping out those that ask: first what is being closed, then
+// what has never asked, then what has been idle longest.
+bool Clients::makeRoom() {
+  const Time now = engine_.now();
+  Session* best = nullptr;
+  int most = 0;
+  for (const auto& [s, owned] : sessions_) {
+    const int spare = s->spare(now);
+    if (spare > most || (spare > 0 && spare == most && s->lastActive() < best->lastActive())) {
+      best = s;
+      most = spare;
+    }
   }
+  if (best) sessions_.erase(best);
+  return best != nullptr;
 }
 
-// Guards against connections that nobody uses keeping out those that ask: between requests one may be closed.
-void Clients::makeRoom() {
-  Session* longest = nullptr;
+void Clients::round() {
+  const Time now = engine_.now();
+  std::vector<Session*> over;
   for (const auto& [s, owned] : sessions_)
-    if (s->started() && s->idle() && (!longest || s->lastActive() < longest->lastActive())) longest = s;
-  if (longest) longest->end();
+    if (!s->looksAlive(now)) over.push_back(s);
+  for (Session* s : over) closed(*s);
 }
 
 // Guards against spinning on a full descriptor table: the listener stays ready while nothing can be accepted.
@@ -304,7 +396,7 @@
 
 void Clients::closed(Session& s) {
   sessions_.erase(&s);
-  if (listener_ && sessions_.size() < most_) evconnlistener_enable(listener_.get());
+  acceptAgain();
   if (draining_ && !listener_ && sessions_.empty()) done_();
 }
 
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <memory>
+#include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "net/engine.hpp"
 #include "net/event.hpp"
@@ -23,7 +25,9 @@
   void accepted(evutil_socket_t);
   void acceptFailed();
   void closed(Session&);
-  void makeRoom();
+  void acceptAgain();
+  bool makeRoom();
+  void round();
   void stopListening();
 
   event_base* const base_;
@@ -32,9 +36,10 @@
   const std::size_t most_;    // connections at once
   std::size_t reserved_ = 0;  // bytes of long statements on their way, of Config::largeStatements
   Listener listener_;
-  Event pause_, lastCall_;
+  Event pause_, lastCall_, round_;
   bool draining_ = false;
   std::function<void()> done_;
+  std::unordered_set<std::string> openIds_;  // of the requests that are out
   std::unordered_map<Session*, std::unique_ptr<Session>> sessions_;
 };
 
