Check the form of every answer; use no connection again on which more has come

Cause: Upstream::read took T, D and C in any order, with any lengths inside; what stood behind ReadyForQuery stayed for the next job; every ErrorResponse but four was the member's fault.

Now: one description, one row whose lengths fit, a completion that counts one, in this order, judged before a byte goes on; a head too long, noise, or an answer that stops halfway for 250 ms ends the attempt as one that may have run. A connection is used again only when its input and its socket are empty. Codes 42xxx, 22xxx and 08P01 end the request there. A report with a figure that cannot be is no report; a spoilt answer to a probe is a sign of life.

Of the new tests those of the answer's form, the bad statement and the report were seen to fail on the old program.

--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -123,12 +123,17 @@
   o.attempt = e.attempt;
   o.member = e.member;
   o.result = e.ending.result;
-  o.closed = it == held_.end() || o.result == Result::Ok;
+  // A bad statement is the client's fault: it is not tried elsewhere, nor held against the member.
+  if (e.ending.badStatement) o.result = Result::Cancelled;
+  o.closed = it == held_.end() || o.result == Result::Ok || e.ending.badStatement;
   o.note = millisecondsSince(zero_, e.ending.positionMs) << 2;
   if (e.ending.role == Role::Primary) o.note |= 1;
   if (e.ending.role == Role::Replica) o.note |= 2;
-  if (it != held_.end() && o.result == Result::Ok) {
-    if (Requester* const asker = it->second.asker)
+  if (it != held_.end() && o.closed) {
+    Requester* const asker = it->second.asker;
+    if (asker && e.ending.badStatement)
+      actions_.emplace_back([asker] { asker->failed(); });
+    else if (asker)
       actions_.emplace_back([asker, answer = std::make_shared<Buffer>(std::move(e.ending.answer))] {
         asker->served(std::move(*answer));
       });
--- a/src/net/engine.hpp
+++ b/src/net/engine.hpp
@@ -76,6 +76,7 @@
   Result result = Result::Reset;
   Role role = Role::Unknown;
   std::int64_t positionMs = 0;  // Unix time; 0: not told
+  bool badStatement = false;    // the member turned the statement away for what it says
   Buffer answer;                // Result::Ok only
 };
 
--- a/src/net/pg.cpp
+++ b/src/net/pg.cpp
@@ -105,18 +105,35 @@
     const char type = body[0];
     body.remove_prefix(1);
     const auto value = takeString(body);
-    if (!value) break;
+    if (!value) return {};
     if (type == 'S') fields.severity = *value;
     if (type == 'C') fields.code = *value;
     if (type == 'M') fields.text = *value;
   }
-  return fields;
+  const bool whole = body.size() == 1 && fields.code.size() == 5;
+  return whole ? fields : ErrorFields{};
+}
+
+bool isRowDescription(std::string_view body) {
+  constexpr std::size_t kColumnTail = 18;  // table, column, type, size, modifier, format
+  if (body.size() < 2 || body[0] != 0 || body[1] != 1) return false;
+  body.remove_prefix(2);
+  return takeString(body) && body.size() == kColumnTail;
+}
+bool isRowHead(const char (&bytes)[kRowHead], std::size_t body) {
+  return bytes[0] == 0 && bytes[1] == 1 && body >= kRowHead && body - kRowHead <= kLongestValue &&
+         readInt32(bytes + 2) == body - kRowHead;
+}
+bool isTag(std::string_view body, bool oneRow) {
+  if (body.empty() || body.find('\0') != body.size() - 1) return false;
+  body.remove_suffix(1);
+  return !oneRow || (body.size() > 2 && body.substr(body.size() - 2) == " 1");
 }
 
 std::pair<std::string_view, std::string_view> parseParameter(std::string_view body) {
   const auto name = takeString(body);
   const auto value = name ? takeString(body) : std::nullopt;
-  if (!value) return {};
+  if (!value || !body.empty()) return {};
   return {*name, *value};
 }
 
--- a/src/net/pg.hpp
+++ b/src/net/pg.hpp
@@ -14,6 +14,9 @@
 constexpr std::size_t kHead = 5;                    // type and length of a message
 constexpr std::size_t kLongestMessage = 160 << 10;  // a value of 64 KiB in hex, and the statement round it
 constexpr std::size_t kLongestStartup = 4096;
+constexpr std::size_t kLongestValue = 64 << 10,
+                      kRowHead = 6;         // of a DataRow: columns, the length of the first
+constexpr std::size_t kLongestNote = 4096;  // any other message of a data server
 constexpr std::uint32_t kVersion3 = 196608, kSslRequest = 80877103, kGssEncRequest = 80877104,
                         kCancelRequest = 80877102;
 
@@ -39,7 +42,11 @@
 struct ErrorFields {
   std::string_view severity, code, text;
 };
-ErrorFields parseError(std::string_view body);
+ErrorFields parseError(std::string_view body);  // all empty where the body is malformed
+// Whether a data server's message has the form that an answer of one row with one column has.
+bool isRowDescription(std::string_view body);
+bool isRowHead(const char (&bytes)[kRowHead], std::size_t body);  // the head of a DataRow of that length
+bool isTag(std::string_view body, bool oneRow);                   // CommandComplete
 // Name and value; empty where the body is malformed.
 std::pair<std::string_view, std::string_view> parseParameter(std::string_view body);
 // The only column of a DataRow; nothing where the row is malformed, has other columns or holds NULL.
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -4,7 +4,9 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
+#include <cmath>
 #include <optional>
 
 #include "net/log.hpp"
@@ -20,6 +22,10 @@
 // Guards against the race with the data server's own idle limit: what is written to a connection that it has
 // closed ends as a reset. So much of the limit is used.
 constexpr double kIdleShare = 0.7;
+// An answer whose first byte has come is whole by then: a data server writes it in one go. Guards against
+// lengths that promise more than comes.
+constexpr Time kWhole = std::chrono::milliseconds(250);
+constexpr double kMostHeld = 100000;  // requests that a data server may say it holds
 
 // An item of a load report: "x0=1767225600.123,x1=1,inflight=7".
 bool figure(std::string_view report, std::string_view name, double& value) {
@@ -83,14 +89,23 @@
 
   evbuffer* output() { return bufferevent_get_output(bev_.get()); }
   bool flushed() { return evbuffer_get_length(output()) == 0; }
+  // Nothing has come that nobody asked for. Guards against taking what stands behind an answer (a second
+  // copy, noise) for the next one; the peek sees what libevent has not read yet, and an end as well.
+  bool clean() {
+    char byte;
+    return evbuffer_get_length(bufferevent_get_input(bev_.get())) == 0 &&
+           recv(bufferevent_getfd(bev_.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+           (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+  bool badStatement() const { return job && badStatement_; }
   void begin(Job& j) {
     job = &j;
     j.on = this;
     event_del(timer.get());
     answer_ = newBuffer();
     result_ = Result::Reset;
-    rows_ = 0;
-    complete_ = false;
+    stage_ = Stage::Start;
+    badStatement_ = false;
     role_ = Role::Unknown;
     positionMs_ = 0;
     report_.reset();
@@ -104,42 +119,93 @@
     }
     if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) owner_.lost(*this, failure_);
   }
-  void late() { owner_.lost(*this, failure_); }  // dialing, or idle for long enough
+  void late() {  // dialing, idle for long enough, or amid an answer
+    if (job) return owner_.spoilt(*this, "an answer that does not end");
+    owner_.lost(*this, failure_);
+  }
 
   void read() {
     evbuffer* const in = bufferevent_get_input(bev_.get());
-    for (;;) {
+    while (evbuffer_get_length(in) > 0) {
+      if (!dialing && !(job && job->written && flushed()))
+        return owner_.spoilt(*this, "what nobody asked for");
       char bytes[pg::kHead];
-      if (evbuffer_copyout(in, bytes, sizeof bytes) < static_cast<ev_ssize_t>(sizeof bytes)) return;
+      if (evbuffer_copyout(in, bytes, sizeof bytes) < static_cast<ev_ssize_t>(sizeof bytes)) break;
       const auto head = pg::parseHead(bytes);
-      if (!head) {
-        logLine("a data server sent a message that is none (type %d)", bytes[0]);
-        return owner_.lost(*this, failure_);
-      }
+      // Judged by its head, before the rest is read: it may promise gigabytes.
+      if (!head || !due(head->type) ||
+          head->body > (head->type == 'D' ? pg::kRowHead + pg::kLongestValue : pg::kLongestNote))
+        return owner_.spoilt(*this, "a message that is none");
       const std::size_t whole = sizeof bytes + head->body;
-      if (evbuffer_get_length(in) < whole) return;
-      // Only the answer's own messages go on to the client, moved and unread, but for a probe's row.
-      const bool answer = head->type == 'T' || head->type == 'D' || head->type == 'C';
-      if (job && !job->probe() && answer) {
+      if (evbuffer_get_length(in) < whole) break;
+      // Only the answer's own messages go on to the client. A row is moved, its value unread, but for a
+      // probe's.
+      if (head->type == 'D' && !job->probe()) {
+        char row[pg::kHead + pg::kRowHead];
+        char columns[pg::kRowHead];
+        const bool enough = evbuffer_copyout(in, row, sizeof row) == static_cast<ev_ssize_t>(sizeof row);
+        std::copy(row + pg::kHead, row + sizeof row, columns);
+        if (!enough || !pg::isRowHead(columns, head->body)) return owner_.spoilt(*this, "a malformed row");
+        stage_ = Stage::Row;
         evbuffer_remove_buffer(in, answer_.get(), whole);
-        rows_ += head->type == 'D';
-        complete_ = complete_ || head->type == 'C';
         continue;
       }
       const char* const at =
           reinterpret_cast<const char*>(evbuffer_pullup(in, static_cast<ev_ssize_t>(whole)));
       const std::string_view body(at + sizeof bytes, head->body);
       if (!take(head->type, body)) return;  // this connection is no more
-      evbuffer_drain(in, whole);
-      if (head->type == 'Z' && !owner_.stands(*this)) return;
+      if (head->type == 'T' || head->type == 'C')
+        evbuffer_remove_buffer(in, answer_.get(), whole);
+      else
+        evbuffer_drain(in, whole);
+      if (head->type != 'Z') continue;
+      if (!clean() && !dialing)
+        return owner_.drop(*this);  // the answer is good; its connection is of no more use
+      if (!owner_.stands(*this)) return;
+    }
+    if (job && job->written && (stage_ != Stage::Start || evbuffer_get_length(in) > 0) &&
+        !event_pending(timer.get(), EV_TIMEOUT, nullptr))
+      startTimer(timer.get(), kWhole);
+  }
+
+  // Whether a message of this type may come now: an answer is a description, a row, its completion, or an
+  // error instead, and then ReadyForQuery.
+  bool due(char type) const {
+    switch (type) {
+      case 'S':
+      case 'N':
+        return true;
+      case 'R':
+      case 'K':
+        return dialing;
+      case 'T':
+        return !dialing && stage_ == Stage::Start;
+      case 'D':
+        return !dialing && stage_ == Stage::Described;
+      case 'C':
+        return !dialing && stage_ == Stage::Row;
+      case 'E':
+        return dialing || stage_ < Stage::Complete;
+      case 'Z':
+        return dialing || stage_ >= Stage::Complete;
+      default:
+        return false;
     }
   }
+  bool malformed(const char* what) {
+    owner_.spoilt(*this, what);
+    return false;
+  }
 
   // False: the connection has ended.
   bool take(char type, std::string_view body) {
     switch (type) {
       case 'E': {
         const pg::ErrorFields e = pg::parseError(body);
+        if (e.code.empty()) return malformed("a malformed error");
+        stage_ = Stage::Failed;
+        // Syntax, data, protocol: the statement is at fault.
+        badStatement_ = e.code.substr(0, 2) == "42" || e.code.substr(0, 2) == "22" || e.code == "08P01";
         result_ = e.code == "53300"                        ? Result::Full
                   : dialing                                ? Result::ConnectFailed
                   : e.code == "25006" || e.code == "72000" ? Result::Miss
@@ -154,10 +220,13 @@
       }
       case 'S': {
         const auto [name, value] = pg::parseParameter(body);
-        if (name == "role") role_ = value == "primary" ? Role::Primary : Role::Replica;
+        if (name.empty()) return malformed("a malformed parameter");
+        if (name == "role")
+          role_ = value == "primary" ? Role::Primary : value == "replica" ? Role::Replica : Role::Unknown;
         if (name == "applied_ms") {
-          if (std::from_chars(value.data(), value.data() + value.size(), positionMs_).ec != std::errc())
-            positionMs_ = 0;
+          const char* const end = value.data() + value.size();
+          const auto [stop, error] = std::from_chars(value.data(), end, positionMs_);
+          if (error != std::errc() || stop != end) positionMs_ = 0;
         }
         return true;
       }
@@ -166,17 +235,23 @@
         logLine("a data server wants a password");
         owner_.lost(*this, Result::ConnectFailed);
         return false;
+      case 'T':
+        if (!pg::isRowDescription(body)) return malformed("a malformed description");
+        stage_ = Stage::Described;
+        return true;
       case 'D':
         if (const auto column = pg::parseColumn(body)) report_ = std::string(*column);
+        stage_ = Stage::Row;
+        return true;
+      case 'C':
+        if (!pg::isTag(body, !job->probe())) return malformed("a malformed completion");
+        stage_ = Stage::Complete;
         return true;
       case 'Z':
+        if (body.size() != 1 || std::string_view("ITE").find(body[0]) == std::string_view::npos)
+          return malformed("a malformed end");
         failure_ = Result::Reset;
-        if (job && job->written) {
-          conclude();
-        } else if (!dialing) {
-          owner_.lost(*this, failure_);  // nobody asked
-          return false;
-        }
+        if (!dialing) conclude();
         return true;
       default:
         return true;
@@ -187,9 +262,11 @@
     Job& j = *job;
     job = nullptr;
     j.on = nullptr;
+    event_del(timer.get());
     if (j.probe()) return owner_.finishProbe(j, report_.has_value(), report_.value_or(""));
     Ending e;
-    e.result = result_ != Result::Reset ? result_ : rows_ == 1 && complete_ ? Result::Ok : Result::Error;
+    e.result = stage_ == Stage::Failed ? result_ : Result::Ok;
+    e.badStatement = badStatement_;
     e.role = role_;
     e.positionMs = positionMs_;
     if (e.result == Result::Ok) e.answer = std::move(answer_);
@@ -201,8 +278,8 @@
   Result failure_ = Result::ConnectFailed;  // what its end means now
   Result result_ = Result::Reset;           // of the job, once told by an ErrorResponse
   Buffer answer_;
-  int rows_ = 0;
-  bool complete_ = false;
+  enum class Stage { Start, Described, Row, Complete, Failed } stage_ = Stage::Start;  // of the answer
+  bool badStatement_ = false;
   Role role_ = Role::Unknown;
   std::int64_t positionMs_ = 0;
   std::optional<std::string> report_;
@@ -292,9 +369,13 @@
       &j));
   startTimer(j.timer.get(), j.until - engine_.now());
   Endpoint& e = endpoints_[j.member];
-  if (!e.idle.empty()) {
+  while (!e.idle.empty()) {
     Connection& c = *e.idle.back();
     e.idle.pop_back();
+    if (!c.clean()) {
+      drop(c);
+      continue;
+    }
     c.begin(j);
     return write(j);
   }
@@ -407,20 +488,37 @@
 void Upstream::finishProbe(Job& j, bool ok, std::string_view report) {
   Endpoint& e = endpoints_[j.member];
   e.waiting.erase(std::remove(e.waiting.begin(), e.waiting.end(), &j), e.waiting.end());
-  // A data server that has nothing to report yet answers all the same, with an empty row: it is no silence.
-  std::vector<double> figures(config_.reportNames.size());
-  bool all = ok;
-  for (std::size_t k = 0; all && k < figures.size(); ++k)
-    all = figure(report, config_.reportNames[k], figures[k]);
-  engine_.probed(j.member, ok, all ? figures : std::vector<double>());
+  engine_.probed(j.member, ok, ok ? believed(report) : std::vector<double>());
   e.probe.reset();
 }
 
+// The figures of a report, or none where one of them cannot be: a spoilt report is no fact. A data server
+// that has nothing to report yet answers all the same, with an empty row: it is no silence.
+std::vector<double> Upstream::believed(std::string_view report) const {
+  const double now = static_cast<double>(engine_.now().count()) / 1e6;
+  std::vector<double> figures(config_.reportNames.size());
+  for (std::size_t k = 0; k < figures.size(); ++k) {
+    double& v = figures[k];
+    if (!figure(report, config_.reportNames[k], v) || !std::isfinite(v)) return {};
+    switch (config_.settings.figures[k]) {
+      case knotstack::Figure::Position:
+        if (v < 0 || v > now + 1) return {};
+        break;
+      case knotstack::Figure::Primary:
+        if (v != 0 && v != 1) return {};
+        break;
+      default:
+        if (v < 0 || v > kMostHeld) return {};
+    }
+  }
+  return figures;
+}
+
 // ---- the end of connections ------------------------------------------------------------------------------
 void Upstream::lost(Connection& c, Result how) {
   Endpoint& e = endpoints_[c.member];
   Job* const j = c.job;
-  const bool dialing = c.dialing;
+  const bool dialing = c.dialing, badStatement = c.badStatement();
   // Written to the last byte it may have run; before that it never has.
   if (j && how == Result::Reset && (!j->written || !c.flushed())) how = Result::ConnectFailed;
   if (j) {
@@ -432,11 +530,34 @@
   if (j) {
     Ending ending;
     ending.result = how;
+    ending.badStatement = badStatement;
     return finish(*j, std::move(ending));
   }
   if (dialing) dialFailed(e, how);
 }
 
+// What cannot be an answer, or stands where none is due. An attempt that was written may have run; a probe
+// was answered, however badly: its member lives.
+void Upstream::spoilt(Connection& c, const char* what) {
+  logLine("a data server sent %s", what);
+  Endpoint& e = endpoints_[c.member];
+  Job* const j = c.job;
+  const bool dialing = c.dialing, ran = j && j->written && c.flushed();
+  if (j) {
+    j->on = nullptr;
+    c.job = nullptr;
+  }
+  drop(c);
+  if (!j) {
+    if (dialing) dialFailed(e, Result::ConnectFailed);
+    return;
+  }
+  if (j->probe()) return finishProbe(*j, true);
+  Ending ending;
+  ending.result = ran ? Result::Error : Result::Moot;
+  finish(*j, std::move(ending));
+}
+
 void Upstream::dialFailed(Endpoint& e, Result how) {
   e.dialAgain = engine_.now() + kDialAgain;
   if (e.waiting.size() <= static_cast<std::size_t>(e.dialing)) return;
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -44,11 +44,13 @@
   void dial(MemberId, Endpoint&);
   bool stands(Connection&);  // dialed or released: takes the next job or idles; false: it was dropped
   void write(Job&);
-  void lost(Connection&, Result);  // its end; tells that of its job
+  void lost(Connection&, Result);              // its end; tells that of its job
+  void spoilt(Connection&, const char* what);  // the same, by what it sent
   void dialFailed(Endpoint&, Result);
   void timedOut(Job&);
   void finish(Job&, Ending);  // the end of a job, told once
   void finishProbe(Job&, bool ok, std::string_view report = {});
+  std::vector<double> believed(std::string_view report) const;
   void drop(Connection&);
   void dropIdle(Endpoint&);
   void keepWarm();
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -55,7 +55,7 @@
   EXPECT_EQ(f.text, "full");
   EXPECT_NE(e.find(std::string("D25\0", 4)), std::string::npos);
   EXPECT_EQ(pg::parseError("Sno end").code, "");
-  using namespace std::string_view_literals;
+  using namespace std::literals;
   EXPECT_EQ(pg::parseColumn("\0\1\0\0\0\2ab"sv), "ab");
   EXPECT_EQ(pg::parseColumn("\0\1\0\0\0\0"sv), "");
   EXPECT_FALSE(pg::parseColumn("\0\1\xff\xff\xff\xff"sv));
@@ -63,6 +63,18 @@
   EXPECT_FALSE(pg::parseColumn("\0\2\0\0\0\2ab"sv));
   EXPECT_EQ(pg::parseParameter("role\0replica\0"sv).second, "replica");
   EXPECT_EQ(pg::parseParameter("role\0replica"sv).first, "");
+  EXPECT_EQ(pg::parseParameter("role\0replica\0more"sv).first, "");
+  EXPECT_TRUE(pg::isRowDescription("\0\1blob\0"s + std::string(18, '\0')));
+  EXPECT_FALSE(pg::isRowDescription("\0\1blob\0"s + std::string(17, '\0')));
+  EXPECT_FALSE(pg::isRowDescription("\0\2blob\0"s + std::string(18, '\0')));
+  EXPECT_TRUE(pg::isTag("INSERT 0 1\0"sv, true));
+  EXPECT_TRUE(pg::isTag("SHOW\0"sv, false));
+  EXPECT_FALSE(pg::isTag("SELECT 0\0"sv, true));
+  EXPECT_FALSE(pg::isTag("SELECT 1"sv, true));
+  EXPECT_FALSE(pg::isTag("SELECT\0 1\0"sv, true));
+  EXPECT_TRUE(pg::isRowHead({0, 1, 0, 1, 0, 0}, 6 + 65536));
+  EXPECT_FALSE(pg::isRowHead({0, 1, 0, 1, 0, 1}, 6 + 65537));
+  EXPECT_FALSE(pg::isRowHead({0, 1, 0, 0, 0, 5}, 6 + 4));
 }
 
 TEST(Http, ChunksMayBeSplitAnywhere) {
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <ctime>
 #include <fstream>
 
 #include "net/config.hpp"
@@ -78,6 +79,69 @@
     c1 expect row whole
   )");
 }
+// What cannot be the answer ends the attempt at once, as one that may have run, and its connection.
+TEST(Proxy, PassesOnNothingSpoilt) {
+  for (const std::string kind :
+       {"noise", "huge", "column", "columns", "endless", "rows", "order", "none", "count"}) {
+    SCOPED_TRACE(kind);
+    Scenario t;
+    t.run(R"(
+      c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+      s2 expect query id=1
+      s2 send spoilt )" +
+          kind + R"(
+      s2 expect closed
+      s1 expect query id=1
+      s1 send row v
+      c1 expect row v
+    )");
+  }
+}
+// The answer is good; what stands behind it must not be taken for the next one.
+TEST(Proxy, UsesNoConnectionAgainOnWhichMoreCameThanTheAnswer) {
+  for (const std::string kind : {"twice", "behind"}) {
+    Scenario t;
+    t.run(R"(
+      c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+      s2 expect query id=1
+      s2 send spoilt )" +
+          kind + R"(
+      c1 expect row other
+      s2 expect closed
+      c1 send query SELECT 1 /* id=2,c=read,d=7000,cluster=3 */
+      s2 expect query id=2
+      s2 send row v
+      c1 expect row v
+    )");
+  }
+}
+TEST(Proxy, AStatementThatADataServerTurnsAwayIsNotTriedElsewhere) {
+  Scenario t;
+  t.run(R"(
+    c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    s2 expect query id=1
+    s2 send error 42601
+    c1 expect error 40003
+    c1 send query SELECT 1 /* id=2,c=read,d=7000,cluster=3 */
+    s2 expect query id=2
+    s2 send row v
+    c1 expect row v
+  )");
+}
+// x1=inf, read as a number, would make a replica the primary.
+TEST(Proxy, BelievesNothingOfASpoiltReport) {
+  Scenario t;
+  t.run("s2 report x0=" + std::to_string(time(nullptr)) + R"(,x1=inf,inflight=0
+    c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    s1 expect query id=1
+    s1 send row v
+    c1 expect row v
+    c1 send query INSERT 1 /* id=2,c=write,d=7000,k=1,cluster=3 */
+    s1 expect query id=2
+    s1 send row w
+    c1 expect row w
+  )");
+}
 TEST(Proxy, AWriteThatMayHaveRunIsFailedNotRefused) {
   Scenario t;
   t.run(R"(
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -244,6 +244,10 @@
     found->busy = true;
     return;
   }
+  if (verb == "report") {
+    s.report = what;
+    return;
+  }
   if (verb == "wait" && what == "silent") {  // cut off: its connections stay open and say nothing more
     s.silent = true;
     return;
@@ -287,12 +291,29 @@
   } else if (what == "part") {
     const std::string whole = row(value(rest));
     put(c->fd, whole.substr(0, whole.size() - 2));
+  } else if (what == "spoilt") {
+    const std::string good = row("other"), done = pg::message('C', std::string("SELECT 1\0", 9)),
+                      end = done + role + pg::readyForQuery();
+    const std::string description = good.substr(0, good.size() - 16), cell = good.substr(good.size() - 16);
+    const std::map<std::string, std::string> kinds{
+        {"noise", "\x80\x01 no message"},
+        {"huge", description + "D" + number(0xc0000000u) + "\1"},
+        {"column", description + pg::message('D', std::string("\0\1\0\0\1\0other", 11)) + end},
+        {"columns", description + pg::message('D', std::string("\0\2\0\0\0\5other", 11)) + end},
+        {"endless", description + "D" + number(15) + std::string("\0\1\0\0\0\5ot", 8)},
+        {"rows", good + cell + end},
+        {"order", description + done + cell + role + pg::readyForQuery()},
+        {"none", description + end},
+        {"count", good + pg::message('C', std::string("SELECT 2\0", 9)) + role + pg::readyForQuery()},
+        {"twice", good + end + good + end},
+        {"behind", good + end + description + "D"}};
+    put(c->fd, kinds.at(rest));
   } else if (what == "error") {
     put(c->fd, pg::error("ERROR", rest.c_str(), "scripted") + role + pg::readyForQuery());
   } else {
     FAIL() << "no such step: " << at_;
   }
-  if (what != "part") c->busy = false;
+  if (what != "part" && what != "spoilt") c->busy = false;
 }
 
 void Scenario::discovery(const std::string& verb, const std::string& what, const std::string& rest) {
@@ -443,6 +464,10 @@
   const std::string show = pg::query("SHOW load");
   if (!c.greeted || c.in.compare(0, show.size(), show) != 0) return;
   c.in.erase(0, show.size());
+  if (!s.report.empty()) {
+    put(c.fd, row(s.report) + pg::message('C', std::string("SHOW\0", 5)) + pg::readyForQuery());
+    return;
+  }
   std::ostringstream report;
   const long long ms = unixMs();
   report << "x0=" << ms / 1000 << "." << ms % 1000 / 100 << ",x1=" << (s.primary ? 1 : 0) << ",inflight=0";
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -5,7 +5,7 @@
 //   s2 expect query TEXT   s2 send row TEXT       s2 send error CODE       s2 close             s2 wait idle
 //   2 s2 wait silent         list expect watch TEXT list send line JSON      list close
 //   proxy send TERM          proxy expect exit 0     proxy expect log TEXT        proxy reload moved|broken
-//   proxy expect quiet
+//   proxy expect quiet       s2 send spoilt KIND      s2 report TEXT
 //
 // c1, c2 ... are clients; s1 (the primary), s2 ... data servers that greet and report by themselves. A
 // reload replaces the file and sends SIGHUP: `moved` names another discovery, which `list` is from then on.
@@ -50,6 +50,7 @@
   struct Server {
     int listener = -1, port = 0;
     bool primary = false, silent = false;
+    std::string report;  // in place of its own
     std::list<Connection> all;
     Connection* current = nullptr;
   };
