Let a laggard that was asked in vain pass its turn, so the others are asked

A probe build that logged each group once a second shows members 11, 13 to 16 with one old position that ages by a second each second: nobody asks them. inquire() asks the two candidates least recently used; members 8 and 12 really lagged, got no sends, and so stayed those two for seconds. Ruled out: health (none set aside), drains, the cold budget (members of more than 18 s among the unasked).

Lines: Balancer::probed; a word that proves no position within the tightest bound now counts as a turn.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -864,6 +864,9 @@
   if (p.ok) {
     c.sawReport(*m, p.report);
     m->wordAt = now;
+    // Guards against asking the same laggards for ever: they get no sends, so by use alone they would stay
+    // next in turn, and the others' positions would wear out unasked. To be asked in vain is a turn, too.
+    if (m->position < now - c.tightestBound()) m->lastUsed = now;
   } else if (m->wordAt < m->probedAt && now >= m->asideUntil) {
     c.setAside(*m);  // its silence or a refused connection: nothing is sent there for a while
   }
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -634,6 +634,26 @@
   }
   EXPECT_EQ(met.count(member), 1u) << "it serves on";
 }
+// muscat-guides, replicas that lag: two that got no sends stayed next in turn and were the only ones asked,
+// while the positions of all others wore out.
+TEST(Asking, LaggardsThatWereAskedInVainLetTheOthersBeAsked) {
+  Bench t(settings(), 5);
+  t.teachPrimary(1);
+  std::set<MemberId> asked;
+  for (int k = 0; k < 4; ++k) {
+    t.pass(1000);
+    const std::size_t before = t.out.all.size();
+    const RequestId id = t.ask(kBounded);
+    const std::vector<Action> all(t.out.all.begin() + static_cast<std::ptrdiff_t>(before), t.out.all.end());
+    for (const Action& a : all)
+      if (a.what == "probe") {
+        asked.insert(a.member);
+        t.report(a.member, a.member <= 3 ? 5000 : 10, a.member == 1);
+      }
+    if (!t.sends(id).empty()) t.end(id, Result::Ok, t.note(10, t.lastTo(id) == 1 ? 1 : 2));
+  }
+  EXPECT_GT(asked.count(4) + asked.count(5), 0u);
+}
 TEST(Asking, AnUnansweredProbeSetsAMemberAside) {
   Bench t;
   t.teachPrimary(1);
