Keep a member that fails at once as the last resort; quick errors draw on no purse

Some 15 writes a second wait and are refused; reads lose the one member whose data are new enough. Ruled out: silence, failed connections, a drain (result 1, down 0 each time).

Lines: Core::learn sets aside without telling errors from silence; advanceWrite waits for health though a write has nowhere else to go; outcome charges the purse for what cost nothing. Now a member set aside for errors alone still takes writes, and reads that nobody else can take; an error within half of a class's low latency is free, attemptsCap binds. Retries.AttemptsSavedUpFadeWithTime now fails its attempts after work was done, which is what it is about.

Left there: 7 to 15 s, when all replicas of a group lag and its primary is full.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -39,6 +39,7 @@
 constexpr int kAsk = 2;               // candidates asked before a send: one may be the worse of two
 constexpr int kHold = 8;              // a request waits for their word for 1/8 of its aim at most
 constexpr Time kDumb = milliseconds(25);  // a probe is answered beside the queue: later is silence
+constexpr double kAtOnce = 0.5;           // of a class's low latency: no work was done by then
 constexpr int kStreak = 3;                // failures in a row that set a member aside
 constexpr Time kBackoffFirst = milliseconds(500), kBackoffMost = seconds(8);
 constexpr Time kNews = seconds(1);        // a report of load says something for so long
@@ -128,7 +129,8 @@
     if (now < m.asideUntil) return false;
     return std::none_of(m.out.begin(), m.out.end(), [&](const Sent& o) { return o.at >= m.asideUntil; });
   }
-  void setAside(Member& m) {
+  void setAside(Member& m, bool erring = false) {
+    m.erring = erring;
     m.backoff = std::max(m.backoff, kBackoffFirst);
     m.asideUntil = now + m.backoff;
     m.backoff = std::min(2 * m.backoff, kBackoffMost);
@@ -283,12 +285,13 @@
   // against a lag, or long reads that hold up the log, spreading over all replicas. It acts where some
   // replica's last position was too old for a bounded read; it could crowd that one, until its window shows
   // it.
-  std::vector<Member*> candidates(const Open& r) {
+  std::vector<Member*> candidates(const Open& r, bool lastResort = false) {
     Group& g = groups[r.q.group];
     std::vector<Member*> some;
     for (const MemberId id : g.members) {
       Member& m = members.at(id);
-      if (usable(m) && healthy(m) && mayTake(r, m) && withinColdBudget(m, r)) some.push_back(&m);
+      if (usable(m) && (healthy(m) || (lastResort && m.erring)) && mayTake(r, m) && withinColdBudget(m, r))
+        some.push_back(&m);
     }
     const Time bound = tightestBound();
     const bool any = needOf(r) == never;
@@ -333,7 +336,7 @@
     wait(r, std::max(s.step, classOf(r).aim / kHold));
     return true;
   }
-  std::vector<Choice> readSet(const Open& r) {
+  std::vector<Choice> readSet(const Open& r, bool lastResort = false) {
     Group& g = groups[r.q.group];
     const ClassSettings& c = classOf(r);
     const Time need = needOf(r);
@@ -341,7 +344,7 @@
     if (budget <= Time(0)) budget = std::max(r.q.deadline - now, Time(1));
     std::vector<Choice> replicas, set;
     Choice primary{nullptr, 1, 0};
-    for (Member* m : candidates(r)) {
+    for (Member* m : candidates(r, lastResort)) {
       const double f = stalenessFactor(*m, g, need);
       if (f < 0) continue;
       Choice ch{m, 0, 0};
@@ -393,6 +396,9 @@
       r.tried.clear();
       set = readSet(r);
     }
+    // Guards against a read that nobody takes while one member fails some at once: that costs less than to
+    // wait.
+    if (set.empty()) set = readSet(r, true);
     if (set.empty()) return wait(r);
     set.erase(
         std::remove_if(set.begin(), set.end(), [&](const Choice& ch) { return !useful(r, *ch.member); }),
@@ -414,7 +420,9 @@
     Member* const m = primaryOf(g);
     if (m) {
       r.tried.clear();
-      if (!healthy(*m) || !mayTake(r, *m) || !withinColdBudget(*m, r)) return wait(r);
+      // A primary that fails some at once is the only way all the same; one that is silent or gone is none.
+      const bool fit = healthy(*m) || m->erring;
+      if (!fit || !mayTake(r, *m) || !withinColdBudget(*m, r)) return wait(r);
       if (inquire(r, {m})) return;
       return useful(r, *m) ? send(r, *m) : finish(r);
     }
@@ -508,9 +516,11 @@
         if (o.result == Result::Ok && now - r.arrived <= classOf(r).aim) inTime[at(r.q.cls)] += 1;
         close(r);
       } else {
-        // A miss or an attempt that never went out cost the member nothing; what was really tried again must
-        // be earned.
-        const bool free = o.result == Result::Miss || o.result == Result::Moot || a.cancelled;
+        // A miss, an error that came at once, or an attempt that never went out cost the member nothing; what
+        // was really tried again must be earned.
+        const bool quick = o.result == Result::Error &&
+                           static_cast<double>((now - a.at).count()) < base[at(r.q.cls)] * kAtOnce;
+        const bool free = o.result == Result::Miss || o.result == Result::Moot || a.cancelled || quick;
         if (r.outstanding == 0 && !free && now < r.q.deadline) {
           if (retries >= 1)
             retries -= 1;
@@ -551,6 +561,7 @@
       m.failures = 0;
       m.asideUntil = never;
       m.backoff = Time(0);
+      m.erring = false;
     } else if (o.result != Result::Moot && o.result != Result::Cancelled &&
                !(write && o.result == Result::Miss)) {
       // A fast failure must not look fast. A full queue or a time-out is a wait past the deadline, at that
@@ -562,7 +573,7 @@
       // connections break at random, every member would be set aside in turn.
       const bool down = o.result == Result::ConnectFailed && m.lastAnswer < was.at;
       if (o.result != Result::Miss && o.result != Result::Full && (++m.failures >= kStreak || down)) {
-        if (now >= m.asideUntil) setAside(m);
+        if (now >= m.asideUntil) setAside(m, o.result == Result::Error);
         if (down) sawRole(m, Role::Unknown, now);  // its process is gone: whoever is primary must say so anew
       }
     }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -42,6 +42,7 @@
   int failures = 0;
   Time asideUntil = never;  // health: set aside until then, then one trial at a time
   Time backoff{};
+  bool erring = false;  // set aside for errors alone: it answers
   bool probing = false;
   Time probedAt = never;
   Time wordAt = never;  // last answer of any kind, probes included
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -549,6 +549,7 @@
   for (int k = 0; k < 20; ++k) {
     const RequestId id = t.ask(kAny);
     if (t.sends(id).empty()) continue;  // members were set aside
+    t.pass(160);                        // more than at once: work was done
     t.end(id, Result::Error, 2);
     ++failed;
     if (t.sends(id).size() < 2) continue;
@@ -634,6 +635,37 @@
   }
   EXPECT_EQ(met.count(member), 1u) << "it serves on";
 }
+// muscat-guides, fast_errors on a primary: three errors that came at once kept all writes waiting for up to 8
+// s, while it answered half of what it got.
+TEST(Health, APrimaryThatFailsSomeAtOnceStillTakesWrites) {
+  Bench t;
+  t.teachPrimary(1);
+  for (int k = 0; k < 6; ++k) {
+    const RequestId id = t.ask(kWrite);
+    ASSERT_EQ(t.lastTo(id), 1u) << k;
+    t.end(id, Result::Error, t.note(0, 1));
+    t.pass(1);
+  }
+  // One whose connection fails is gone, and gets nothing for a while.
+  const RequestId last = t.ask(kWrite);
+  t.end(last, Result::ConnectFailed);
+  const RequestId next = t.ask(kWrite);
+  EXPECT_NE(t.lastTo(next), 1u);
+}
+TEST(Health, AReadGoesToAMemberThatFailsSomeAtOnceWhereNoOtherCanTakeIt) {
+  Bench t(settings(), 1);
+  t.teachPrimary(1);
+  const RequestId first = t.ask(kBounded);
+  t.pass(40);
+  t.end(first, Result::Ok, t.note(0, 1));
+  const RequestId id = t.ask(kBounded);
+  for (int k = 0; k < 5; ++k) {
+    ASSERT_EQ(t.sends(id).size(), static_cast<std::size_t>(k + 1));
+    t.end(id, Result::Error, t.note(0, 1));  // at once: it draws on no purse
+  }
+  t.end(id, Result::Ok, t.note(0, 1));
+  EXPECT_FALSE(t.finalAnswer(id));
+}
 // muscat-guides, replicas that lag: two that got no sends stayed next in turn and were the only ones asked,
 // while the positions of all others wore out.
 TEST(Asking, LaggardsThatWereAskedInVainLetTheOthersBeAsked) {
