Forget data servers that are gone and quiet; give no member id twice

Balancer::forget drops members that the list has lacked for 10 s with nothing out and no probe out, and groups with nobody in them; the engine drops their names, the upstream their connections. Ids go on counting, so a late event about a forgotten member finds nobody, and one that comes back is new.

--- a/include/knotstack/balancer.hpp
+++ b/include/knotstack/balancer.hpp
@@ -136,6 +136,9 @@
   // Whether a send that had to wait for its connection may still go out: since it was decided the member may
   // have drained, or its data grown too old. If not, its Outcome is Moot.
   bool fit(Time now, RequestId, MemberId);
+  // Forgets the members that have been gone and quiet for long, and names them: their ids may be dropped. A
+  // late event about one is ignored like any about what is not known.
+  std::vector<MemberId> forget(Time now);
   void countFrom(Time zero);  // positions in later answers and reports count from here
 
  private:
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -6,6 +6,7 @@
 // list, drains and cold starts; probes.
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
 #include <map>
 #include <stdexcept>
@@ -43,6 +44,7 @@
 constexpr int kStreak = 3;                // failures in a row that set a member aside
 constexpr Time kBackoffFirst = milliseconds(500), kBackoffMost = seconds(8);
 constexpr Time kNews = seconds(1);        // a report of load says something for so long
+constexpr Time kForget = seconds(10);     // what is gone and quiet is remembered for so long
 constexpr Time kTick = milliseconds(20);  // housekeeping: waiting requests, silence, probes
 constexpr Time kTrouble = seconds(1);  // how long a miss or a time-out keeps the best member out of the sum
 constexpr Time kScout = milliseconds(250);     // pause between probes for a missing primary
@@ -690,6 +692,7 @@
         const MemberId key = id;
         if (std::none_of(entries.begin(), entries.end(), [&](const ListedMember& e) { return e.id == key; }))
           m.listed.state = Lifecycle::Gone;
+        if (m.listed.state == Lifecycle::Gone && m.goneAt == never) m.goneAt = now;
       }
     }
     for (const ListedMember& e : entries) {
@@ -716,6 +719,10 @@
         }
       }
       m.listed = e;
+      if (e.state != Lifecycle::Gone)
+        m.goneAt = never;
+      else if (m.goneAt == never)
+        m.goneAt = now;
       m.seenDraining = e.state == Lifecycle::Draining || (m.seenDraining && e.state != Lifecycle::Ready);
       Group& g = groups[e.group];
       if (!usable(m)) {
@@ -734,6 +741,26 @@
       serveWaiting(g);
     }
   }
+  // Guards against growth where members are replaced time and again. What is out there, a probe included,
+  // still ends in an event that must find its member.
+  std::vector<MemberId> forget() {
+    std::vector<MemberId> gone;
+    for (const auto& [id, m] : members)
+      if (!usable(m) && m.goneAt != never && now >= m.goneAt + kForget && m.out.empty() && !m.probing)
+        gone.push_back(id);
+    for (const MemberId id : gone) {
+      Group& g = groups[members.at(id).listed.group];
+      g.members.erase(std::remove(g.members.begin(), g.members.end(), id), g.members.end());
+      if (g.primary == id) g.primary = 0;
+      members.erase(id);
+    }
+    for (auto it = groups.begin(); it != groups.end();) {  // clients may name groups that do not exist
+      const Group& g = it->second;
+      it = g.members.empty() && g.waiting.empty() && g.scout == 0 && g.forgotten == never ? groups.erase(it)
+                                                                                          : std::next(it);
+    }
+    return gone;
+  }
   void ask() {
     asking = true;
     sink.subscribe();
@@ -916,6 +943,11 @@
   return c.stalenessFactor(*m, c.groups[m->listed.group], c.needOf(it->second)) >= 0;
 }
 
+std::vector<MemberId> Balancer::forget(Time now) {
+  core_->now = now;
+  return core_->forget();
+}
+
 void Balancer::countFrom(Time zero) { core_->s.zero = zero; }
 
 }  // namespace knotstack
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -17,6 +17,7 @@
 // After so long, zero moves on: at two hours an f32 of seconds still tells half a millisecond apart, and
 // 4 x milliseconds fill a u32 only after twelve days.
 constexpr Time kRebase = std::chrono::hours(2);
+constexpr Time kSweep = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -86,6 +87,7 @@
     timers_.pop();
     balancer_->timer(now_, token);
   }
+  if (now_ - swept_ >= kSweep) sweep(now_);
   std::vector<std::function<void()>> actions;
   actions.swap(actions_);
   for (const auto& act : actions) act();
@@ -95,6 +97,15 @@
     startTimer(alarm_.get(), timers_.top().due - clock_.now());
 }
 
+// Guards against growth where data servers are replaced: each new one has a new name.
+void Engine::sweep(Time now) {
+  swept_ = now_ = std::max(now_, now);
+  for (const MemberId id : balancer_->forget(now_)) {
+    for (auto it = ids_.begin(); it != ids_.end();) it = it->second == id ? ids_.erase(it) : std::next(it);
+    actions_.emplace_back([this, id] { members_->forget(id); });
+  }
+}
+
 void Engine::rebase() {
   if (now_ - zero_ < kRebase) return;
   zero_ = std::chrono::duration_cast<std::chrono::milliseconds>(now_ - kBeforeZero);
@@ -155,7 +166,7 @@
 
 void Engine::tell(Listed& e) {
   if (e.failed) return balancer_->list(now_, ListKind::Failed, {});
-  const bool first = ids_.empty() && generation_ == 0;
+  const bool first = lastMember_ == 0 && generation_ == 0;
   generation_ = e.list.generation;
   tellList(first ? ListKind::Cached : e.list.reset ? ListKind::Full : ListKind::Delta, e.list);
 }
@@ -186,7 +197,9 @@
 }
 
 MemberId Engine::idOf(const std::string& name) {
-  return ids_.emplace(name, static_cast<MemberId>(ids_.size() + 1)).first->second;
+  const auto [it, added] = ids_.emplace(name, lastMember_ + 1);
+  lastMember_ += added;  // no id is given twice, for late events bear them
+  return it->second;
 }
 
 // ---- actions: recorded here, carried out at the end of the turn
--- a/src/net/engine.hpp
+++ b/src/net/engine.hpp
@@ -60,6 +60,7 @@
   virtual void start(RequestId, int attempt, bool fit) = 0;  // answers Engine::connected
   virtual void cancel(RequestId, int attempt) = 0;
   virtual void probe(MemberId) = 0;
+  virtual void forget(MemberId) = 0;  // nothing is out there, and nothing will be sent
 };
 
 // Where the list comes from. Each watch brings Engine::listed time and again, or Engine::listFailed once.
@@ -102,6 +103,7 @@
   std::uint64_t generation() const { return generation_; }  // of the list as it is known
   bool pending() const { return !events_.empty(); }
   void turn();
+  void sweep(Time now);  // forgets what is gone and quiet; the turn does it now and then
   Time now() const { return clock_.now(); }
 
  private:
@@ -172,7 +174,9 @@
   std::unordered_map<RequestId, Held> held_;
   std::unordered_map<std::string, MemberId> ids_;
   std::uint64_t generation_ = 0;
+  MemberId lastMember_ = 0;
   RequestId lastId_ = 0;
+  Time swept_{};
   std::priority_queue<Timer, std::vector<Timer>, std::greater<Timer>> timers_;
   std::uint64_t timersSet_ = 0;
   Event alarm_;  // wakes the loop for the first timer
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -359,6 +359,14 @@
   run(*e.probe);
 }
 
+void Upstream::forget(MemberId id) {
+  std::vector<Connection*> all;
+  for (const auto& [c, owned] : connections_)
+    if (c->member == id) all.push_back(c);
+  for (Connection* c : all) drop(*c);
+  endpoints_.erase(id);
+}
+
 void Upstream::run(Job& j) {
   j.owner = this;
   j.timer.reset(event_new(
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -25,6 +25,7 @@
   void start(RequestId, int attempt, bool fit) override;
   void cancel(RequestId, int attempt) override;
   void probe(MemberId) override;
+  void forget(MemberId) override;
 
  private:
   struct Job;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -31,6 +31,7 @@
 struct Member {
   ListedMember listed;
   bool seenDraining = false;
+  Time goneAt = never;  // when the list first lacked it
   Role role = Role::Unknown;
   Time roleAt = never;    // when the newest evidence of its role was true
   Time position = never;  // it has applied all commits up to here; a lower bound that only grows
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -635,6 +635,25 @@
   }
   EXPECT_EQ(met.count(member), 1u) << "it serves on";
 }
+TEST(Forgetting, TakesWhatIsGoneAndQuietAndNothingElse) {
+  Bench t;
+  t.teachPrimary(1);
+  const RequestId id = t.ask(kAny);
+  const MemberId busy = t.lastTo(id);
+  const MemberId quiet = busy == 2 ? 3 : 2;
+  t.b.list(t.now, ListKind::Delta,
+           {Bench::entry(quiet, Lifecycle::Gone), Bench::entry(busy, Lifecycle::Gone)});
+  t.pass(9000);
+  EXPECT_TRUE(t.b.forget(t.now).empty());
+  t.pass(1000);
+  EXPECT_EQ(t.b.forget(t.now), std::vector<MemberId>{quiet});
+  t.end(id, Result::Ok, 2);
+  EXPECT_EQ(t.b.forget(t.now), std::vector<MemberId>{busy});
+  t.report(quiet, 0);  // late: ignored
+  t.b.list(t.now, ListKind::Delta, {Bench::entry(quiet)});
+  t.pass(20000);
+  EXPECT_TRUE(t.b.forget(t.now).empty()) << "it is back";
+}
 // muscat-guides, fast_errors on a primary: three errors that came at once kept all writes waiting for up to 8
 // s, while it answered half of what it got.
 TEST(Health, APrimaryThatFailsSomeAtOnceStillTakesWrites) {
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -27,6 +27,8 @@
   void start(RequestId, int attempt, bool fit) override { started.emplace_back(attempt, fit); }
   void cancel(RequestId id, int attempt) override { cancelled.push_back({id, attempt, 0}); }
   void probe(MemberId m) override { probes.push_back(m); }
+  std::vector<MemberId> forgotten;
+  void forget(MemberId m) override { forgotten.push_back(m); }
 };
 struct FakeLists : Lists {
   std::vector<std::uint64_t> watches;
@@ -143,6 +145,28 @@
   engine.turn();
   EXPECT_TRUE(members.ready[1]);
 }
+// On a long day every data server is replaced by a new one with a new name.
+TEST_F(EngineTest, ForgetsWhatIsGoneAndQuietAndGivesNoIdTwice) {
+  const RequestId id = ask();  // out at member 2
+  engine.listed({7, true, {config.known.instances[0]}});
+  engine.turn();
+  engine.sweep(engine.now() + std::chrono::seconds(30));
+  engine.turn();
+  EXPECT_TRUE(members.forgotten.empty()) << "its attempt is still out";
+  end(id, 0, 2, Result::Reset);
+  for (const MemberId m : std::vector<MemberId>(members.probes)) engine.probed(m, false, {});
+  engine.turn();
+  engine.sweep(engine.now() + std::chrono::seconds(31));
+  engine.turn();
+  EXPECT_EQ(members.forgotten, std::vector<MemberId>{2});
+  end(id, 0, 2, Result::Ok);  // late, of a member that is not known any more
+  engine.probed(2, true, {1, 0, 0});
+  engine.turn();
+  engine.listed({8, true, config.known.instances});
+  engine.turn();
+  EXPECT_TRUE(members.ready[3]);
+  EXPECT_FALSE(members.ready[2]);
+}
 TEST_F(EngineTest, DataOlderThanTheBoundIsNotRead) {
   Engine fresh(base.get(), config);
   fresh.start(members, lists);
