Try a member that fails at once for reads that only a full primary could take

Line: advanceRead asked for the last resort before `useful` was asked.

Now a read whose set is empty after `useful` goes to such a member, again if need be, up to attemptsCap; an error that comes at once is free. Where the set was empty to begin with it waits as before.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -398,14 +398,19 @@
       r.tried.clear();
       set = readSet(r);
     }
-    // Guards against a read that nobody takes while one member fails some at once: that costs less than to
-    // wait.
-    if (set.empty()) set = readSet(r, true);
-    if (set.empty()) return wait(r);
-    set.erase(
-        std::remove_if(set.begin(), set.end(), [&](const Choice& ch) { return !useful(r, *ch.member); }),
-        set.end());
-    if (set.empty()) return finish(r);
+    const bool none = set.empty();
+    const auto leaveOut = [&](auto&& unfit) {
+      set.erase(std::remove_if(set.begin(), set.end(), unfit), set.end());
+    };
+    leaveOut([&](const Choice& ch) { return !useful(r, *ch.member); });
+    // Guards against reads that nobody takes, or only a primary that is full, while one member fails some at
+    // once: to try that one again and again costs less than to wait or to be refused.
+    for (int round = 0; set.empty() && round < 2; ++round) {
+      if (round > 0) r.tried.clear();
+      set = readSet(r, true);
+      leaveOut([&](const Choice& ch) { return !ch.member->erring || !useful(r, *ch.member); });
+    }
+    if (set.empty()) return none ? wait(r) : finish(r);
     const bool together = s.parallelTries && classOf(r).effect == Effect::Safe && r.attempts.empty();
     send(r, *set[0].member);
     for (std::size_t k = 1; together && k < set.size() && copies >= 1; ++k) {
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -635,6 +635,32 @@
   }
   EXPECT_EQ(met.count(member), 1u) << "it serves on";
 }
+// muscat-guides, lag and fast_errors together: reads were refused for a full primary while a replica with
+// fresh data failed only some.
+TEST(Health, AReadThatAFullPrimaryCannotTakeGoesToAMemberThatFailsSomeAtOnce) {
+  Bench t(settings(), 2);
+  t.teachPrimary(1);
+  t.report(2, 10);
+  std::vector<RequestId> first;
+  for (int k = 0; k < 3; ++k) first.push_back(t.ask(kBounded));
+  for (const RequestId id : first) {  // three in a row set the replica aside
+    ASSERT_EQ(t.lastTo(id), 2u);
+    t.end(id, Result::Error, t.note(0, 2));
+  }
+  t.pass(100);
+  ASSERT_EQ(t.lastTo(first[0]), 1u);
+  t.end(first[0], Result::Ok, t.note(0, 1));
+  t.report(2, 10);
+  int atPrimary = 0, atReplica = 0;
+  for (int k = 0; k < 30 && atReplica == 0; ++k) {
+    const RequestId id = t.ask(kBounded);
+    ASSERT_FALSE(t.finalAnswer(id)) << "refused, with " << atPrimary << " at the primary";
+    atPrimary += t.lastTo(id) == 1;
+    atReplica += t.lastTo(id) == 2;
+  }
+  EXPECT_GT(atPrimary, 1);
+  EXPECT_EQ(atReplica, 1);
+}
 TEST(Forgetting, TakesWhatIsGoneAndQuietAndNothingElse) {
   Bench t;
   t.teachPrimary(1);
