Close the longest idle client before clients hold all the connections they may

A probe build shows it is not the module (390 of some 8,800 refusals). A second one counts what Clients does: 161 sessions, 128 of them idle that asked once, 33 that never asked, 60 requests a second instead of 300; in second 14, when eviction begins at the bound of 162, 314 a second are served. 128 is a third of the 384 descriptors, all that the side of the clients may hold, and they close after 2 s: 64 a second.

Lines: the bound on clients (45% of the descriptors) lay above the third. Now a client's first question beyond a quarter of the descriptors ends the one that has been idle longest; with no idle one nothing happens.

--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -63,6 +63,7 @@
   }
   ~Session() override {
     if (request_ != 0) owner_.engine_.left(request_);
+    owner_.asking_ -= asked_;
     forget();
     release();
   }
@@ -242,6 +243,7 @@
     }
     if (evbuffer_get_length(input()) < sizeof bytes + head->body) return false;
     evbuffer_drain(input(), sizeof bytes);
+    if (!asked_) owner_.firstAsked(*this);
     asked_ = true;
     if (bytes[0] == 'X') {
       end();
@@ -389,6 +391,18 @@
   return best != nullptr;
 }
 
+// Guards against clients that ask once and keep their connections: the longest idle one makes way for each
+// that asks for the first time, lest their side has none left to ask on, while the table here is not even
+// full.
+void Clients::firstAsked(const Session& by) {
+  if (++asking_ <= config_.askingClients) return;
+  const Time now = engine_.now();
+  Session* longest = nullptr;
+  for (const auto& [s, owned] : sessions_)
+    if (s != &by && s->spare(now) == 1 && (!longest || s->lastActive() < longest->lastActive())) longest = s;
+  if (longest) closed(*longest);
+}
+
 void Clients::round() {
   const Time now = engine_.now();
   std::vector<Session*> over;
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -28,12 +28,14 @@
   void acceptAgain();
   bool makeRoom();
   void round();
+  void firstAsked(const Session& by);
   void stopListening();
 
   event_base* const base_;
   Engine& engine_;
   const Config& config_;
   const std::size_t most_;    // connections at once
+  std::size_t asking_ = 0;    // sessions that have asked something
   std::size_t reserved_ = 0;  // bytes of long statements on their way, of Config::largeStatements
   Listener listener_;
   Event pause_, lastCall_, round_;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -114,6 +114,9 @@
   // half for what each client may hold at any time, the rest for answers on their way.
   c.clientConnections =
       std::min((sockets - kOwnDescriptors) * 45 / 100, (memory - kOwnMemory) / 2 / kClientMemory);
+  // The side of the clients holds a third of the descriptors at most. Below that, so that room is made here
+  // before it has none left to ask on.
+  c.askingClients = std::min(c.clientConnections, sockets / 4);
   c.largeStatements = (memory - kOwnMemory) / 4;
   c.serverConnections = sockets - kOwnDescriptors - (sockets - kOwnDescriptors) * 45 / 100;
   c.known = readInstances(jsonField<element>(root, "known", ""), "known.");
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -21,6 +21,7 @@
   std::uint64_t seed = 0;
   // Bounds that follow from the limits on descriptors and memory.
   std::size_t clientConnections = 0, serverConnections = 0;
+  std::size_t askingClients = 0;    // of the clients, those that have asked something, idle ones included
   std::size_t largeStatements = 0;  // bytes that statements too long to be read ahead may take, all together
   InstanceList known;
   knotstack::Settings settings;
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -379,6 +379,20 @@
     d1 expect closed
   )");
 }
+// Incident r892791: clients that asked once and kept their connections had no other left to ask on; all they
+// may hold is a third of the descriptors, and the table here was not full.
+TEST(Proxy, EndsTheLongestIdleClientBeforeClientsHoldAThirdOfTheDescriptors) {
+  Setting s;
+  s.sockets = 128;
+  Scenario t(s);
+  for (int k = 1; k <= 128 / 3; ++k)
+    t.run("c" + std::to_string(k) + " send query\nc" + std::to_string(k) + " expect empty\n");
+  t.run(R"(
+    c1 expect closed
+    c42 send query
+    c42 expect empty
+  )");
+}
 TEST(Proxy, EndsClientsThatSayNothingOrHalfAMessage) {
   Scenario t;
   t.run(R"(
