--- /dev/null
+++ b/src/app/cli.cpp
@@ -0,0 +1,83 @@
+#include "app/cli.hpp"
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+#include <string>
+
+#include "app/members.hpp"
+#include "app/serve.hpp"
+#include "config/config.hpp"
+
+namespace sablespur {
+namespace {
+
+constexpr const char* kVersion = "0.2.0";
+constexpr int kUsage = 2;
+
+int byPlatform() {
+  const char* const path = std::getenv("NODE_CONFIG");
+  if (!path) throw BadInput("variable NODE_CONFIG is not set, and no command is given; see --help");
+  return serve(readConfig(path), [path] { return readConfig(path); });
+}
+
+// Every fault on a line of its own, so that one round of mending does.
+int check(const std::string& path) {
+  try {
+    const Config c = readSettings(path);
+    std::printf(
+        "%s: good; %zu classes, %zu members known at the start, %zu client connections, %zu to data "
+        "servers\n",
+        path.c_str(), c.classes.size(), c.known.instances.size(), c.clientConnections, c.serverConnections);
+    return 0;
+  } catch (const BadSettings& e) {
+    for (const Fault& f : e.faults) std::fprintf(stderr, "%s\n", f.text().c_str());
+    return 1;
+  }
+}
+
+}  // namespace
+
+int commandLine(int argc, char** argv) {
+  try {
+    if (argc < 2) return byPlatform();
+    CLI::App app{"sablespur: a proxy before replicated databases", "sablespur"};
+    app.set_version_flag("--version", std::string("sablespur ") + kVersion);
+    app.require_subcommand(1);
+    app.footer("With no arguments it serves by the JSON file that NODE_CONFIG names.");
+
+    std::string path;
+    bool keys = false;
+    MembersOptions members;
+    CLI::App* const serving = app.add_subcommand("serve", "serve until SIGTERM; SIGHUP reads the file again");
+    serving->add_option("--config", path, "file of settings (INI)")->required();
+    CLI::App* const checking =
+        app.add_subcommand("check", "say what is wrong in a file of settings: file, line, key and the fix");
+    CLI::Option* const checked = checking->add_option("FILE", path, "file of settings (INI)");
+    checking->add_flag("--keys", keys, "print every key with its kind, default and meaning (Markdown)")
+        ->excludes(checked);
+    CLI::App* const listing = app.add_subcommand("members", "show the data servers that discovery finds now");
+    listing->add_option("--config", path, "file of settings (INI)")->required();
+    listing->add_flag("--json", members.json, "as JSON");
+    listing->add_option("--wait", members.waitSeconds, "seconds to wait for discovery")
+        ->check(CLI::Range(0.1, 300.0))
+        ->capture_default_str();
+    try {
+      app.parse(argc, argv);
+      if (checking->parsed() && !keys && path.empty()) throw CLI::RequiredError("FILE");
+    } catch (const CLI::ParseError& e) {
+      return app.exit(e) == 0 ? 0 : kUsage;
+    }
+    if (checking->parsed() && keys) return std::fputs(settingsPage().c_str(), stdout) < 0;
+    if (checking->parsed()) return check(path);
+    const Config config = readSettings(path);
+    if (listing->parsed()) return showMembers(config, members);
+    return serve(config, [path] { return readSettings(path); });
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "sablespur: %s\n", e.what());
+    return 1;
+  }
+}
+
+}  // namespace sablespur
--- /dev/null
+++ b/src/app/serve.cpp
@@ -0,0 +1,66 @@
+#include "app/serve.hpp"
+
+#include <csignal>
+#include <exception>
+
+#include "back/pg/upstream.hpp"
+#include "core/engine.hpp"
+#include "core/event.hpp"
+#include "front/pg/clients.hpp"
+#include "log/log.hpp"
+#include "membership/registry/watch.hpp"
+
+namespace sablespur {
+
+int serve(const Config& config, const std::function<Config()>& reread) {
+  setLog(config.logForm, config.logLevel);
+  const EventBase base(event_base_new());
+  Engine engine(base.get(), config);
+  Upstream upstream(base.get(), engine, config);
+  Discovery discovery(base.get(), engine, config.discovery);
+  Clients clients(base.get(), engine, config);
+  bool running = true;
+
+  struct Stop {
+    Clients& clients;
+    bool& running;
+  } stop{clients, running};
+  const auto onSignal = [](evutil_socket_t, short, void* p) {
+    logEvent(LogLevel::Info, "drain_started");
+    auto& s = *static_cast<Stop*>(p);
+    s.clients.drain([&s] { s.running = false; });
+  };
+  const Event term(evsignal_new(base.get(), SIGTERM, onSignal, &stop));
+  const Event interrupt(evsignal_new(base.get(), SIGINT, onSignal, &stop));
+  event_add(term.get(), nullptr);
+  event_add(interrupt.get(), nullptr);
+
+  // SIGHUP: the file is read anew by the same checks; what may change while the program serves is where
+  // discovery is. A file that does not pass changes nothing. It is read within the loop: it is small and
+  // local.
+  struct Reload {
+    Discovery& discovery;
+    const std::function<Config()>& reread;
+  } reload{discovery, reread};
+  const auto onReload = [](evutil_socket_t, short, void* p) {
+    const auto& r = *static_cast<Reload*>(p);
+    try {
+      r.discovery.move(r.reread().discovery);
+      logEvent(LogLevel::Info, "settings_read_again");
+    } catch (const std::exception& e) {
+      logEvent(LogLevel::Error, "settings_unchanged", {{"why", e.what()}});
+    }
+  };
+  const Event hangup(evsignal_new(base.get(), SIGHUP, onReload, &reload));
+  event_add(hangup.get(), nullptr);
+
+  engine.start(upstream, discovery);
+  logEvent(LogLevel::Info, "listening", {{"name", config.name}, {"port", clients.port()}});
+  while (running) {
+    event_base_loop(base.get(), EVLOOP_ONCE | (engine.pending() ? EVLOOP_NONBLOCK : 0));
+    engine.turn();
+  }
+  return 0;
+}
+
+}  // namespace sablespur
--- a/src/net/upstream.cpp
+++ b/src/back/pg/upstream.cpp
@@ -1,4 +1,4 @@
-#include "net/upstream.hpp"
+#include "back/pg/upstream.hpp"
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -9,7 +9,7 @@
 #include <cmath>
 #include <optional>
 
-#include "net/log.hpp"
+#include "log/log.hpp"
 
 namespace sablespur {
 namespace {
@@ -63,7 +63,7 @@
 // A connection belongs to its Upstream, which frees it; a job on it is only pointed at.
 class Upstream::Connection {
  public:
-  Connection(Upstream& owner, MemberId to, const sockaddr_in& address)
+  Connection(Upstream& owner, MemberId to, const Address& address)
       : owner_(owner),
         member(to),
         timer(event_new(
@@ -72,8 +72,8 @@
     bev_.reset(bufferevent_socket_new(owner.base_, -1, BEV_OPT_CLOSE_ON_FREE));
     append(output(), pg::startup("api", "ledger"));
     bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
-    const bool refused = bufferevent_socket_connect(bev_.get(), reinterpret_cast<const sockaddr*>(&address),
-                                                    sizeof address) != 0;
+    const bool refused =
+        bufferevent_socket_connect(bev_.get(), address.data(), static_cast<int>(address.size())) != 0;
     // A connect that fails at once is told by the timer: this call's own caller is not done yet.
     startTimer(timer.get(), refused ? Time(0) : owner.config_.dialTimeout);
     bufferevent_setcb(
@@ -213,8 +213,7 @@
                   : e.code == "25006" || e.code == "72000" ? Result::Miss
                                                            : Result::Error;
         if (result_ == Result::Error && e.code != "XX000")
-          logLine("a data server answers %.*s: %.*s", static_cast<int>(e.code.size()), e.code.data(),
-                  static_cast<int>(e.text.size()), e.text.data());
+          logEvent(LogLevel::Warning, "server_error", {{"code", e.code}, {"text", e.text}});
         failure_ = result_;
         if (!dialing && e.severity != "FATAL") return true;
         owner_.lost(*this, result_);
@@ -234,7 +233,7 @@
       }
       case 'R':
         if (body.size() == 4 && pg::readInt32(body.data()) == 0) return true;
-        logLine("a data server wants a password");
+        logEvent(LogLevel::Warning, "server_wants_password");
         owner_.lost(*this, Result::ConnectFailed);
         return false;
       case 'T':
@@ -305,10 +304,9 @@
 }
 Upstream::~Upstream() = default;
 
-void Upstream::listed(MemberId id, const sockaddr_in& address, bool ready) {
+void Upstream::listed(MemberId id, const Address& address, bool ready) {
   Endpoint& e = endpoints_[id];
-  const bool moved = address.sin_family != 0 && (address.sin_addr.s_addr != e.address.sin_addr.s_addr ||
-                                                 address.sin_port != e.address.sin_port);
+  const bool moved = !address.none() && address != e.address;
   if (moved) e.address = address;
   e.ready = ready;
   if (moved || !ready) dropIdle(e);
@@ -390,7 +388,7 @@
     return write(j);
   }
   if (!makeRoom()) {  // by the limits on clients there is room for all that they can ask at once
-    logLine("no room for a connection to a data server");
+    logEvent(LogLevel::Warning, "server_connections_full", {{"most", most_}});
     Ending none;
     none.result = Result::Moot;
     return j.probe() ? finishProbe(j, false) : finish(j, std::move(none));
@@ -554,7 +552,7 @@
 // What cannot be an answer, or stands where none is due. An attempt that was written may have run; a probe
 // was answered, however badly: its member lives.
 void Upstream::spoilt(Connection& c, const char* what) {
-  logLine("a data server sent %s", what);
+  logEvent(LogLevel::Warning, "server_spoilt", {{"what", what}});
   Endpoint& e = endpoints_[c.member];
   Job* const j = c.job;
   const bool dialing = c.dialing, ran = j && j->written && c.flushed();
--- a/src/net/upstream.hpp
+++ b/src/back/pg/upstream.hpp
@@ -9,9 +9,9 @@
 #include <utility>
 #include <vector>
 
-#include "net/engine.hpp"
-#include "net/event.hpp"
-#include "net/pg.hpp"
+#include "core/engine.hpp"
+#include "core/event.hpp"
+#include "wire/pg/pg.hpp"
 
 namespace sablespur {
 
@@ -20,7 +20,7 @@
   Upstream(event_base*, Engine&, const Config&);
   ~Upstream() override;
 
-  void listed(MemberId, const sockaddr_in&, bool ready) override;
+  void listed(MemberId, const Address&, bool ready) override;
   void send(RequestId, int attempt, MemberId, Time until, std::shared_ptr<const Message>) override;
   void start(RequestId, int attempt, bool fit) override;
   void cancel(RequestId, int attempt) override;
@@ -31,7 +31,7 @@
   struct Job;
   class Connection;
   struct Endpoint {
-    sockaddr_in address{};
+    Address address;
     bool ready = false;
     std::vector<Connection*> idle;  // the last one used comes last
     std::deque<Job*> waiting;       // for a connection
--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,46 @@
+#include "config/config.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace sablespur {
+namespace {
+
+// The process itself: code, the loop, the listener, discovery, standard streams, connections about to be
+// closed.
+constexpr std::size_t kOwnDescriptors = 24, kOwnMemory = std::size_t{12} << 20;
+// A client that asks nothing large: what is read ahead and an answer that it has not read yet.
+constexpr std::size_t kClientMemory = 96 << 10;
+
+std::string summary(const std::vector<Fault>& faults) {
+  if (faults.empty()) return "no fault";
+  const std::size_t more = faults.size() - 1;
+  return faults.front().text() + (more > 0 ? " (and " + std::to_string(more) + " more)" : "");
+}
+
+}  // namespace
+
+// A client has one request out at most, so with fewer clients than server connections every attempt finds
+// room. Of the memory beyond the process itself a quarter is for large statements, whoever sends them, a
+// half for what each client may hold at any time, the rest for answers on their way.
+void deriveBounds(Config& c, std::size_t descriptors, std::uint64_t memory) {
+  const std::size_t free = static_cast<std::size_t>(memory) - kOwnMemory;
+  c.clientConnections = std::min((descriptors - kOwnDescriptors) * 45 / 100, free / 2 / kClientMemory);
+  // The side of the clients holds a third of the descriptors at most. Below that, so that room is made here
+  // before it has none left to ask on.
+  c.askingClients = std::min(c.clientConnections, descriptors / 4);
+  c.largeStatements = free / 4;
+  c.serverConnections = descriptors - kOwnDescriptors - (descriptors - kOwnDescriptors) * 45 / 100;
+}
+
+std::string Fault::text() const {
+  std::string t = file;
+  if (line > 0) t += ":" + std::to_string(line);
+  t += ": ";
+  if (!where.empty()) t += where + ": ";
+  return t + problem + (fix.empty() ? "" : "; " + fix);
+}
+
+BadSettings::BadSettings(std::vector<Fault> all) : BadInput(summary(all)), faults(std::move(all)) {}
+
+}  // namespace sablespur
--- /dev/null
+++ b/src/config/config.hpp
@@ -0,0 +1,79 @@
+// The one place where settings are read, checked and given defaults. Two forms fill the same Config: the
+// platform's JSON (json_config.cpp) and our INI (ini_config.cpp, whose table of keys is keys.cpp).
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "knotstack/balancer.hpp"
+#include "log/log.hpp"
+#include "membership/list.hpp"
+
+namespace sablespur {
+
+using knotstack::Time;
+
+enum class Source { Registry, DnsSd, Fixed };  // where the list of data servers comes from
+
+struct GroupName {
+  std::string name;
+  knotstack::GroupId id = 0;
+};
+
+struct Config {
+  std::string name;
+  Address listen, discovery;
+  std::uint64_t seed = 0;
+  // Bounds that follow from the limits on descriptors and memory.
+  std::size_t clientConnections = 0, serverConnections = 0;
+  std::size_t askingClients = 0;    // of the clients, those that have asked something, idle ones included
+  std::size_t largeStatements = 0;  // bytes that statements too long to be read ahead may take, all together
+  InstanceList known;
+  knotstack::Settings settings;
+  std::vector<std::string> classes;  // names, in the order of settings.classes
+  std::vector<std::string> zones;
+  std::vector<std::string> reportNames;  // in the order of settings.figures
+  Time dialTimeout{};                    // a connection that is not up by then has failed
+  Time idleClose{};                      // data servers close what stands idle for so long
+  bool sessions = false;                 // some class needs to know a request's session
+  Source source = Source::Registry;
+  std::vector<GroupName> groups;  // those that have a name
+  LogForm logForm = LogForm::Logfmt;
+  LogLevel logLevel = LogLevel::Info;
+};
+
+// Limits that a proxy can do with; both forms keep to them.
+constexpr std::uint64_t kLeastMemory = 24u << 20, kMostMemory = std::uint64_t{1} << 40;
+constexpr std::size_t kLeastDescriptors = 128, kMostDescriptors = 1 << 20;
+
+// Fills the bounds from limits within the above.
+void deriveBounds(Config&, std::size_t descriptors, std::uint64_t memory);
+
+// What is wrong in a file of settings. `line` 0: the file as a whole. The message is one line, without the
+// fix.
+struct Fault {
+  std::string file;
+  int line = 0;
+  std::string where;  // "[section] key", or empty
+  std::string problem, fix;
+  std::string text() const;  // "FILE:LINE: [section] key: problem; fix"
+};
+// All that is wrong, in the order of the lines; what() is the first and how many more there are, in one line.
+struct BadSettings : BadInput {
+  explicit BadSettings(std::vector<Fault>);
+  std::vector<Fault> faults;
+};
+
+// The platform's form. Throws BadInput naming the key.
+Config parseConfig(const std::string& json);
+Config readConfig(const char* path);  // the same for a file
+
+// Our form. Throws BadSettings.
+Config parseSettings(const std::string& ini, const std::string& file);
+Config readSettings(const std::string& path);
+
+std::string settingsPage();  // every key with its unit, default and meaning, in Markdown
+
+}  // namespace sablespur
--- /dev/null
+++ b/src/config/ini_config.cpp
@@ -0,0 +1,243 @@
+// Our form of the settings: an INI file by the table of keys.
+#include <algorithm>
+#include <fstream>
+#include <map>
+#include <random>
+#include <set>
+#include <sstream>
+
+#include "config/config.hpp"
+#include "config/ini.hpp"
+#include "config/keys.hpp"
+
+namespace sablespur {
+namespace {
+
+using knotstack::Effect;
+using knotstack::Need;
+
+class Reader {
+ public:
+  Reader(IniFile file, std::string path)
+      : path_(std::move(path)), file_(std::move(file)), faults_(std::move(file_.faults)) {}
+
+  Config read() {
+    titles();
+    for (const SectionInfo& info : sectionTable())
+      if (!info.named) fixed(info);
+    for (const IniSection& s : file_.sections)
+      if (s.type == "class" && !s.name.empty()) aClass(s);
+    for (const IniSection& s : file_.sections)
+      if (s.type == "group" && !s.name.empty()) aGroup(s);
+    for (const IniSection& s : file_.sections)
+      if (s.type == "member" && !s.name.empty()) aMember(s);
+    whole();
+    if (!faults_.empty()) {
+      std::stable_sort(faults_.begin(), faults_.end(),
+                       [](const Fault& a, const Fault& b) { return a.line < b.line; });
+      throw BadSettings(std::move(faults_));
+    }
+    return std::move(config_);
+  }
+
+ private:
+  void fault(int line, std::string where, Wrong w) {
+    faults_.push_back({path_, line, std::move(where), std::move(w.problem), std::move(w.fix)});
+  }
+
+  void titles() {
+    std::vector<std::string> types;
+    for (const SectionInfo& i : sectionTable()) types.emplace_back(i.type);
+    std::map<std::string, int> seen;
+    for (const IniSection& s : file_.sections) {
+      const auto info = std::find_if(sectionTable().begin(), sectionTable().end(),
+                                     [&](const SectionInfo& i) { return s.type == i.type; });
+      if (info == sectionTable().end()) {
+        const std::string near = nearestWord(s.type, types.data(), types.data() + types.size());
+        fault(s.line, s.title(),
+              {"there is no such section",
+               near.empty() ? "sections are " + join(types) : "did you mean [" + near + "]?"});
+      } else if (info->named && s.name.empty()) {
+        fault(s.line, s.title(), {"it needs a name", "write [" + s.type + " NAME]"});
+      } else if (!info->named && !s.name.empty()) {
+        fault(s.line, s.title(), {"it takes no name", "write [" + s.type + "]"});
+      }
+      const auto [first, fresh] = seen.emplace(s.title(), s.line);
+      if (!fresh)
+        fault(s.line, s.title(),
+              {"it stands on line " + std::to_string(first->second) + " already", "put its keys there"});
+    }
+  }
+
+  static std::string join(const std::vector<std::string>& all) {
+    std::string text;
+    for (const std::string& w : all) text += (text.empty() ? "" : ", ") + w;
+    return text;
+  }
+
+  // Every key of the table for this section, by its value in the file or by its default.
+  void apply(const std::string& type, const IniSection* s, Draft& d) {
+    std::vector<std::string> names;
+    std::set<std::string> given;
+    for (const Key& key : keyTable()) {
+      if (type != key.section) continue;
+      names.emplace_back(key.name);
+      const IniEntry* entry = nullptr;
+      if (s)
+        for (const IniEntry& e : s->entries) {
+          if (e.key != key.name) continue;
+          if (entry)
+            fault(e.line, s->title() + " " + e.key,
+                  {"it stands on line " + std::to_string(entry->line) + " already", "keep one of the two"});
+          else
+            entry = &e;
+        }
+      const std::string title = s ? s->title() : "[" + type + "]";
+      const std::string where = title + " " + key.name;
+      if (!entry && !key.fallback) {
+        fault(s ? s->line : 0, where,
+              {"it is missing", "add " + std::string(key.name) + " = ... to " + title});
+        continue;
+      }
+      auto value = readValue(key, entry ? entry->value : key.fallback);
+      if (Wrong* w = std::get_if<Wrong>(&value))
+        fault(entry ? entry->line : 0, where, std::move(*w));
+      else
+        key.set(d, std::get<KeyValue>(value));
+    }
+    if (!s) return;
+    for (const IniEntry& e : s->entries) {
+      if (std::find(names.begin(), names.end(), e.key) != names.end()) continue;
+      const std::string near = nearestWord(e.key, names.data(), names.data() + names.size());
+      fault(e.line, s->title() + " " + e.key,
+            {"there is no such key",
+             near.empty() ? "keys are " + join(names) : "did you mean '" + near + "'?"});
+    }
+  }
+
+  void fixed(const SectionInfo& info) {
+    const IniSection* found = nullptr;
+    for (const IniSection& s : file_.sections)
+      if (!found && s.type == info.type && s.name.empty()) found = &s;
+    apply(info.type, found, draft_);
+  }
+
+  static int lineOf(const IniSection& s, const char* key) {
+    for (const IniEntry& e : s.entries)
+      if (e.key == key) return e.line;
+    return s.line;
+  }
+
+  void aClass(const IniSection& s) {
+    draft_.cls = {};
+    const std::size_t before = faults_.size();
+    apply("class", &s, draft_);
+    config_.classes.push_back(s.name);
+    config_.settings.classes.push_back(draft_.cls);
+    if (faults_.size() > before) return;
+    const auto at = [&](const char* key) { return s.title() + " " + key; };
+    const auto& c = draft_.cls;
+    if (c.deadline < c.aim)
+      fault(lineOf(s, "give_up"), at("give_up"), {"it is shorter than the aim", "make it at least the aim"});
+    if (c.need == Need::Bounded && c.bound == Time(0))
+      fault(lineOf(s, "max_age"), at("max_age"),
+            {"data = bounded needs it", "say how old data may be, such as max_age = 200ms"});
+    if (c.effect == Effect::Keyed && c.memory == Time(0))
+      fault(lineOf(s, "repeats_dropped_for"), at("repeats_dropped_for"),
+            {"repeats = keyed needs it", "say how long a key is known, such as 2s"});
+    if (c.need == Need::Write && c.effect == Effect::Safe)
+      fault(lineOf(s, "repeats"), at("repeats"),
+            {"a write that is safe to repeat would be sent twice", "write keyed or unsafe"});
+  }
+
+  void aGroup(const IniSection& s) {
+    draft_.group = {s.name, 0};
+    apply("group", &s, draft_);
+    for (const GroupName& g : config_.groups)
+      if (g.id == draft_.group.id)
+        fault(lineOf(s, "number"), s.title() + " number",
+              {"[group " + g.name + "] has this number", "give each group one of its own"});
+    config_.groups.push_back(draft_.group);
+  }
+
+  void aMember(const IniSection& s) {
+    draft_.member = {};
+    draft_.memberGroup.clear();
+    apply("member", &s, draft_);
+    draft_.member.name = s.name;
+    const auto named = std::find_if(config_.groups.begin(), config_.groups.end(),
+                                    [&](const GroupName& g) { return g.name == draft_.memberGroup; });
+    const auto number = readCount(draft_.memberGroup);
+    const std::int64_t* const id = std::get_if<std::int64_t>(&number);
+    if (named != config_.groups.end())
+      draft_.member.group = named->id;
+    else if (id && *id >= 0 && *id <= 65535)
+      draft_.member.group = static_cast<knotstack::GroupId>(*id);
+    else if (!draft_.memberGroup.empty())
+      fault(lineOf(s, "group"), s.title() + " group",
+            {"'" + draft_.memberGroup + "' is neither a [group] nor a number up to 65535",
+             "add [group " + draft_.memberGroup + "] with its number"});
+    for (const Instance& other : config_.known.instances)
+      if (!draft_.member.address.none() && other.address == draft_.member.address)
+        fault(lineOf(s, "address"), s.title() + " address",
+              {"[member " + other.name + "] has this address", "give each member one of its own"});
+    config_.known.instances.push_back(draft_.member);
+  }
+
+  void whole() {
+    if (config_.classes.empty())
+      fault(0, "", {"there is no [class NAME]", "add one for each class of requests that clients name (c=)"});
+    if (config_.source == Source::Registry && config_.discovery.none())
+      fault(sectionLine("discovery"), "[discovery] registry",
+            {"source = registry needs it", "say where the registry listens, or set source = fixed"});
+    if (config_.source == Source::Fixed && config_.known.instances.empty())
+      fault(sectionLine("discovery"), "[discovery] source",
+            {"source = fixed needs a [member NAME]", "add one for each data server"});
+    if (!faults_.empty()) return;
+    config_.settings.cancel = true;
+    config_.settings.step = std::chrono::milliseconds(5);
+    config_.settings.discovery = config_.source == Source::Registry ? knotstack::Discovery::Subscribe
+                                                                    : knotstack::Discovery::Automatic;
+    if (config_.source != Source::Registry) config_.settings.mustAskIn = Time(0);
+    if (config_.settings.reports == knotstack::Reports::Silent) {
+      config_.settings.figures.clear();
+      config_.reportNames.clear();
+    }
+    for (const auto& c : config_.settings.classes)
+      config_.sessions = config_.sessions || c.need == Need::Session;
+    if (config_.seed == 0) {
+      std::random_device random;
+      config_.seed = std::uint64_t{random()} << 32 | random();
+    }
+    config_.known.reset = true;
+    deriveBounds(config_, draft_.descriptors, draft_.memory);
+  }
+  int sectionLine(const std::string& type) const {
+    for (const IniSection& s : file_.sections)
+      if (s.type == type) return s.line;
+    return 0;
+  }
+
+  const std::string path_;
+  IniFile file_;
+  std::vector<Fault> faults_;
+  Config config_;
+  Draft draft_{config_, 0, 0, {}, {}, {}, {}};
+};
+
+}  // namespace
+
+Config parseSettings(const std::string& ini, const std::string& file) {
+  return Reader(parseIni(ini, file), file).read();
+}
+
+Config readSettings(const std::string& path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  if (!file || !text)
+    throw BadSettings({{path, 0, "", "it cannot be read", "see that it exists and may be read"}});
+  return parseSettings(text.str(), path);
+}
+
+}  // namespace sablespur
--- a/src/net/config.cpp
+++ b/src/config/json_config.cpp
@@ -1,13 +1,11 @@
-#include "net/config.hpp"
-
 #include <algorithm>
 #include <charconv>
 #include <cstdio>
 #include <fstream>
 #include <sstream>
 
-#include "net/json.hpp"
-#include "net/pg.hpp"
+#include "config/config.hpp"
+#include "membership/json.hpp"
 #include "wire.hpp"
 
 namespace sablespur {
@@ -16,12 +14,6 @@
 using simdjson::dom::element;
 using simdjson::dom::element_type;
 
-// The process itself: code, the loop, the listener, discovery, standard streams, connections about to be
-// closed.
-constexpr std::size_t kOwnDescriptors = 24, kOwnMemory = std::size_t{12} << 20;
-// A client that asks nothing large: what is read ahead and an answer that it has not read yet.
-constexpr std::size_t kClientMemory = 96 << 10;
-
 std::string plain(const element& e) {
   switch (e.type()) {
     case element_type::BOOL:
@@ -107,18 +99,12 @@
   if (error != std::errc() || stop != seed.data() + seed.size())
     throw BadInput("key seed: '" + std::string(seed) + "' is no hexadecimal number");
   const auto limits = jsonField<element>(root, "limits", "");
-  const auto sockets = static_cast<std::size_t>(whole(limits, "sockets", "limits.", 128, 1 << 20));
-  const auto memory = static_cast<std::size_t>(whole(limits, "memory_mb", "limits.", 24, 1 << 20)) << 20;
-  // A client has one request out at most, so with fewer clients than server connections every attempt finds
-  // room. Of the memory beyond the process itself a quarter is for large statements, whoever sends them, a
-  // half for what each client may hold at any time, the rest for answers on their way.
-  c.clientConnections =
-      std::min((sockets - kOwnDescriptors) * 45 / 100, (memory - kOwnMemory) / 2 / kClientMemory);
-  // The side of the clients holds a third of the descriptors at most. Below that, so that room is made here
-  // before it has none left to ask on.
-  c.askingClients = std::min(c.clientConnections, sockets / 4);
-  c.largeStatements = (memory - kOwnMemory) / 4;
-  c.serverConnections = sockets - kOwnDescriptors - (sockets - kOwnDescriptors) * 45 / 100;
+  const auto sockets =
+      static_cast<std::size_t>(whole(limits, "sockets", "limits.", kLeastDescriptors, kMostDescriptors));
+  const auto memory =
+      static_cast<std::uint64_t>(whole(limits, "memory_mb", "limits.", kLeastMemory >> 20, kMostMemory >> 20))
+      << 20;
+  deriveBounds(c, sockets, memory);
   c.known = readInstances(jsonField<element>(root, "known", ""), "known.");
 
   const auto settings = jsonField<element>(root, "settings", "");
--- /dev/null
+++ b/src/config/keys.cpp
@@ -0,0 +1,435 @@
+#include "config/keys.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+
+namespace sablespur {
+namespace {
+
+using knotstack::Checks;
+using knotstack::Effect;
+using knotstack::Figure;
+using knotstack::KeyScope;
+using knotstack::Need;
+using knotstack::Reports;
+using knotstack::RoleListed;
+
+constexpr double kMillisecond = 1e3, kSecond = 1e6, kHour = 3600e6;
+
+template <typename T>
+const T& as(const KeyValue& v) {
+  return std::get<T>(v);
+}
+const std::string& word(const KeyValue& v) { return as<std::string>(v); }
+Time time(const KeyValue& v) { return as<Time>(v); }
+
+}  // namespace
+
+const std::vector<SectionInfo>& sectionTable() {
+  static const std::vector<SectionInfo> table{
+      {"proxy", false, "This proxy: its name, where it listens, who stands beside it."},
+      {"limits", false,
+       "What the process may hold. The bounds on clients, on connections to data servers and on "
+       "long statements follow from it."},
+      {"log", false, "The log, on standard error."},
+      {"discovery", false, "Where the list of data servers comes from."},
+      {"data_servers", false, "What the data servers of this installation do and allow."},
+      {"clients", false, "What the clients of this installation understand."},
+      {"rules", false, "The figures of the rules that the proxy keeps."},
+      {"goal", false, "What counts when not all can be served."},
+      {"class", true, "A class of requests, by the name that statements carry (`c=`). At least one."},
+      {"group", true, "A name for a group: a primary and its replicas."},
+      {"member", true,
+       "A data server that is known at the start, by its instance name. With `source = fixed` these "
+       "are all."},
+  };
+  return table;
+}
+
+const std::vector<Key>& keyTable() {
+  static const std::vector<Key> table{
+      {"proxy", "name", Kind::Text, nullptr, 0, 0, "",
+       [](Draft& d, const KeyValue& v) { d.config.name = word(v); },
+       "Its name in the log, the same after a restart."},
+      {"proxy", "listen", Kind::Address, nullptr, 0, 0, "",
+       [](Draft& d, const KeyValue& v) { d.config.listen = as<Address>(v); },
+       "Where clients connect. Port 0 lets the system choose; the log tells which."},
+      {"proxy", "proxies", Kind::Count, "1", 1, 10000, "",
+       [](Draft& d, const KeyValue& v) {
+         d.config.settings.balancers = static_cast<int>(as<std::int64_t>(v));
+       },
+       "How many proxies stand before the same data servers, this one included. Each takes its part of what "
+       "a cold "
+       "server may be sent, so a number that is too small can fell one."},
+      {"proxy", "zones", Kind::Words, "", 0, 0, "",
+       [](Draft& d, const KeyValue& v) { d.config.zones = as<std::vector<std::string>>(v); },
+       "The buildings, with commas between. Data servers name theirs."},
+      {"proxy", "seed", Kind::Hex, "random", 0, 0, "",
+       [](Draft& d, const KeyValue& v) { d.config.seed = as<std::uint64_t>(v); },
+       "Of its random numbers; hexadecimal, or `random` for a new one at each start. Fix it only to repeat a "
+       "run."},
+
+      {"limits", "memory", Kind::Size, "64MB", double(kLeastMemory), double(kMostMemory), "",
+       [](Draft& d, const KeyValue& v) { d.memory = as<std::uint64_t>(v); },
+       "Resident memory that the process keeps to."},
+      {"limits", "descriptors", Kind::Count, "1024", kLeastDescriptors, kMostDescriptors, "",
+       [](Draft& d, const KeyValue& v) { d.descriptors = static_cast<std::size_t>(as<std::int64_t>(v)); },
+       "Descriptors that it may open. 45% go to clients, the rest to data servers, but for 24 of its own. "
+       "Not above "
+       "`ulimit -n`."},
+      {"limits", "attempts", Kind::Count, "8", 1, 255, "",
+       [](Draft& d, const KeyValue& v) {
+         d.config.settings.attemptsCap = static_cast<int>(as<std::int64_t>(v));
+       },
+       "The most attempts for one request, its first included."},
+      {"limits", "dial_timeout", Kind::Duration, "250ms", kMillisecond, 60 * kSecond, "",
+       [](Draft& d, const KeyValue& v) { d.config.dialTimeout = time(v); },
+       "A connection to a data server that is not up by then has failed; a probe not answered by then too."},
+      {"limits", "idle_close", Kind::Duration, "15s", kSecond, kHour / 2, "",
+       [](Draft& d, const KeyValue& v) { d.config.idleClose = time(v); },
+       "Data servers close what stands idle for so long. The proxy retires its connections at 0.7 of it; "
+       "with a "
+       "figure that is too high, requests run into connections that have just been closed."},
+
+      {"log", "form", Kind::Choice, "logfmt", 0, 0, "logfmt json",
+       [](Draft& d, const KeyValue& v) {
+         d.config.logForm = word(v) == "json" ? LogForm::Json : LogForm::Logfmt;
+       },
+       "A line an event, as `name=value` pairs or as a JSON object."},
+      {"log", "level", Kind::Choice, "info", 0, 0, "debug info warning error",
+       [](Draft& d, const KeyValue& v) {
+         d.config.logLevel = word(v) == "debug"     ? LogLevel::Debug
+                             : word(v) == "info"    ? LogLevel::Info
+                             : word(v) == "warning" ? LogLevel::Warning
+                                                    : LogLevel::Error;
+       },
+       "The least level that is written."},
+
+      {"discovery", "source", Kind::Choice, "registry", 0, 0, "registry fixed",
+       [](Draft& d, const KeyValue& v) {
+         d.config.source = word(v) == "registry" ? Source::Registry : Source::Fixed;
+       },
+       "The HTTP registry, or the `[member]` sections alone."},
+      {"discovery", "registry", Kind::Address, "", 0, 0, "",
+       [](Draft& d, const KeyValue& v) { d.config.discovery = as<Address>(v); },
+       "Where the HTTP registry listens; wanted with `source = registry`. SIGHUP takes a new value while "
+       "serving."},
+      {"discovery", "ask_within", Kind::Duration, "10s", kSecond, kHour, "",
+       [](Draft& d, const KeyValue& v) { d.config.settings.mustAskIn = time(v); },
+       "A proxy that has neither watched nor asked for so long counts as told of what was listed then."},
+
+      {"data_servers", "reports", Kind::Choice, "probes", 0, 0, "none answers probes",
+       [](Draft& d, const KeyValue& v) {
+         d.config.settings.reports = word(v) == "none"      ? Reports::Silent
+                                     : word(v) == "answers" ? Reports::Piggyback
+                                                            : Reports::Pull;
+       },
+       "Where load reports travel: with answers (the parameter `load`), on being asked (`SHOW load`), or "
+       "nowhere."},
+      {"data_servers", "report_values", Kind::Words, "x0, x1, inflight", 0, 0, "",
+       [](Draft& d, const KeyValue& v) {
+         d.config.reportNames = as<std::vector<std::string>>(v);
+         d.config.settings.figures.clear();
+         for (const std::string& name : d.config.reportNames)
+           d.config.settings.figures.push_back(name == "x0"         ? Figure::Position
+                                               : name == "x1"       ? Figure::Primary
+                                               : name == "inflight" ? Figure::Inflight
+                                               : name == "queue"    ? Figure::Queue
+                                                                    : Figure::Other);
+       },
+       "The values of a report: x0 (position in the log, Unix seconds), x1 (1 from a primary), inflight, "
+       "queue; "
+       "others are read and not used."},
+      {"data_servers", "probes", Kind::Flag, "yes", 0, 0, "",
+       [](Draft& d, const KeyValue& v) { d.config.settings.probing = as<bool>(v); },
+       "Whether they may be probed. Each probe costs a data server a little work."},
+      {"data_servers", "positions", Kind::Flag, "yes", 0, 0, "",
+       [](Draft& d, const KeyValue& v) { d.config.settings.positionsInAnswers = as<bool>(v); },
+       "Whether answers tell how far the log is applied (the parameter `applied_ms`)."},
+      {"data_servers", "stale_reads", Kind::Choice, "served", 0, 0, "served refused held",
+       [](Draft& d, const KeyValue& v) {
+         d.config.settings.checks = word(v) == "served"    ? Checks::Silent
+                                    : word(v) == "refused" ? Checks::Refuse
+                                                           : Checks::Wait;
+       },
+       "What a data server does with a read that it lags for: serves what it has (the proxy alone then keeps "
+       "the "
+       "bound), refuses it (72000), or holds it for a while to catch up."},
+      {"data_servers", "held_for", Kind::Duration, "0", 0, 60 * kSecond, "",
+       [](Draft& d, const KeyValue& v) { d.config.settings.holdsFor = time(v); },
+       "With `stale_reads = held`: how long."},
+      {"data_servers", "role_listed", Kind::Choice, "never", 0, 0, "never start late",
+       [](Draft& d, const KeyValue& v) {
+         d.config.settings.roleListed = word(v) == "never"   ? RoleListed::Silent
+                                        : word(v) == "start" ? RoleListed::Start
+                                                             : RoleListed::Late;
+       },
+       "Whether the list names the primary: never, as it was at its start, or some seconds late."},
+      {"data_servers", "synchronous", Kind::Flag, "no", 0, 0, "",
+       [](Draft& d, const KeyValue& v) { d.config.settings.synchronous = as<bool>(v); },
+       "Whether a write is answered only once a replica has it."},
+      {"data_servers", "gone_still_serves", Kind::Flag, "no", 0, 0, "",
+       [](Draft& d, const KeyValue& v) { d.config.settings.droppedStayOpen = as<bool>(v); },
+       "Whether a server that is gone from the list may still be sent work, so that only draining binds. "
+       "Leave it at "
+       "no unless the list is known to lose servers that run."},
+
+      {"clients", "come_again", Kind::Flag, "yes", 0, 0, "",
+       [](Draft& d, const KeyValue& v) { d.config.settings.retryAfter = as<bool>(v); },
+       "Whether refusals tell when to come back (field D, in ms)."},
+      {"clients", "come_again_most", Kind::Duration, "1s", 0, kHour, "",
+       [](Draft& d, const KeyValue& v) { d.config.settings.maxRetryAfter = time(v); },
+       "The longest wait that clients keep to."},
+      {"clients", "session_positions", Kind::Choice, "carried", 0, 0, "carried remembered",
+       [](Draft& d, const KeyValue& v) { d.config.settings.tokensCarried = word(v) == "carried"; },
+       "Whether session reads bring the position that they have to see (`after=`), or the proxy remembers "
+       "what it "
+       "served each session."},
+
+      {"rules", "drain_grace", Kind::Duration, "1s", 0, kHour, "",
+       [](Draft& d, const KeyValue& v) { d.config.settings.drainGrace = time(v); },
+       "Nothing new to a data server later than this after it was told that it drains or is gone."},
+      {"rules", "cold_for", Kind::Duration, "18s", 0, kHour, "",
+       [](Draft& d, const KeyValue& v) { d.config.settings.coldFor = time(v); },
+       "After its start a data server is warm no later than this."},
+      {"rules", "cold_capacity", Kind::Share, "21%", 0.0001, 1, "",
+       [](Draft& d, const KeyValue& v) { d.config.settings.startCapacity = as<double>(v); },
+       "The share of its capacity that it starts with, at least."},
+      {"rules", "fall_multiple", Kind::Number, "2.5", 1, 1000, "",
+       [](Draft& d, const KeyValue& v) { d.config.settings.fallMultiple = as<double>(v); },
+       "A cold data server that is sent more than this multiple of what it can do falls over,"},
+      {"rules", "fall_for", Kind::Duration, "1500ms", kMillisecond, kHour, "",
+       [](Draft& d, const KeyValue& v) { d.config.settings.fallFor = time(v); },
+       "when it is sent that for so long."},
+
+      {"goal", "whole", Kind::Share, "55%", 0, 1, "",
+       [](Draft& d, const KeyValue& v) { d.config.settings.goalWhole = as<double>(v); },
+       "The weight of all that is served."},
+      {"goal", "worst_class", Kind::Share, "30%", 0, 1, "",
+       [](Draft& d, const KeyValue& v) { d.config.settings.goalWorstClass = as<double>(v); },
+       "The weight of the class that is served worst."},
+
+      {"class", "data", Kind::Choice, nullptr, 0, 0, "any bounded session fresh write",
+       [](Draft& d, const KeyValue& v) {
+         d.cls.need = word(v) == "any"       ? Need::Any
+                      : word(v) == "bounded" ? Need::Bounded
+                      : word(v) == "session" ? Need::Session
+                      : word(v) == "fresh"   ? Need::Fresh
+                                             : Need::Write;
+       },
+       "What data a request needs: any; no older than max_age; all that its session wrote; all that was "
+       "written "
+       "before it came; or the primary, to write."},
+      {"class", "max_age", Kind::Duration, "0", 0, 24 * kHour, "",
+       [](Draft& d, const KeyValue& v) { d.cls.bound = time(v); },
+       "With `data = bounded`: the greatest age of the data when the request is sent."},
+      {"class", "repeats", Kind::Choice, nullptr, 0, 0, "safe keyed unsafe",
+       [](Draft& d, const KeyValue& v) {
+         d.cls.effect = word(v) == "safe"    ? Effect::Safe
+                        : word(v) == "keyed" ? Effect::Keyed
+                                             : Effect::Unsafe;
+       },
+       "Whether a request may run twice: always, within what drops repeats of its key (`k=`), or never."},
+      {"class", "repeats_dropped_by", Kind::Choice, "group", 0, 0, "all zone group",
+       [](Draft& d, const KeyValue& v) {
+         d.cls.scope = word(v) == "all"    ? KeyScope::All
+                       : word(v) == "zone" ? KeyScope::Zone
+                                           : KeyScope::Group;
+       },
+       "With `repeats = keyed`: which data servers know a key that one of them has seen."},
+      {"class", "repeats_dropped_for", Kind::Duration, "0", 0, 24 * kHour, "",
+       [](Draft& d, const KeyValue& v) { d.cls.memory = time(v); },
+       "With `repeats = keyed`: how long they know it, from the first send."},
+      {"class", "aim", Kind::Duration, nullptr, kMillisecond, kHour, "",
+       [](Draft& d, const KeyValue& v) { d.cls.aim = time(v); },
+       "An answer within this earns its full worth."},
+      {"class", "give_up", Kind::Duration, nullptr, kMillisecond, kHour, "",
+       [](Draft& d, const KeyValue& v) { d.cls.deadline = time(v); },
+       "How long a client waits that does not say so itself (`d=`)."},
+      {"class", "worth", Kind::Number, "1", 0, 1e6, "",
+       [](Draft& d, const KeyValue& v) { d.cls.worth = as<double>(v); }, "Against other classes."},
+      {"class", "late_worth", Kind::Share, "0", 0, 1, "",
+       [](Draft& d, const KeyValue& v) { d.cls.lateWorth = as<double>(v); },
+       "The share of the worth that an answer after the aim still earns."},
+
+      {"group", "number", Kind::Count, nullptr, 0, 65535, "",
+       [](Draft& d, const KeyValue& v) { d.group.id = static_cast<knotstack::GroupId>(as<std::int64_t>(v)); },
+       "The number that statements carry (`cluster=`)."},
+
+      {"member", "address", Kind::Address, nullptr, 0, 0, "",
+       [](Draft& d, const KeyValue& v) { d.member.address = as<Address>(v); }, "Where it listens."},
+      {"member", "group", Kind::Text, nullptr, 0, 0, "",
+       [](Draft& d, const KeyValue& v) { d.memberGroup = word(v); }, "Its group, by name or number."},
+      {"member", "zone", Kind::Text, "", 0, 0, "",
+       [](Draft& d, const KeyValue& v) { d.member.zone = word(v); }, "Its building."},
+      {"member", "kind", Kind::Text, "", 0, 0, "",
+       [](Draft& d, const KeyValue& v) { d.member.kind = word(v); }, "Its kind of machine, for staff."},
+      {"member", "weight", Kind::Number, "1", 0.001, 1e6, "",
+       [](Draft& d, const KeyValue& v) { d.member.weight = as<double>(v); },
+       "Its size, comparable among members."},
+  };
+  return table;
+}
+
+namespace {
+
+template <typename T>
+Read<KeyValue> widen(const Read<T>& r) {
+  if (const Wrong* w = std::get_if<Wrong>(&r)) return *w;
+  return KeyValue(std::get<T>(r));
+}
+
+std::vector<std::string> words(const std::string& text, char between) {
+  std::vector<std::string> all;
+  std::istringstream in(text);
+  for (std::string item; std::getline(in, item, between);) {
+    item.erase(0, item.find_first_not_of(" \t"));
+    item.erase(item.find_last_not_of(" \t") + 1);
+    if (!item.empty()) all.push_back(item);
+  }
+  return all;
+}
+
+Read<KeyValue> readAddress(const std::string& text) {
+  if (const auto a = Address::parse(text)) return KeyValue(*a);
+  return Wrong{"'" + text + "' is no address with a port",
+               "write it as 10.1.0.18:5432 or [fd00::18]:5432; names are not looked up here"};
+}
+
+Read<KeyValue> readAny(const Key& key, const std::string& text) {
+  switch (key.kind) {
+    case Kind::Address:
+      return text.empty() ? Read<KeyValue>(KeyValue(Address())) : readAddress(text);
+    case Kind::Addresses: {
+      std::vector<Address> all;
+      for (const std::string& item : words(text, ',')) {
+        const auto one = readAddress(item);
+        if (const Wrong* w = std::get_if<Wrong>(&one)) return *w;
+        all.push_back(std::get<Address>(std::get<KeyValue>(one)));
+      }
+      return KeyValue(all);
+    }
+    case Kind::Duration:
+      return widen(readTime(text));
+    case Kind::Size:
+      return widen(readSize(text));
+    case Kind::Count:
+      return widen(readCount(text));
+    case Kind::Number:
+      return widen(readNumber(text));
+    case Kind::Share:
+      return widen(readShare(text));
+    case Kind::Flag:
+      return widen(readFlag(text));
+    case Kind::Words:
+      return KeyValue(words(text, ','));
+    case Kind::Hex: {
+      if (text == "random") return KeyValue(std::uint64_t{0});
+      std::uint64_t v = 0;
+      const char* const end = text.data() + text.size();
+      const auto [stop, error] = std::from_chars(text.data(), end, v, 16);
+      if (error == std::errc() && stop == end) return KeyValue(v);
+      return Wrong{"'" + text + "' is no hexadecimal number",
+                   "write up to 16 of 0 to 9 and a to f, or random"};
+    }
+    case Kind::Choice: {
+      const std::vector<std::string> all = words(key.choices, ' ');
+      if (std::find(all.begin(), all.end(), text) != all.end()) return KeyValue(text);
+      std::string list;
+      for (const std::string& w : all) list += (list.empty() ? "" : ", ") + w;
+      const std::string near = nearestWord(text, all.data(), all.data() + all.size());
+      return Wrong{"'" + text + "' is none of " + list,
+                   near.empty() ? "write one of them" : "did you mean '" + near + "'?"};
+    }
+    case Kind::Text:
+      break;
+  }
+  if (text.empty() && !key.fallback) return Wrong{"it is empty", "give it a value"};
+  return KeyValue(text);
+}
+
+struct InBase {  // as the bounds count it
+  double operator()(Time t) const { return static_cast<double>(t.count()); }
+  double operator()(std::uint64_t v) const { return static_cast<double>(v); }
+  double operator()(std::int64_t v) const { return static_cast<double>(v); }
+  double operator()(double v) const { return v; }
+  template <typename T>
+  double operator()(const T&) const {
+    return 0;
+  }
+};
+
+std::string writeBound(Kind kind, double v) {
+  if (kind == Kind::Duration) return writeTime(Time(static_cast<std::int64_t>(v)));
+  if (kind == Kind::Size) return writeSize(static_cast<std::uint64_t>(v));
+  std::ostringstream s;
+  s << (kind == Kind::Share ? v * 100 : v) << (kind == Kind::Share ? "%" : "");
+  return s.str();
+}
+
+const char* kindName(Kind k) {
+  switch (k) {
+    case Kind::Address:
+      return "address";
+    case Kind::Addresses:
+      return "addresses";
+    case Kind::Duration:
+      return "time";
+    case Kind::Size:
+      return "size";
+    case Kind::Count:
+      return "whole number";
+    case Kind::Number:
+      return "number";
+    case Kind::Share:
+      return "share";
+    case Kind::Flag:
+      return "yes or no";
+    case Kind::Choice:
+      return "choice";
+    case Kind::Words:
+      return "words";
+    case Kind::Hex:
+      return "hexadecimal";
+    case Kind::Text:
+      break;
+  }
+  return "text";
+}
+
+}  // namespace
+
+Read<KeyValue> readValue(const Key& key, const std::string& text) {
+  Read<KeyValue> value = readAny(key, text);
+  if (std::holds_alternative<Wrong>(value) || key.least == key.most) return value;
+  const double v = std::visit(InBase{}, std::get<KeyValue>(value));
+  if (v >= key.least && v <= key.most) return value;
+  return Wrong{"'" + text + "' is out of range",
+               "write " + writeBound(key.kind, key.least) + " to " + writeBound(key.kind, key.most)};
+}
+
+std::string settingsPage() {
+  std::ostringstream page;
+  for (const SectionInfo& s : sectionTable()) {
+    page << "## [" << s.type << (s.named ? " NAME" : "") << "]\n\n"
+         << s.meaning << "\n\n| key | kind | default | bounds | meaning |\n| --- | --- | --- | --- | --- |\n";
+    for (const Key& k : keyTable()) {
+      if (std::string(k.section) != s.type) continue;
+      page << "| `" << k.name << "` | " << kindName(k.kind) << " | "
+           << (!k.fallback                       ? "must be given"
+               : std::string(k.fallback).empty() ? "none"
+                                                 : "`" + std::string(k.fallback) + "`")
+           << " | ";
+      if (k.kind == Kind::Choice)
+        page << "`" << k.choices << "`";
+      else if (k.least < k.most)
+        page << writeBound(k.kind, k.least) << " to " << writeBound(k.kind, k.most);
+      page << " | " << k.meaning << " |\n";
+    }
+    page << "\n";
+  }
+  return page.str();
+}
+
+}  // namespace sablespur
--- a/src/net/engine.cpp
+++ b/src/core/engine.cpp
@@ -1,9 +1,9 @@
-#include "net/engine.hpp"
+#include "core/engine.hpp"
 
 #include <algorithm>
 #include <cmath>
 
-#include "net/log.hpp"
+#include "log/log.hpp"
 
 namespace sablespur {
 
@@ -74,7 +74,7 @@
   events_.emplace_back(Probed{member, ok, report});
 }
 void Engine::listed(InstanceList list) { events_.emplace_back(Listed{false, std::move(list)}); }
-void Engine::listFailed() { events_.emplace_back(Listed{true, {}}); }
+void Engine::listFailed(const std::string&) { events_.emplace_back(Listed{true, {}}); }
 
 void Engine::turn() {
   now_ = std::max(now_, clock_.now());
@@ -191,7 +191,7 @@
     for (const auto& [name, id] : ids_) {
       const MemberId key = id;
       if (std::none_of(entries.begin(), entries.end(), [&](const auto& m) { return m.id == key; }))
-        members_->listed(id, sockaddr_in{}, false);
+        members_->listed(id, Address(), false);
     }
   balancer_->list(now_, kind, entries);
 }
@@ -237,6 +237,6 @@
 void Engine::subscribe() {
   actions_.emplace_back([this] { lists_->watch(generation_); });
 }
-void Engine::log(const std::string& line) { logLine("%s", line.c_str()); }
+void Engine::log(const std::string& line) { logEvent(LogLevel::Info, "decision", {{"text", line}}); }
 
 }  // namespace sablespur
--- a/src/net/engine.hpp
+++ b/src/core/engine.hpp
@@ -10,9 +10,9 @@
 #include <variant>
 #include <vector>
 
+#include "config/config.hpp"
+#include "core/event.hpp"
 #include "knotstack/balancer.hpp"
-#include "net/config.hpp"
-#include "net/event.hpp"
 
 namespace sablespur {
 
@@ -55,7 +55,7 @@
 class Members {
  public:
   virtual ~Members() = default;
-  virtual void listed(MemberId, const sockaddr_in&, bool ready) = 0;
+  virtual void listed(MemberId, const Address&, bool ready) = 0;
   virtual void send(RequestId, int attempt, MemberId, Time until, std::shared_ptr<const Message>) = 0;
   virtual void start(RequestId, int attempt, bool fit) = 0;  // answers Engine::connected
   virtual void cancel(RequestId, int attempt) = 0;
@@ -85,7 +85,7 @@
 float secondsSince(Time zero, double unixSeconds);
 std::uint32_t millisecondsSince(Time zero, std::int64_t unixMs);  // below 2^30
 
-class Engine final : knotstack::Sink {
+class Engine final : public ListTaker, knotstack::Sink {
  public:
   Engine(event_base*, const Config&);
   ~Engine() override;
@@ -97,10 +97,10 @@
   void connected(RequestId, int attempt);  // a new connection stands: may the attempt still go out?
   void ended(RequestId, int attempt, MemberId, Ending);
   void probed(MemberId, bool ok, const std::vector<double>& report);  // positions in Unix seconds
-  void listed(InstanceList);
-  void listFailed();
+  void listed(InstanceList) override;
+  void listFailed(const std::string& why) override;
 
-  std::uint64_t generation() const { return generation_; }  // of the list as it is known
+  std::uint64_t generation() const override { return generation_; }  // of the list as it is known
   bool pending() const { return !events_.empty(); }
   void turn();
   void sweep(Time now);  // forgets what is gone and quiet; the turn does it now and then
--- a/src/net/client.cpp
+++ b/src/front/pg/clients.cpp
@@ -1,4 +1,4 @@
-#include "net/client.hpp"
+#include "front/pg/clients.hpp"
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -8,8 +8,8 @@
 #include <cstring>
 #include <stdexcept>
 
-#include "net/log.hpp"
-#include "net/pg.hpp"
+#include "log/log.hpp"
+#include "wire/pg/pg.hpp"
 
 namespace sablespur {
 namespace {
@@ -332,8 +332,7 @@
     static_cast<Clients*>(self)->accepted(fd);
   };
   listener_.reset(evconnlistener_new_bind(base, accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 1024,
-                                          reinterpret_cast<const sockaddr*>(&config.listen),
-                                          sizeof config.listen));
+                                          config.listen.data(), static_cast<int>(config.listen.size())));
   if (!listener_) throw std::runtime_error(std::string("key listen: ") + std::strerror(errno));
   evconnlistener_set_error_cb(
       listener_.get(), [](evconnlistener*, void* self) { static_cast<Clients*>(self)->acceptFailed(); });
@@ -351,10 +350,10 @@
 Clients::~Clients() = default;
 
 int Clients::port() const {
-  sockaddr_in a{};
+  sockaddr_storage a{};
   socklen_t length = sizeof a;
   getsockname(evconnlistener_get_fd(listener_.get()), reinterpret_cast<sockaddr*>(&a), &length);
-  return ntohs(a.sin_port);
+  return Address::fromSocket(reinterpret_cast<const sockaddr*>(&a)).port();
 }
 
 void Clients::accepted(evutil_socket_t fd) {
@@ -413,7 +412,7 @@
 
 // Guards against spinning on a full descriptor table: the listener stays ready while nothing can be accepted.
 void Clients::acceptFailed() {
-  logLine("accept: %s", std::strerror(EVUTIL_SOCKET_ERROR()));
+  logEvent(LogLevel::Warning, "accept_failed", {{"why", std::strerror(EVUTIL_SOCKET_ERROR())}});
   evconnlistener_disable(listener_.get());
   startTimer(pause_.get(), kPause);
 }
--- a/src/net/client.hpp
+++ b/src/front/pg/clients.hpp
@@ -6,8 +6,8 @@
 #include <unordered_map>
 #include <unordered_set>
 
-#include "net/engine.hpp"
-#include "net/event.hpp"
+#include "core/engine.hpp"
+#include "core/event.hpp"
 
 namespace sablespur {
 
--- a/src/net/json.hpp
+++ b/src/membership/json.hpp
@@ -5,7 +5,7 @@
 
 #include <string>
 
-#include "net/list.hpp"
+#include "membership/list.hpp"
 
 namespace sablespur {
 
--- a/src/net/list.cpp
+++ b/src/membership/list.cpp
@@ -1,32 +1,16 @@
-#include "net/list.hpp"
+#include "membership/list.hpp"
 
-#include <arpa/inet.h>
-
-#include <charconv>
-
-#include "net/json.hpp"
+#include "membership/json.hpp"
 
 namespace sablespur {
 
 using knotstack::Lifecycle;
 using simdjson::dom::element;
 
-sockaddr_in parseAddress(std::string_view text, const std::string& key) {
-  const std::size_t colon = text.rfind(':');
-  sockaddr_in a{};
-  unsigned port = 0;
-  if (colon != std::string_view::npos) {
-    const char* const end = text.data() + text.size();
-    const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
-    const std::string host(text.substr(0, colon));
-    if (error == std::errc() && stop == end && port < 65536 &&
-        inet_pton(AF_INET, host.c_str(), &a.sin_addr) == 1) {
-      a.sin_family = AF_INET;
-      a.sin_port = htons(static_cast<std::uint16_t>(port));
-      return a;
-    }
-  }
-  throw BadInput("key " + key + ": '" + std::string(text) + "' is no address with a port");
+Address parseAddress(std::string_view text, const std::string& key) {
+  const auto address = Address::parse(text);
+  if (!address) throw BadInput("key " + key + ": '" + std::string(text) + "' is no address with a port");
+  return *address;
 }
 
 namespace {
@@ -49,6 +33,8 @@
   if (has("hostPort"))
     i.address = parseAddress(jsonField<std::string_view>(e, "hostPort", path), path + "hostPort");
   if (has("zone")) i.zone = std::string(jsonField<std::string_view>(e, "zone", path));
+  std::string_view kind;
+  if (e["machineType"].get(kind) == simdjson::SUCCESS) i.kind = std::string(kind);
   if (has("cell")) {
     const auto cell = jsonField<std::int64_t>(e, "cell", path);
     if (cell < 0 || cell > 65535) throw BadInput("key " + path + "cell: out of range");
--- a/src/net/list.hpp
+++ b/src/membership/list.hpp
@@ -1,8 +1,6 @@
 // The list of data servers in discovery's form.
 #pragma once
 
-#include <netinet/in.h>
-
 #include <cstdint>
 #include <stdexcept>
 #include <string>
@@ -10,13 +8,15 @@
 #include <vector>
 
 #include "knotstack/balancer.hpp"
+#include "membership/address.hpp"
 
 namespace sablespur {
 
 struct Instance {
   std::string name;
-  sockaddr_in address{};  // family 0: not told, as it may be for one that has left
+  Address address;  // none: not told, as it may be for one that has left
   std::string zone;
+  std::string kind;  // of machine; empty: not told
   knotstack::GroupId group = 0;
   knotstack::Lifecycle state = knotstack::Lifecycle::Ready;
   double weight = 1;
@@ -28,12 +28,21 @@
   std::vector<Instance> instances;
 };
 
+// Whoever takes the list from its source: the whole list first, then changes, or the source's failure.
+class ListTaker {
+ public:
+  virtual ~ListTaker() = default;
+  virtual void listed(InstanceList) = 0;
+  virtual void listFailed(const std::string& why) = 0;
+  virtual std::uint64_t generation() const = 0;  // of the list as it is known
+};
+
 // What cannot be read; the message names the key.
 struct BadInput : std::runtime_error {
   using std::runtime_error::runtime_error;
 };
 
-sockaddr_in parseAddress(std::string_view text, const std::string& key);  // "10.1.0.18:5432"
+Address parseAddress(std::string_view text, const std::string& key);  // Address::parse, or BadInput
 InstanceList parseInstances(std::string_view json);
 
 }  // namespace sablespur
--- a/src/net/discovery.cpp
+++ b/src/membership/registry/watch.cpp
@@ -1,9 +1,7 @@
-#include "net/discovery.hpp"
+#include "membership/registry/watch.hpp"
 
-#include <arpa/inet.h>
-
-#include "net/list.hpp"
-#include "net/log.hpp"
+#include "log/log.hpp"
+#include "membership/list.hpp"
 
 namespace sablespur {
 namespace {
@@ -14,9 +12,9 @@
 
 }  // namespace
 
-Discovery::Discovery(event_base* base, Engine& engine, const sockaddr_in& address)
+Discovery::Discovery(event_base* base, ListTaker& taker, const Address& address)
     : base_(base),
-      engine_(engine),
+      taker_(taker),
       address_(address),
       silence_(event_new(
           base, -1, 0,
@@ -26,15 +24,11 @@
   response_ = http::Response();
   body_.clear();
   connection_.reset(bufferevent_socket_new(base_, -1, BEV_OPT_CLOSE_ON_FREE));
-  char host[INET_ADDRSTRLEN];
-  inet_ntop(AF_INET, &address_.sin_addr, host, sizeof host);
   const std::string target = "/registry/instances?watch=1&after=" + std::to_string(after);
-  append(bufferevent_get_output(connection_.get()),
-         http::get(target, std::string(host) + ":" + std::to_string(ntohs(address_.sin_port))));
+  append(bufferevent_get_output(connection_.get()), http::get(target, address_.text()));
   bufferevent_enable(connection_.get(), EV_READ | EV_WRITE);
   startTimer(silence_.get(), kSilence);
-  if (bufferevent_socket_connect(connection_.get(), reinterpret_cast<const sockaddr*>(&address_),
-                                 sizeof address_) != 0)
+  if (bufferevent_socket_connect(connection_.get(), address_.data(), static_cast<int>(address_.size())) != 0)
     return fail("no connection");
   bufferevent_setcb(
       connection_.get(), [](bufferevent*, void* self) { static_cast<Discovery*>(self)->read(); }, nullptr,
@@ -46,10 +40,10 @@
 
 // Goes on from the list as it is known. A watch at the old address ends silently: what it has still to tell,
 // the new one tells.
-void Discovery::move(const sockaddr_in& address) {
-  if (address.sin_addr.s_addr == address_.sin_addr.s_addr && address.sin_port == address_.sin_port) return;
+void Discovery::move(const Address& address) {
+  if (address == address_) return;
   address_ = address;
-  watch(engine_.generation());
+  watch(taker_.generation());
 }
 
 void Discovery::read() {
@@ -72,7 +66,7 @@
   try {
     for (std::size_t end; (end = body_.find('\n', from)) != std::string::npos; from = end + 1) {
       const std::string_view line = std::string_view(body_).substr(from, end - from);
-      if (line.find_first_not_of(" \r") != std::string_view::npos) engine_.listed(parseInstances(line));
+      if (line.find_first_not_of(" \r") != std::string_view::npos) taker_.listed(parseInstances(line));
     }
   } catch (const BadInput& e) {
     fail(e.what());
@@ -86,10 +80,10 @@
 
 void Discovery::fail(const char* why) {
   if (!connection_) return;  // an end is told once
-  logLine("discovery: %s", why);
+  logEvent(LogLevel::Warning, "watch_ended", {{"why", why}});
   connection_.reset();
   event_del(silence_.get());
-  engine_.listFailed();
+  taker_.listFailed(why);
 }
 
 }  // namespace sablespur
--- a/src/net/discovery.hpp
+++ b/src/membership/registry/watch.hpp
@@ -1,17 +1,17 @@
 // Discovery's watch: one connection at a time, from the call to its end.
 #pragma once
 
-#include "net/engine.hpp"
-#include "net/event.hpp"
-#include "net/http.hpp"
+#include "core/engine.hpp"
+#include "core/event.hpp"
+#include "wire/http/http.hpp"
 
 namespace sablespur {
 
 class Discovery final : public Lists {
  public:
-  Discovery(event_base*, Engine&, const sockaddr_in&);
+  Discovery(event_base*, ListTaker&, const Address&);
   void watch(std::uint64_t after) override;  // a watch that is on ends silently
-  void move(const sockaddr_in&);             // goes on with the watch at another address
+  void move(const Address&);                 // goes on with the watch at another address
 
  private:
   void read();
@@ -19,8 +19,8 @@
   void fail(const char* why);
 
   event_base* const base_;
-  Engine& engine_;
-  sockaddr_in address_;
+  ListTaker& taker_;
+  Address address_;
   BufferEvent connection_;
   Event silence_;
   http::Response response_;
--- a/src/net/http.cpp
+++ b/src/wire/http/http.cpp
@@ -1,4 +1,4 @@
-#include "net/http.hpp"
+#include "wire/http/http.hpp"
 
 #include <algorithm>
 #include <cctype>
--- a/src/net/pg.cpp
+++ b/src/wire/pg/pg.cpp
@@ -1,4 +1,4 @@
-#include "net/pg.hpp"
+#include "wire/pg/pg.hpp"
 
 #include <algorithm>
 #include <charconv>
--- /dev/null
+++ b/tests/config_test.cpp
@@ -0,0 +1,229 @@
+// Settings as INI: every fault is named with its line, its key and what to write instead.
+#include "config/config.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+#include "app/members.hpp"
+#include "config/units.hpp"
+#include "scenario.hpp"
+
+namespace sablespur {
+namespace {
+
+using std::chrono::microseconds;
+
+const std::string kGood = R"(; a proxy of a small museum
+[proxy]
+name = desk-1
+listen = 127.0.0.1:0
+zones = ruwi, seeb
+seed = 8c1f30d27a5be964
+[discovery]
+registry = 127.0.0.1:8500 ; on this host
+[group rentals]
+number = 3
+[member s-1]
+  address = 127.0.0.1:6001
+  group = rentals
+  zone = ruwi
+[member s-2]
+address = [::1]:6002
+group = 4
+[class tour-read]
+data = bounded
+max_age = 200ms
+repeats = safe
+aim = 400ms
+give_up = 1.2s
+[class handset-write]
+data = write
+repeats = keyed
+repeats_dropped_for = 2s
+aim = 1s
+give_up = 3s
+worth = 6
+late_worth = 50%
+)";
+
+std::string with(const std::string& from, const std::string& to) {
+  std::string text = kGood;
+  const auto at = text.find(from);
+  EXPECT_NE(at, std::string::npos) << from;
+  return text.replace(at, from.size(), to);
+}
+// All faults, a line each.
+std::string faults(const std::string& text) {
+  try {
+    parseSettings(text, "f.ini");
+  } catch (const BadSettings& e) {
+    std::string all;
+    for (const Fault& f : e.faults) all += f.text() + "\n";
+    return all;
+  }
+  return "";
+}
+
+TEST(Settings, FillTheSameConfigAsThePlatformsForm) {
+  const Config c = parseSettings(kGood, "f.ini");
+  EXPECT_EQ(c.name, "desk-1");
+  EXPECT_EQ(c.discovery.text(), "127.0.0.1:8500");
+  EXPECT_EQ(c.seed, 0x8c1f30d27a5be964u);
+  EXPECT_EQ(c.classes, (std::vector<std::string>{"tour-read", "handset-write"}));
+  ASSERT_EQ(c.known.instances.size(), 2u);
+  EXPECT_EQ(c.known.instances[0].group, 3u);
+  EXPECT_EQ(c.known.instances[1].address.text(), "[::1]:6002");
+  const auto& write = c.settings.classes[1];
+  EXPECT_EQ(write.need, knotstack::Need::Write);
+  EXPECT_EQ(write.memory, microseconds(2000000));
+  EXPECT_EQ(write.lateWorth, 0.5);
+
+  // The defaults are those that the platform's settings state today.
+  test::Setting limits;
+  limits.memoryMb = 64;
+  const Config j = parseConfig(test::configuration(limits, 8500, {}));
+  EXPECT_EQ(c.clientConnections, j.clientConnections);
+  EXPECT_EQ(c.serverConnections, j.serverConnections);
+  EXPECT_EQ(c.largeStatements, j.largeStatements);
+  EXPECT_EQ(c.dialTimeout, j.dialTimeout);
+  EXPECT_EQ(c.idleClose, j.idleClose);
+  EXPECT_EQ(c.reportNames, j.reportNames);
+  const auto &a = c.settings, &b = j.settings;
+  EXPECT_EQ(a.figures, b.figures);
+  EXPECT_EQ(a.checks, b.checks);
+  EXPECT_EQ(a.discovery, b.discovery);
+  EXPECT_EQ(a.reports, b.reports);
+  EXPECT_EQ(a.attemptsCap, b.attemptsCap);
+  EXPECT_EQ(a.drainGrace, b.drainGrace);
+  EXPECT_EQ(a.coldFor, b.coldFor);
+  EXPECT_EQ(a.fallFor, b.fallFor);
+  EXPECT_EQ(a.mustAskIn, b.mustAskIn);
+  EXPECT_EQ(a.maxRetryAfter, b.maxRetryAfter);
+  EXPECT_EQ(a.step, b.step);
+  EXPECT_EQ(a.startCapacity, b.startCapacity);
+  EXPECT_EQ(a.fallMultiple, b.fallMultiple);
+  EXPECT_EQ(a.goalWhole, b.goalWhole);
+  EXPECT_EQ(a.goalWorstClass, b.goalWorstClass);
+  EXPECT_EQ(a.positionsInAnswers, b.positionsInAnswers);
+  EXPECT_EQ(a.tokensCarried, b.tokensCarried);
+  EXPECT_EQ(a.probing && a.cancel && a.retryAfter, b.probing && b.cancel && b.retryAfter);
+}
+
+TEST(Settings, FaultsNameFileLineKeyAndFix) {
+  EXPECT_EQ(faults(kGood), "");
+  const std::vector<std::pair<std::string, std::string>> cases{
+      {with("aim = 400ms", "aim = 400"),
+       "f.ini:22: [class tour-read] aim: '400' has no unit; write a number with us, ms, s, min, h or d, such "
+       "as 250ms"},
+      {with("aim = 400ms", "aim = 4MB"),
+       "f.ini:22: [class tour-read] aim: '4MB' is a size, and a time is wanted"},
+      {with("aim = 400ms", "aim = -4ms"), "f.ini:22: [class tour-read] aim: '-4ms' is negative"},
+      {with("aim = 400ms", "aim = 5000h"),
+       "f.ini:22: [class tour-read] aim: '5000h' is out of range; write 1ms to 1h"},
+      {with("give_up = 1.2s", "give_up = 100ms"),
+       "f.ini:23: [class tour-read] give_up: it is shorter than the aim; make it at least the aim"},
+      {with("max_age = 200ms\n", ""), "f.ini:18: [class tour-read] max_age: data = bounded needs it"},
+      {with("data = bounded", "data = bonded"),
+       "f.ini:19: [class tour-read] data: 'bonded' is none of any, bounded, session, fresh, write; did you "
+       "mean "
+       "'bounded'?"},
+      {with("repeats = keyed", "repeats = safe"),
+       "f.ini:26: [class handset-write] repeats: a write that is safe"},
+      {with("repeats_dropped_for = 2s\n", ""),
+       "f.ini:24: [class handset-write] repeats_dropped_for: repeats = keyed needs it"},
+      {with("worth = 6", "wroth = 6"),
+       "f.ini:30: [class handset-write] wroth: there is no such key; did you mean "
+       "'worth'?"},
+      {with("[class tour-read]", "[clas tour-read]"),
+       "f.ini:18: [clas tour-read]: there is no such section; did you "
+       "mean [class]?"},
+      {with("[class tour-read]", "[class]"), "f.ini:18: [class]: it needs a name; write [class NAME]"},
+      {with("[proxy]", "[proxy east]"), "f.ini:2: [proxy east]: it takes no name; write [proxy]"},
+      {with("name = desk-1\n", ""), "f.ini:2: [proxy] name: it is missing; add name = ... to [proxy]"},
+      {with("listen = 127.0.0.1:0", "listen = desk.example:5432"),
+       "f.ini:4: [proxy] listen: 'desk.example:5432' is no address with a port; write it as 10.1.0.18:5432 "
+       "or "
+       "[fd00::18]:5432; names are not looked up here"},
+      {with("registry = 127.0.0.1:8500", ""), "f.ini:7: [discovery] registry: source = registry needs it"},
+      {with("group = rentals", "group = rental"),
+       "f.ini:13: [member s-1] group: 'rental' is neither a [group] nor a number up to 65535; add [group "
+       "rental]"},
+      {with("[::1]:6002", "127.0.0.1:6001"), "f.ini:16: [member s-2] address: [member s-1] has this address"},
+      {with("[member s-2]", "[member s-1]"),
+       "f.ini:15: [member s-1]: it stands on line 11 already; put its keys there"},
+      {with("zones = ruwi, seeb", "zones = ruwi, seeb\nname = other"),
+       "f.ini:6: [proxy] name: it stands on line 3 already; keep one of the two"},
+      {with("number = 3", "number = three"), "f.ini:10: [group rentals] number: 'three' is no whole number"},
+      {with("seed = 8c1f30d27a5be964", "seed = twelve"),
+       "f.ini:6: [proxy] seed: 'twelve' is no hexadecimal number"},
+      {with("late_worth = 50%", "late_worth = 150%"),
+       "f.ini:31: [class handset-write] late_worth: '150%' is out of range; write 0% to 100%"},
+      {with("zones = ruwi, seeb", "zones"), "f.ini:5: neither a [section] nor key = value"},
+      {with("zones = ruwi", "zones = " + std::string(400, 'z')), "f.ini:5: longer than"},
+      {"name = x\n" + kGood, "f.ini:1: a key before the first section; begin with a section such as [proxy]"},
+      {"", "f.ini: there is no [class NAME]"},
+  };
+  for (const auto& [text, wanted] : cases)
+    EXPECT_NE(faults(text).find(wanted), std::string::npos)
+        << "wanted " << wanted << "\ngot " << faults(text);
+}
+
+// One round of mending has to do: all faults are told, in the order of the lines, not the first alone.
+TEST(Settings, TellAllFaultsInTheOrderOfTheLines) {
+  std::string text = with("aim = 400ms", "aim = soon");
+  text.replace(text.find("worth = 6"), 9, "worth = much");
+  const std::string all = faults(text);
+  EXPECT_EQ(std::count(all.begin(), all.end(), '\n'), 2) << all;
+  EXPECT_LT(all.find("f.ini:22"), all.find("f.ini:30"));
+  try {
+    parseSettings(text, "f.ini");
+    FAIL() << "no fault";
+  } catch (const BadInput& e) {
+    EXPECT_NE(std::string(e.what()).find("(and 1 more)"), std::string::npos);
+    EXPECT_EQ(std::string(e.what()).find('\n'), std::string::npos);
+  }
+}
+
+TEST(Units, ReadBackWhatTheyWrite) {
+  for (const std::int64_t us :
+       {0L, 1L, 999L, 1000L, 1500L, 250000L, 60000000L, 90000000L, 3600000000L, 86400000000L})
+    EXPECT_EQ(std::get<microseconds>(readTime(writeTime(microseconds(us)))), microseconds(us));
+  for (const std::uint64_t n :
+       {std::uint64_t{1}, std::uint64_t{1023}, std::uint64_t{24} << 20, std::uint64_t{3} << 30})
+    EXPECT_EQ(std::get<std::uint64_t>(readSize(writeSize(n))), n);
+  EXPECT_EQ(std::get<microseconds>(readTime("1.5 s")), microseconds(1500000));
+  EXPECT_TRUE(std::holds_alternative<Wrong>(readTime("1e400s")));
+  EXPECT_TRUE(std::holds_alternative<Wrong>(readTime("99999999999h")));
+  EXPECT_TRUE(std::holds_alternative<Wrong>(readSize("0.3B")));
+}
+
+// The operators' page is printed from the table of keys; `sablespur check --keys` writes it anew.
+TEST(Settings, ThePageListsEveryKeyAsItIsNow) {
+  std::ifstream file(SABLESPUR_SOURCE "/docs/operators/settings.md");
+  std::stringstream page;
+  page << file.rdbuf();
+  EXPECT_NE(page.str().find(settingsPage()), std::string::npos)
+      << "docs/operators/settings.md differs from `sablespur check --keys`";
+}
+
+TEST(Members, AreShownAsATableAndAsJson) {
+  const Config c = parseSettings(kGood, "f.ini");
+  InstanceList list = c.known;
+  list.generation = 7;
+  list.instances[1].state = knotstack::Lifecycle::Draining;
+  list.instances[1].startedMs = 1767225600123;
+  list.instances[1].kind = "a\"\xff";
+  const std::string table = membersTable(c, list);
+  EXPECT_NE(table.find("s-1   127.0.0.1:6001  rentals  ruwi"), std::string::npos) << table;
+  EXPECT_NE(table.find("leaving  2026-01-01T00:00:00Z\n2 data servers\n"), std::string::npos) << table;
+  const std::string json = membersJson(c, list);
+  EXPECT_NE(json.find("\"group_name\": \"rentals\""), std::string::npos) << json;
+  EXPECT_NE(json.find("\"started_ms\": 1767225600123"), std::string::npos);
+  EXPECT_NE(json.find("\"generation\": 7"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace sablespur
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -1,5 +1,5 @@
 // The engine between a fake way to the members and a fake asker: no sockets.
-#include "net/engine.hpp"
+#include "core/engine.hpp"
 
 #include <gtest/gtest.h>
 
@@ -20,7 +20,7 @@
   std::vector<MemberId> probes;
   std::vector<std::pair<int, bool>> started;  // attempt, fit
   std::map<MemberId, bool> ready;
-  void listed(MemberId m, const sockaddr_in&, bool isReady) override { ready[m] = isReady; }
+  void listed(MemberId m, const Address&, bool isReady) override { ready[m] = isReady; }
   void send(RequestId id, int attempt, MemberId m, Time, std::shared_ptr<const Message>) override {
     sent.push_back({id, attempt, m});
   }
@@ -141,7 +141,7 @@
   engine.turn();
   EXPECT_TRUE(members.ready[1]);
   EXPECT_FALSE(members.ready[2]);
-  engine.listFailed();
+  engine.listFailed("down");
   engine.turn();
   EXPECT_TRUE(members.ready[1]);
 }
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -3,10 +3,10 @@
 
 #include <algorithm>
 
-#include "net/http.hpp"
-#include "net/list.hpp"
-#include "net/log.hpp"
-#include "net/pg.hpp"
+#include "log/log.hpp"
+#include "membership/list.hpp"
+#include "wire/http/http.hpp"
+#include "wire/pg/pg.hpp"
 
 namespace sablespur {
 namespace {
@@ -131,7 +131,7 @@
   EXPECT_EQ(list.instances[0].group, 3u);
   EXPECT_EQ(list.instances[0].state, knotstack::Lifecycle::Draining);
   EXPECT_EQ(list.instances[0].startedMs, 7);
-  EXPECT_EQ(ntohs(list.instances[0].address.sin_port), 5432);
+  EXPECT_EQ(list.instances[0].address.port(), 5432);
   EXPECT_EQ(list.instances[1].state, knotstack::Lifecycle::Gone);
   const auto fault = [&](const std::string& from, const std::string& to) {
     std::string bad = text;
@@ -154,12 +154,24 @@
 // A trouble that touches every request must not fill the log.
 TEST(Log, IsRateLimitedAndSaysWhatItLeftOut) {
   testing::internal::CaptureStderr();
-  for (int k = 0; k < 5000; ++k) logLine("line %d", k);
+  for (int k = 0; k < 5000; ++k) logEvent(LogLevel::Info, "line", {{"k", k}});
   const std::string text = testing::internal::GetCapturedStderr();
   const auto lines = std::count(text.begin(), text.end(), '\n');
   EXPECT_GE(lines, 1);
   EXPECT_LT(lines, 1000);
-  EXPECT_EQ(text.rfind("sablespur: line 0\n", 0), 0u);
+  EXPECT_NE(text.find("level=info event=line k=0\n"), std::string::npos);
+  EXPECT_EQ(text.rfind("ts=", 0), 0u);
+}
+// What a stranger sent is quoted in the log: it must neither start a line of its own nor break a parser.
+TEST(Log, EscapesWhatItQuotesInBothForms) {
+  const std::string bytes("a\"b\nlevel=error \x80\0\\", 19);
+  EXPECT_EQ(
+      formatEvent(LogForm::Logfmt, "seen", {{"what", bytes}, {"n", -3}, {"ok", true}, {"word", "plain"}}),
+      "event=seen what=\"a\\\"b\\nlevel=error \\u0080\\u0000\\\\\" n=-3 ok=true word=plain");
+  EXPECT_EQ(formatEvent(LogForm::Json, "seen", {{"what", bytes}, {"share", 0.25}, {"empty", ""}}),
+            "\"event\":\"seen\",\"what\":\"a\\\"b\\nlevel=error "
+            "\\u0080\\u0000\\\\\",\"share\":0.25,\"empty\":\"\"");
+  EXPECT_LT(formatEvent(LogForm::Logfmt, "long", {{"what", std::string(1 << 20, 'x')}}).size(), 500u);
 }
 
 }  // namespace
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -6,7 +6,7 @@
 #include <ctime>
 #include <fstream>
 
-#include "net/config.hpp"
+#include "config/config.hpp"
 #include "scenario.hpp"
 
 namespace sablespur::test {
@@ -262,7 +262,7 @@
     c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
     s2 expect query id=1
     proxy reload broken
-    proxy expect log the configuration stays as it was: no JSON
+    proxy expect log event=settings_unchanged why="no JSON
     proxy reload moved
     list expect watch after=5
     s2 send row v
@@ -468,6 +468,60 @@
   EXPECT_EQ(std::count(said.begin(), said.end(), '\n'), 1) << said;
   return said;
 }
+// What a command prints, both streams together, and its exit status.
+std::pair<int, std::string> command(const std::vector<std::string>& arguments) {
+  int out = -1, status = 0;
+  const int pid = spawn("", 0, out, arguments);
+  std::string said;
+  char part[4096];
+  for (ssize_t n; (n = read(out, part, sizeof part)) > 0;) said.append(part, static_cast<std::size_t>(n));
+  waitpid(pid, &status, 0);
+  close(out);
+  return {WIFEXITED(status) ? WEXITSTATUS(status) : -1, said};
+}
+TEST(CommandLine, SaysWhatIsWrongAndExitsByIt) {
+  EXPECT_EQ(command({"--version"}).first, 0);
+  EXPECT_EQ(command({"--help"}).first, 0);
+  EXPECT_EQ(command({"serv"}).first, 2);
+  EXPECT_EQ(command({"check"}).first, 2);
+  EXPECT_EQ(command({"members", "--config", "/nonexistent", "--wait", "never"}).first, 2);
+  const auto [unread, why] = command({"check", "/nonexistent"});
+  EXPECT_EQ(unread, 1);
+  EXPECT_EQ(why, "/nonexistent: it cannot be read; see that it exists and may be read\n");
+  EXPECT_EQ(command({"serve", "--config", "/nonexistent"}).first, 1);
+
+  char path[] = "/tmp/sablespur-test-XXXXXX";
+  close(mkstemp(path));
+  std::ofstream(path) << settingsFile({}, 1, {2});
+  EXPECT_EQ(command({"check", path}).first, 0);
+  // Discovery refuses: what the settings know is shown, and the exit tells.
+  const auto [shown, table] = command({"members", "--config", path, "--wait", "5"});
+  EXPECT_EQ(shown, 1);
+  EXPECT_NE(table.find("127.0.0.1:2"), std::string::npos) << table;
+  EXPECT_NE(table.find("discovery at 127.0.0.1:1"), std::string::npos) << table;
+  std::ofstream(path) << settingsFile({}, 1, {2}) << "[log]\nlevel = loud\n[rules]\nfall_for = 3\n";
+  const auto [faulty, faults] = command({"check", path});
+  EXPECT_EQ(faulty, 1);
+  EXPECT_EQ(std::count(faults.begin(), faults.end(), '\n'), 2) << faults;
+  unlink(path);
+}
+TEST(Proxy, ServesAndReloadsBySettingsOfOurOwnForm) {
+  Setting s;
+  s.ini = true;
+  Scenario t(s);
+  t.run(R"(
+    c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    s2 expect query id=1
+    s2 send row v
+    c1 expect row v
+    proxy reload broken
+    proxy expect log event=settings_unchanged
+    proxy reload moved
+    list expect watch after=
+    proxy send TERM
+    proxy expect exit 0
+  )");
+}
 // Guards the smallest limits in service, 32 MB and 256 descriptors, which an older bound turned down: a third
 // of the descriptors is for clients with requests, and each of them may need a connection to a data server.
 TEST(Configuration, TakesTheLimitsThatServiceSets) {
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -15,7 +15,7 @@
 #include <fstream>
 #include <sstream>
 
-#include "net/pg.hpp"
+#include "wire/pg/pg.hpp"
 
 namespace sablespur::test {
 namespace {
@@ -93,18 +93,37 @@
   return s.str();
 }
 
-int spawn(const std::string& configPath, int descriptors, int& err) {
+std::string settingsFile(const Setting& setting, int discoveryPort, const std::vector<int>& ports) {
+  std::ostringstream s;
+  s << "[proxy]\nname = n0\nlisten = 127.0.0.1:0\nproxies = 3\nzones = a, b\nseed = "
+       "8c1f30d27a5be964\n[limits]\nmemory = "
+    << setting.memoryMb << "MB\ndescriptors = " << setting.sockets << "\nidle_close = " << setting.idleCloseUs
+    << "us\n[discovery]\nregistry = 127.0.0.1:" << discoveryPort << "\n";
+  for (std::size_t k = 0; k < ports.size(); ++k)
+    s << "[member s-" << k + 1 << "]\naddress = 127.0.0.1:" << ports[k] << "\ngroup = 3\nzone = a\n";
+  s << "[class read]\ndata = bounded\nmax_age = 5s\nrepeats = safe\naim = 8s\ngive_up = 9s\n"
+       "[class write]\ndata = write\nrepeats = keyed\nrepeats_dropped_for = 9s\naim = 8s\ngive_up = 9s\n"
+       "worth = 6\nlate_worth = 50%\n";
+  return s.str();
+}
+
+int spawn(const std::string& configPath, int descriptors, int& err,
+          const std::vector<std::string>& arguments) {
   int ends[2];
   if (pipe2(ends, O_CLOEXEC) != 0) abort();
   const int pid = fork();
   if (pid == 0) {
+    dup2(ends[1], 1);
     dup2(ends[1], 2);
     if (descriptors > 0) {
       const rlimit limit{static_cast<rlim_t>(descriptors), static_cast<rlim_t>(descriptors)};
       setrlimit(RLIMIT_NOFILE, &limit);
     }
     setenv("NODE_CONFIG", configPath.c_str(), 1);
-    execl(SABLESPUR_PROGRAM, "sablespur", static_cast<char*>(nullptr));
+    std::vector<char*> argv{const_cast<char*>("sablespur")};
+    for (const std::string& a : arguments) argv.push_back(const_cast<char*>(a.c_str()));
+    argv.push_back(nullptr);
+    execv(SABLESPUR_PROGRAM, argv.data());
     _exit(127);
   }
   close(ends[1]);
@@ -123,12 +142,15 @@
   configPath_ = path;
   close(file);
   configure(listPort);
-  pid_ = spawn(configPath_, setting.descriptors, err_);
+  using Arguments = std::vector<std::string>;
+  pid_ = spawn(configPath_, setting.descriptors, err_,
+               setting.ini ? Arguments{"serve", "--config", configPath_} : Arguments{});
   at_ = "start";
-  until([&] { return log_.find("listens on port ") != std::string::npos && log_.back() == '\n'; }, "a port");
-  port_ = std::atoi(log_.c_str() + log_.find("listens on port ") + 16);
+  until([&] { return log_.find(" port=") != std::string::npos && log_.back() == '\n'; }, "a port");
+  port_ = std::atoi(log_.c_str() + log_.find(" port=") + 6);
   run(R"(
-    list expect watch after=5
+    list expect watch after=)" +
+      std::string(setting.ini ? "0" : "5") + R"(
     list send line {"generation":5,"reset":false,"instances":[]}
   )");
 }
@@ -136,7 +158,7 @@
 void Scenario::configure(int listPort) const {
   std::vector<int> ports;
   for (const Server& s : servers_) ports.push_back(s.port);
-  std::ofstream(configPath_) << configuration(setting_, listPort, ports);
+  std::ofstream(configPath_) << (setting_.ini ? settingsFile : configuration)(setting_, listPort, ports);
 }
 
 Scenario::~Scenario() {
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -27,12 +27,17 @@
   int servers = 2;
   std::string idleCloseUs = "15000000";
   int sockets = 1024, memoryMb = 192;
+  bool ini = false;     // settings in our form, by `serve --config`
   int descriptors = 0;  // RLIMIT_NOFILE of the process; 0: as it is
 };
 
 std::string configuration(const Setting&, int discoveryPort, const std::vector<int>& serverPorts);
-// Runs the program with this file as NODE_CONFIG; what it writes to standard error comes from `err`.
-int spawn(const std::string& configPath, int descriptors, int& err);
+std::string settingsFile(const Setting&, int discoveryPort,
+                         const std::vector<int>& serverPorts);  // the same as INI
+// Runs the program: with arguments, or with this file as NODE_CONFIG. What it writes to standard output and
+// standard error comes from `err`.
+int spawn(const std::string& configPath, int descriptors, int& err,
+          const std::vector<std::string>& arguments = {});
 
 class Scenario {
  public:
