--- /dev/null
+++ b/fuzz/dns.cpp
@@ -0,0 +1,27 @@
+// DNS answers from anyone: read, written again, and read to the same.
+#include <cstdlib>
+#include <string>
+
+#include "fuzz/target.hpp"
+#include "wire/dns/message.hpp"
+
+using namespace sablespur;
+
+int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  const auto m = dns::parse({reinterpret_cast<const char*>(data), size});
+  if (!m) return 0;
+  for (const auto* section : {&m->answers, &m->authorities, &m->additionals})
+    for (const dns::Record& r : *section) {
+      if (r.name.empty() || r.ttl > 0x7fffffff) std::abort();
+      dns::firstLabel(r.name);
+      dns::within(r.name, "example.org.");
+      if (const auto* name = std::get_if<dns::Name>(&r.data);
+          name && !name->empty() && !dns::parseName(*name))
+        std::abort();  // a name that was read is a name
+    }
+  const std::string again = dns::encode(*m);
+  if (again.empty()) return 0;
+  const auto back = dns::parse(again);
+  if (!back || back->id != m->id || back->answers.size() > m->answers.size()) std::abort();
+  return 0;
+}
--- /dev/null
+++ b/lab/audit.cpp
@@ -0,0 +1,185 @@
+#include "lab/audit.hpp"
+
+#include <prometheus/summary.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace sablespur::lab {
+namespace {
+
+constexpr const char* kGotNames[] = {"served", "refused", "failed", "late", "unanswered"};
+
+double ms(Time t) { return static_cast<double>(t.count()) / 1e3; }
+
+// Quantiles of what was measured, by prometheus-cpp's summary (Cormode, Korn, Muthukrishnan, Srivastava
+// 2005).
+struct Quantiles {
+  prometheus::Summary summary{{{0.5, 0.005}, {0.9, 0.005}, {0.99, 0.0005}}, std::chrono::hours(24)};
+  double most = 0;
+  std::size_t n = 0;
+  void add(double v) {
+    summary.Observe(v);
+    most = std::max(most, v);
+    ++n;
+  }
+  void into(std::map<std::string, double>& to, const std::string& prefix) const {
+    if (n == 0) return;
+    for (const auto& q : summary.Collect().summary.quantile)
+      to[prefix + "p" + std::to_string(std::lround(q.quantile * 100)) + "_ms"] = q.value;
+    to[prefix + "max_ms"] = most;
+  }
+};
+
+}  // namespace
+
+void Audit::breaks(Time at, const char* rule, std::string what) {
+  ++count_[rule];
+  if (broken_.size() < 1000) broken_.push_back({at, rule, std::move(what)});
+}
+
+void Audit::withdrawn(Time at, int server) { withdrawnAt_[server] = at; }
+
+void Audit::told(Time at, int proxy, int server, bool in) {
+  const auto key = std::make_pair(proxy, server);
+  const auto was = in_.find(key);
+  if (was != in_.end() && was->second == in) return;
+  in_[key] = in;
+  if (in) {
+    outSince_.erase(key);
+  } else {
+    outSince_[key] = at;
+  }
+  const auto w = withdrawnAt_.find(server);
+  told_.push_back({at, proxy, server, in, !in && w != withdrawnAt_.end() ? at - w->second : Time(-1)});
+}
+
+std::uint64_t Audit::send(Send s) {
+  settle(s.at);
+  s.token = ++tokens_;
+  const auto out = outSince_.find({s.proxy, s.server});
+  if (out != outSince_.end()) {
+    if (s.at - out->second > rules_.drainGrace)
+      breaks(s.at, "late_sends",
+             "to server " + std::to_string(s.server) + " by proxy " + std::to_string(s.proxy) + ", " +
+                 std::to_string((s.at - out->second).count() / 1000) + " ms after it was told");
+    else
+      ++inGrace_;
+  }
+  if (s.read && s.bound > Time(0) && s.age > s.bound + rules_.staleSlack)
+    breaks(s.at, "stale_reads",
+           "id " + s.id + ": data " + std::to_string(s.age.count() / 1000) + " ms old, " +
+               std::to_string(s.bound.count() / 1000) + " allowed");
+  auto& all = open_[s.id];
+  for (Out& o : all)
+    if (!o.overlappedAt) {
+      o.overlappedAt = s.at;
+      overlaps_.emplace_back(s.at, s.id);
+    }
+  all.push_back({s.token, s.server, s.at, std::nullopt});
+  idOf_[s.token] = s.id;
+  sends_.push_back(std::move(s));
+  return sends_.back().token;
+}
+
+// An attempt that is still out when the next one has come may be one whose connection's end is on its way.
+void Audit::settle(Time now) {
+  std::size_t kept = 0;
+  for (auto& [at, id] : overlaps_) {
+    if (now - at <= rules_.overlap) {
+      overlaps_[kept++] = {at, std::move(id)};
+      continue;
+    }
+    const auto it = open_.find(id);
+    if (it == open_.end()) continue;
+    for (const Out& o : it->second)
+      if (o.overlappedAt == at)
+        breaks(at, "second_copies", "id " + id + " is still out at server " + std::to_string(o.server));
+  }
+  overlaps_.resize(kept);
+}
+
+void Audit::ended(Time at, std::uint64_t token, bool served) {
+  settle(at);
+  const auto named = idOf_.find(token);
+  if (named == idOf_.end()) return;
+  const auto it = open_.find(named->second);
+  if (it != open_.end()) {
+    auto& all = it->second;
+    all.erase(std::remove_if(all.begin(), all.end(), [&](const Out& o) { return o.token == token; }),
+              all.end());
+    if (all.empty()) open_.erase(it);
+  }
+  idOf_.erase(named);
+  count_["attempts_served"] += served;
+}
+
+void Audit::ran(Time at, const std::string& key, Time droppedFor) {
+  const auto [it, fresh] = effects_.emplace(key, at);
+  if (!fresh)
+    breaks(at, "double_effects",
+           "key " + key + " took effect twice, " + std::to_string((at - it->second).count() / 1000) +
+               " ms apart; repeats are dropped for " + std::to_string(droppedFor.count() / 1000));
+}
+
+void Audit::felled(Time at, int server) { breaks(at, "felled", "server " + std::to_string(server)); }
+void Audit::cold(double multiple) { worstCold_ = std::max(worstCold_, multiple); }
+
+void Audit::request(Time at, const std::string& id) { waiting_[id] = at; }
+
+void Audit::lost(const std::string& id, const char* why) { breaks(Time(0), "lost", "id " + id + ": " + why); }
+
+void Audit::answer(Time at, const std::string& id, Got got, const std::string& value, Time latency,
+                   bool onTime, double worth, double earned) {
+  const auto it = waiting_.find(id);
+  if (it == waiting_.end()) {
+    ++extraAnswers_;
+    return;
+  }
+  waiting_.erase(it);
+  worth_ += worth;
+  earned_ += earned;
+  ++count_[kGotNames[static_cast<int>(got)]];
+  count_["on_time"] += onTime;
+  ++count_["requests"];
+  if (got == Got::Served && value != "v-" + id)
+    breaks(at, "lost", "id " + id + " was served '" + value.substr(0, 40) + "'");
+  if (got == Got::Nothing) breaks(at, "lost", "id " + id + ": no answer when its time was up");
+  answers_.push_back({at, latency, id, got, {}});
+}
+
+std::size_t Audit::count(Got g) const {
+  const auto it = count_.find(kGotNames[static_cast<int>(g)]);
+  return it == count_.end() ? 0 : it->second;
+}
+
+void Audit::finish(Time now) { settle(now + rules_.overlap + Time(1)); }
+
+std::map<std::string, double> Audit::figures() const {
+  std::map<std::string, double> f;
+  for (const char* name :
+       {"late_sends", "stale_reads", "second_copies", "double_effects", "felled", "lost", "served", "refused",
+        "failed", "late", "unanswered", "on_time", "requests", "attempts_served"}) {
+    const auto it = count_.find(name);
+    f[name] = it == count_.end() ? 0 : static_cast<double>(it->second);
+  }
+  f["extra_answers"] = static_cast<double>(extraAnswers_);
+  f["sends"] = static_cast<double>(sends_.size());
+  f["sends_in_grace"] = static_cast<double>(inGrace_);
+  f["probes"] = static_cast<double>(probes_);
+  f["worst_cold_multiple"] = worstCold_;
+  f["worth_share"] = worth_ > 0 ? earned_ / worth_ : 0;
+  f["served_share"] = f["requests"] > 0 ? f["served"] / f["requests"] : 0;
+  f["attempts_per_request"] = f["requests"] > 0 ? f["sends"] / f["requests"] : 0;
+  Quantiles latency, told;
+  for (const Answer& a : answers_)
+    if (a.got == Got::Served) latency.add(ms(a.latency));
+  for (const Told& t : told_)
+    if (!t.in && t.after >= Time(0)) told.add(ms(t.after));
+  latency.into(f, "");
+  told.into(f, "told_");
+  f["withdrawals_told"] = static_cast<double>(told.n);
+  return f;
+}
+
+}  // namespace sablespur::lab
--- /dev/null
+++ b/lab/clients.hpp
@@ -0,0 +1,73 @@
+// Clients of one proxy: open-loop load (arrivals are drawn ahead of the answers and do not wait for them),
+// deadlines, and retries after refusals. Or, with `loop`, one connection that asks again as soon as it is
+// answered.
+#pragma once
+
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lab/audit.hpp"
+#include "lab/context.hpp"
+#include "lab/fleet.hpp"
+
+namespace sablespur::lab {
+
+struct ClientSettings {
+  double rate = 60;   // requests a second, first tries
+  int retries = 0;    // after a refusal, once its word on when to come back is kept
+  bool loop = false;  // closed loop on one connection
+  std::size_t valueBytes = 0;
+  int groups = 2;
+  bool direct = false;  // to a data server, without a proxy
+};
+
+class Clients {
+ public:
+  Clients(Context&, Audit&, const std::vector<ClassModel>&, const ClientSettings&, const std::string& prefix);
+  ~Clients();
+
+  void target(const sockaddr_in& a) { target_ = a; }
+  void start();
+  void stop();  // no new requests; what is out goes on
+  void rate(double r) { s_.rate = r; }
+  std::size_t open() const { return out_; }
+  const std::vector<double>& latencies() const { return latencies_; }  // ms, of what was served
+
+ private:
+  class Connection;
+  struct Request {
+    std::string id, statement;
+    const ClassModel* cls;
+    Time at{}, deadline{}, first{};
+    int retriesLeft = 0, group = 1;
+    std::string key;
+  };
+  void arrive();
+  void ask(Request);
+  Request make();
+  void write(Request&, Time now);
+  void done(Request&, Got, const std::string& value, Time retryAfter);
+
+  Context& c_;
+  Audit& audit_;
+  const std::vector<ClassModel>& classes_;
+  ClientSettings s_;
+  const std::string prefix_;
+  sockaddr_in target_{};
+  Timer next_;
+  Time due_{};  // of the next arrival
+  bool running_ = false;
+  std::size_t out_ = 0;
+  std::uint64_t ids_ = 0;
+  std::list<std::unique_ptr<Connection>> connections_;
+  std::vector<Connection*> idle_;
+  void again();
+  std::multimap<Time, Request> waiting_;  // for their next try
+  Timer retry_;
+  std::vector<double> latencies_;
+};
+
+}  // namespace sablespur::lab
--- /dev/null
+++ b/lab/experiment.cpp
@@ -0,0 +1,291 @@
+#include "lab/experiment.hpp"
+
+#include <algorithm>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <sstream>
+
+#include "base/ini.hpp"
+#include "base/units.hpp"
+
+namespace sablespur::lab {
+namespace {
+
+std::vector<std::string> split(const std::string& text) {
+  std::istringstream in(text);
+  std::vector<std::string> all;
+  for (std::string w; in >> w;) all.push_back(w);
+  return all;
+}
+
+// What a script may say, and how many words follow.
+const std::map<std::string, std::size_t>& actions() {
+  static const std::map<std::string, std::size_t> all{
+      {"withdraw", 1}, {"publish", 1}, {"toggle", 1}, {"drain", 1},  {"rename", 2}, {"empty", 0},
+      {"refill", 0},   {"kill", 1},    {"start", 1},  {"vanish", 1}, {"back", 1},   {"hang", 1},
+      {"slow", 2},     {"errors", 2},  {"resets", 2}, {"lag", 2},    {"dns", 1},    {"registry", 1},
+      {"rate", 1},     {"proxy", 2},   {"primary", 2}};
+  return all;
+}
+
+class Reader {
+ public:
+  Reader(const std::string& text, const std::string& path, std::vector<Fault>& faults)
+      : path_(path), faults_(faults), file_(parseIni(text, path, {"script", "claims"})) {
+    faults_.insert(faults_.end(), file_.faults.begin(), file_.faults.end());
+  }
+
+  Experiment read() {
+    Experiment& e = e_;
+    e.file = path_;
+    for (const IniSection& s : file_.sections) {
+      section_ = &s;
+      if (s.type == "experiment")
+        experiment(s);
+      else if (s.type == "fleet")
+        fleet(s);
+      else if (s.type == "load")
+        load(s);
+      else if (s.type == "class")
+        aClass(s);
+      else if (s.type == "settings")
+        settings(s);
+      else if (s.type == "script")
+        script(s);
+      else if (s.type == "claims")
+        claims(s);
+      else
+        fault(s.line, s.title(), "there is no such section",
+              "sections are experiment, fleet, load, class NAME, settings, script, claims");
+    }
+    if (e.classes.empty()) fault(0, "", "there is no [class NAME]", "add one");
+    if (e.discovery != "dnssd" && e.discovery != "registry")
+      fault(0, "[experiment] discovery", "'" + e.discovery + "' is neither dnssd nor registry",
+            "write one of them");
+    std::stable_sort(e.script.begin(), e.script.end(),
+                     [](const Step& a, const Step& b) { return a.at < b.at; });
+    std::string lines;
+    for (const auto& [section, keys] : settings_) lines += "[" + section + "]\n" + keys;
+    e.settings = lines;
+    return std::move(e_);
+  }
+
+ private:
+  using Setter = std::function<void(const IniEntry&)>;
+
+  void fault(int line, std::string where, std::string problem, std::string fix) {
+    faults_.push_back({path_, line, std::move(where), std::move(problem), std::move(fix)});
+  }
+  template <typename T, typename V>
+  Setter put(T& to, Read<V> (*read)(std::string_view)) {
+    return [this, &to, read](const IniEntry& e) {
+      const auto v = read(e.value);
+      if (const Wrong* w = std::get_if<Wrong>(&v))
+        fault(e.line, section_->title() + " " + e.key, w->problem, w->fix);
+      else
+        to = static_cast<T>(std::get<V>(v));
+    };
+  }
+  Setter time(Time& to) { return put(to, readTime); }
+  template <typename T>
+  Setter count(T& to) {
+    return put(to, readCount);
+  }
+  Setter number(double& to) { return put(to, readNumber); }
+  Setter share(double& to) { return put(to, readShare); }
+  static Setter text(std::string& to) {
+    return [&to](const IniEntry& e) { to = e.value; };
+  }
+  void apply(const IniSection& s, const std::map<std::string, Setter>& keys, const Setter& other = nullptr) {
+    for (const IniEntry& e : s.entries) {
+      const auto it = keys.find(e.key);
+      if (it != keys.end()) {
+        it->second(e);
+      } else if (other) {
+        other(e);
+      } else {
+        std::string list;
+        for (const auto& [name, set] : keys) list += (list.empty() ? "" : ", ") + name;
+        fault(e.line, s.title() + " " + e.key, "there is no such key", "keys are " + list);
+      }
+    }
+  }
+
+  void experiment(const IniSection& s) {
+    Experiment& e = e_;
+    apply(s, {{"title", text(e.title)},
+              {"duration", time(e.duration)},
+              {"warmup", time(e.warmup)},
+              {"proxies", count(e.proxies)},
+              {"discovery", text(e.discovery)},
+              {"seed", count(e.seed)}});
+    if (e.proxies < 1 || e.proxies > 200)
+      fault(s.line, s.title() + " proxies", "it is out of range", "write 1 to 200");
+    e.fleet.proxies = e.proxies;
+  }
+  void fleet(const IniSection& s) {
+    FleetSettings& f = e_.fleet;
+    apply(s, {{"groups", count(f.groups)},
+              {"members", count(f.members)},
+              {"cores", count(f.machine.cores)},
+              {"room", count(f.machine.room)},
+              {"speed_least", number(f.speedLeast)},
+              {"speed_most", number(f.speedMost)},
+              {"cold_share", share(f.machine.coldShare)},
+              {"cold_for", time(f.machine.coldFor)},
+              {"fall_multiple", number(f.machine.fallMultiple)},
+              {"fall_for", time(f.machine.fallFor)},
+              {"ship_least", time(f.shipLeast)},
+              {"ship_most", time(f.shipMost)},
+              {"apply_work", time(f.applyWork)},
+              {"probe_work", time(f.probeWork)},
+              {"value_bytes", count(f.valueBytes)},
+              {"base_port", count(f.basePort)}});
+  }
+  void load(const IniSection& s) {
+    ClientSettings c;
+    std::string server;
+    bool loop = false;
+    apply(s, {{"rate", number(c.rate)},
+              {"retries", count(c.retries)},
+              {"loop", put(loop, readFlag)},
+              {"value_bytes", count(c.valueBytes)},
+              {"server", text(server)}});
+    c.loop = loop;
+    if (s.name.empty()) {
+      e_.load = c;
+      return;
+    }
+    c.direct = true;
+    if (server.empty())
+      fault(s.line, s.title() + " server", "it is missing", "name a data server, such as s-1");
+    e_.direct.push_back({s.name, server, c});
+  }
+  void aClass(const IniSection& s) {
+    ClassModel m;
+    m.name = s.name;
+    std::string data, age, dropped, aim, giveUp, worth, late;
+    const auto forProxy = [&](const IniEntry& e) { m.settings += e.key + " = " + e.value + "\n"; };
+    const auto both = [&](const Setter& set) {
+      return Setter([set, forProxy](const IniEntry& e) {
+        set(e);
+        forProxy(e);
+      });
+    };
+    apply(s,
+          {{"share", share(m.share)},
+           {"work_least", time(m.workLeast)},
+           {"work_most", time(m.workMost)},
+           {"data", both(text(data))},
+           {"max_age", both(time(m.bound))},
+           {"repeats_dropped_for", both(time(m.droppedFor))},
+           {"aim", both(time(m.aim))},
+           {"give_up", both(time(m.giveUp))},
+           {"worth", both(number(m.worth))},
+           {"late_worth", both(share(m.lateWorth))}},
+          forProxy);
+    m.write = data == "write";
+    e_.classes.push_back(std::move(m));
+  }
+  void settings(const IniSection& s) {
+    for (const IniEntry& e : s.entries) {
+      const std::size_t dot = e.key.find('.');
+      if (dot == std::string::npos)
+        fault(e.line, s.title() + " " + e.key, "it names no section",
+              "write SECTION.KEY, such as dnssd.refresh_most");
+      else
+        settings_[e.key.substr(0, dot)] += e.key.substr(dot + 1) + " = " + e.value + "\n";
+    }
+  }
+
+  std::optional<Time> at(const IniEntry& e, const std::string& word) {
+    const auto t = readTime(word);
+    if (const Wrong* w = std::get_if<Wrong>(&t)) {
+      fault(e.line, "[script]", w->problem,
+            "a line is TIME ACTION, or from TIME every TIME until TIME ACTION");
+      return std::nullopt;
+    }
+    return std::get<Time>(t);
+  }
+  // "5s withdraw s-3", or "from 2s every 400ms until 42s toggle s-4".
+  void script(const IniSection& s) {
+    for (const IniEntry& e : s.entries) {
+      std::vector<std::string> words = split(e.value);
+      Time from{}, every{}, until{};
+      std::size_t skip = 1;
+      if (words.size() > 6 && words[0] == "from" && words[2] == "every" && words[4] == "until") {
+        const auto a = at(e, words[1]), b = at(e, words[3]), c = at(e, words[5]);
+        if (!a || !b || !c) continue;
+        from = *a;
+        every = *b;
+        until = *c;
+        skip = 6;
+        if (every < std::chrono::milliseconds(1)) {
+          fault(e.line, "[script]", "it repeats without end", "write every 1ms or more");
+          continue;
+        }
+      } else {
+        const auto a = words.empty() ? std::nullopt : at(e, words[0]);
+        if (!a) continue;
+        from = until = *a;
+        every = Time(1);
+      }
+      words.erase(words.begin(), words.begin() + static_cast<std::ptrdiff_t>(skip));
+      const auto known = words.empty() ? actions().end() : actions().find(words[0]);
+      if (known == actions().end() || words.size() < 1 + known->second) {
+        std::string list;
+        for (const auto& [name, n] : actions()) list += (list.empty() ? "" : ", ") + name;
+        fault(e.line, "[script]", "'" + e.value + "' is no action, or lacks a word", "actions are " + list);
+        continue;
+      }
+      for (Time t = from; t <= until; t += every) e_.script.push_back({t, words, e.line});
+    }
+  }
+  void claims(const IniSection& s) {
+    for (const IniEntry& e : s.entries) {
+      const std::vector<std::string> w = split(e.value);
+      static const std::vector<std::string> relations{"=", "<", "<=", ">", ">="};
+      if (w.size() == 3 && std::find(relations.begin(), relations.end(), w[1]) != relations.end()) {
+        const auto v = readNumber(w[2]);
+        if (const double* d = std::get_if<double>(&v)) {
+          e_.claims.push_back({e.value, w[0], w[1], *d, e.line});
+          continue;
+        }
+      }
+      fault(e.line, "[claims]", "'" + e.value + "' is no claim",
+            "write FIGURE RELATION NUMBER, such as late_sends = 0");
+    }
+  }
+
+  const std::string path_;
+  std::vector<Fault>& faults_;
+  const IniFile file_;
+  Experiment e_;
+  const IniSection* section_ = nullptr;
+  std::map<std::string, std::string> settings_;
+};
+
+}  // namespace
+
+bool Claim::holds(double v) const {
+  if (relation == "=") return v == value;
+  if (relation == "<") return v < value;
+  if (relation == "<=") return v <= value;
+  if (relation == ">") return v > value;
+  return v >= value;
+}
+
+Experiment parseExperiment(const std::string& text, const std::string& file, std::vector<Fault>& faults) {
+  return Reader(text, file, faults).read();
+}
+
+Experiment readExperiment(const std::string& path, std::vector<Fault>& faults) {
+  std::ifstream in(path);
+  std::stringstream text;
+  text << in.rdbuf();
+  if (!in) faults.push_back({path, 0, "", "it cannot be read", "see that it exists"});
+  return parseExperiment(text.str(), path, faults);
+}
+
+}  // namespace sablespur::lab
--- /dev/null
+++ b/lab/fleet.cpp
@@ -0,0 +1,384 @@
+#include "lab/fleet.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <stdexcept>
+
+#include "wire/pg/pg.hpp"
+
+namespace sablespur::lab {
+namespace {
+
+std::string number32(std::uint32_t v) {
+  return {static_cast<char>(v >> 24), static_cast<char>(v >> 16), static_cast<char>(v >> 8),
+          static_cast<char>(v)};
+}
+std::string row(const std::string& value) {
+  std::string column("\0\1blob\0", 7);
+  column.append(18, '\0');
+  return pg::message('T', column) +
+         pg::message('D',
+                     std::string("\0\1", 2) + number32(static_cast<std::uint32_t>(value.size())) + value);
+}
+std::string parameter(const std::string& name, const std::string& value) {
+  return pg::message('S', name + '\0' + value + '\0');
+}
+// The work of a request is its own, whoever serves it.
+double fraction(std::string_view id) {
+  std::uint64_t h = 0xcbf29ce484222325ull;
+  for (const unsigned char c : id) h = (h ^ c) * 0x100000001b3ull;
+  h ^= h >> 29;
+  return static_cast<double>((h * 0xbf58476d1ce4e5b9ull) >> 11) / 9007199254740992.0;
+}
+std::string_view field(std::string_view text, std::string_view name) {
+  const std::size_t open = text.rfind("/*");
+  if (open == std::string_view::npos) return {};
+  text.remove_prefix(open);
+  for (std::size_t at = 0; (at = text.find(name, at)) != std::string_view::npos; ++at) {
+    const char before = text[at - 1];
+    if ((before == ' ' || before == ',') && text.size() > at + name.size() && text[at + name.size()] == '=') {
+      const std::size_t from = at + name.size() + 1;
+      return text.substr(from, text.find_first_of(", ", from) - from);
+    }
+  }
+  return {};
+}
+
+}  // namespace
+
+std::string hostText(const sockaddr_in& a) {
+  char text[INET_ADDRSTRLEN];
+  inet_ntop(AF_INET, &a.sin_addr, text, sizeof text);
+  return text;
+}
+std::string addressText(const sockaddr_in& a) {
+  return hostText(a) + ":" + std::to_string(ntohs(a.sin_port));
+}
+void put(bufferevent* to, std::string_view bytes) { bufferevent_write(to, bytes.data(), bytes.size()); }
+
+// One connection: greeted at once, a query at a time.
+class DataServer::Connection {
+ public:
+  Connection(DataServer& s, int proxy, evutil_socket_t fd)
+      : s_(s), proxy_(proxy), done_(s.c_, [this] { finish(); }) {
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    bev_.reset(bufferevent_socket_new(s.c_.loop.get(), fd, BEV_OPT_CLOSE_ON_FREE));
+    bufferevent_setcb(
+        bev_.get(), [](bufferevent*, void* self) { static_cast<Connection*>(self)->read(); }, nullptr,
+        [](bufferevent*, short what, void* self) {
+          if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) static_cast<Connection*>(self)->gone();
+        },
+        this);
+    bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
+    s_.connections_.insert(this);
+  }
+  ~Connection() {
+    giveUp();
+    s_.connections_.erase(this);
+  }
+  void reset() {
+    const linger hard{1, 0};
+    setsockopt(bufferevent_getfd(bev_.get()), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+  }
+  void read() {
+    if (s_.vanished_) return;  // what has come waits until it is back
+    evbuffer* const in = bufferevent_get_input(bev_.get());
+    while (!busy_ && !closing_) {
+      const std::size_t have = evbuffer_get_length(in);
+      if (!greeted_) {
+        char length[4];
+        if (have < 8 || evbuffer_copyout(in, length, 4) < 4 || have < pg::readInt32(length)) return;
+        evbuffer_drain(in, pg::readInt32(length));
+        greeted_ = true;
+        put(bev_.get(), pg::greeting());
+        continue;
+      }
+      char bytes[pg::kHead];
+      if (evbuffer_copyout(in, bytes, sizeof bytes) < static_cast<ev_ssize_t>(sizeof bytes)) return;
+      const auto head = pg::parseHead(bytes);
+      if (!head || head->type == 'X') return gone();
+      if (have < sizeof bytes + head->body) return;
+      const auto* const at = reinterpret_cast<const char*>(
+          evbuffer_pullup(in, static_cast<ev_ssize_t>(sizeof bytes + head->body)));
+      const std::string text(at + sizeof bytes, head->body > 0 ? head->body - 1 : 0);
+      evbuffer_drain(in, sizeof bytes + head->body);
+      if (head->type != 'Q') return gone();
+      query(text);
+    }
+  }
+
+ private:
+  void gone() { delete this; }
+  // The work of an attempt that is given up stops.
+  void giveUp() {
+    if (!busy_) return;
+    busy_ = false;
+    if (end_ > s_.c_.now()) s_.machine_->stop(s_.c_.now(), end_);
+    s_.audit_.ended(s_.c_.now(), token_, false);
+  }
+
+  void query(const std::string& text) {
+    const Time now = s_.c_.now();
+    if (text == "SHOW load") {
+      s_.audit_.probe(now);
+      s_.machine_->sent(now, static_cast<double>(s_.fleet_.s_.probeWork.count()));
+      s_.machine_->take(now, static_cast<double>(s_.fleet_.s_.probeWork.count()));
+      char report[96];
+      std::snprintf(report, sizeof report, "x0=%.3f,x1=%d,inflight=%zu",
+                    static_cast<double>(s_.c_.unixMs(s_.position(now))) / 1e3,
+                    s_.fleet_.primary(s_.group_) == &s_ ? 1 : 0, s_.machine_->held(now));
+      return put(bev_.get(), row(report) + pg::message('C', std::string("SHOW\0", 5)) + pg::readyForQuery());
+    }
+    const pg::Comment comment = pg::parseComment(text);
+    const ClassModel* const cls = comment.fault ? nullptr : s_.fleet_.find(std::string(comment.cls));
+    if (!cls) return error("08P01", "not in this form");
+    const bool primary = s_.fleet_.primary(s_.group_) == &s_;
+    id_ = std::string(comment.id);
+    key_ = std::string(field(text, "k"));
+    cls_ = cls;
+    const double work = static_cast<double>(cls->workLeast.count()) +
+                        fraction(id_) * static_cast<double>((cls->workMost - cls->workLeast).count());
+    Audit::Send send;
+    send.at = now;
+    send.proxy = proxy_;
+    send.server = s_.number_;
+    send.id = id_;
+    send.key = key_;
+    send.cls = cls->name;
+    send.read = !cls->write;
+    send.age = now - s_.position(now);
+    send.bound = cls->bound;
+    token_ = s_.audit_.send(std::move(send));
+    busy_ = true;
+    end_ = Time(0);
+    if (s_.machine_->sent(now, work)) {
+      s_.audit_.felled(now, s_.number_);
+      s_.fallen_ = true;
+      return s_.dying_.in(Time(0));  // not now: its connections, this one among them, end with it
+    }
+    if (s_.hangs_) return;
+    if (cls->write && !primary) return error("25006", "this is no primary");
+    if (s_.errors_ > 0 && s_.c_.uniform(0.0, 1.0) < s_.errors_) return error("XX000", "scripted");
+    if (s_.resets_ > 0 && s_.c_.uniform(0.0, 1.0) < s_.resets_) {
+      reset();
+      closing_ = true;
+      return done_.in(Time(0));
+    }
+    if (work <= 0) return complete();
+    const auto end = s_.machine_->take(now, work);
+    if (!end) return error("53300", "the queue is full");
+    end_ = *end;
+    done_.in(end_ - now);
+  }
+  void error(const char* code, const char* text) {
+    if (busy_) s_.audit_.ended(s_.c_.now(), token_, false);
+    busy_ = false;
+    put(bev_.get(), pg::error("ERROR", code, text) + pg::readyForQuery());
+  }
+  void finish() {
+    if (closing_) return gone();
+    complete();
+    read();
+  }
+  void complete() {
+    if (!busy_ || s_.hangs_ || s_.vanished_) return;
+    const Time now = s_.c_.now();
+    std::string value = "v-" + id_;
+    if (value.size() < s_.fleet_.s_.valueBytes) value.resize(s_.fleet_.s_.valueBytes, '.');
+    Time position = s_.position(now);
+    const bool primary = s_.fleet_.primary(s_.group_) == &s_;
+    if (cls_->write) {
+      if (!primary) return error("XX000", "it lost its role while it held the write");
+      value = s_.fleet_.write(s_.group_, *cls_, key_, value, now);
+      position = now;
+    }
+    busy_ = false;
+    s_.audit_.ended(now, token_, true);
+    put(bev_.get(),
+        row(value) + pg::message('C', std::string(cls_->write ? "INSERT 0 1" : "SELECT 1") + '\0') +
+            parameter("role", primary ? "primary" : "replica") +
+            parameter("applied_ms", std::to_string(s_.c_.unixMs(position) + (cls_->write ? 1 : 0))) +
+            pg::readyForQuery());
+  }
+
+  DataServer& s_;
+  const int proxy_;
+  BufferEventPtr bev_;
+  Timer done_;
+  bool greeted_ = false, busy_ = false, closing_ = false;
+  std::string id_, key_;
+  const ClassModel* cls_ = nullptr;
+  std::uint64_t token_ = 0;
+  Time end_{};
+};
+
+DataServer::DataServer(Context& c, Fleet& fleet, Audit& audit, int number, int group, const std::string& zone,
+                       double speed)
+    : c_(c),
+      fleet_(fleet),
+      audit_(audit),
+      number_(number),
+      group_(group),
+      name_("s-" + std::to_string(number)),
+      zone_(zone),
+      speed_(speed),
+      dying_(c, [this] { kill(); }) {
+  MachineSettings m = fleet.s_.machine;
+  m.speed = speed;
+  machine_ = std::make_unique<Machine>(m, Time(0), true);
+  log_ = std::make_unique<LogApply>(c.uniform(fleet.s_.shipLeast, fleet.s_.shipMost), fleet.s_.applyWork);
+  runs_ = true;
+  listen();
+}
+DataServer::~DataServer() { dropAll(false); }
+
+sockaddr_in DataServer::address(int proxy) const {
+  return loopbackAddress(proxy, 1 + (number_ - 1) % 250, fleet_.s_.basePort + (number_ - 1) / 250);
+}
+
+void DataServer::listen() {
+  for (int proxy = 0; proxy <= fleet_.s_.proxies; ++proxy) {
+    ways_.push_back(std::make_unique<Way>(Way{this, proxy}));
+    const sockaddr_in a = address(proxy);
+    ListenerPtr l(evconnlistener_new_bind(
+        c_.loop.get(),
+        [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* of) {
+          const auto& to = *static_cast<Way*>(of);
+          new Connection(*to.server, to.proxy, fd);  // it deletes itself
+        },
+        ways_.back().get(), LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, 512,
+        reinterpret_cast<const sockaddr*>(&a), sizeof a));
+    if (!l) throw std::runtime_error("a stand-in cannot listen at " + addressText(a));
+    listeners_.push_back(std::move(l));
+  }
+}
+
+void DataServer::dropAll(bool reset) {
+  listeners_.clear();
+  ways_.clear();
+  while (!connections_.empty()) {
+    Connection* const c = *connections_.begin();
+    if (reset) c->reset();
+    delete c;
+  }
+}
+
+void DataServer::kill() {
+  if (!runs_) return;
+  runs_ = false;
+  audit_.cold(machine_->worst());
+  dropAll(true);
+  if (fleet_.primary(group_) == this) fleet_.lostPrimary(group_);
+}
+
+void DataServer::start() {
+  if (runs_ || fallen_) return;
+  MachineSettings m = fleet_.s_.machine;
+  m.speed = speed_;
+  const Time now = c_.now();
+  machine_ = std::make_unique<Machine>(m, now, false);
+  startedAt_ = now;
+  log_->restartFrom(position(now), now);
+  runs_ = true;
+  hangs_ = vanished_ = false;
+  errors_ = resets_ = 0;
+  listen();
+}
+
+void DataServer::vanish(bool on) {
+  vanished_ = on;
+  for (const auto& l : listeners_) on ? evconnlistener_disable(l.get()) : evconnlistener_enable(l.get());
+  if (on && fleet_.primary(group_) == this) fleet_.lostPrimary(group_);
+  if (!on) {
+    const std::set<Connection*> all = connections_;
+    for (Connection* c : all)
+      if (connections_.count(c) > 0) c->read();
+  }
+}
+
+void DataServer::hang(bool on) {
+  hangs_ = on;
+  if (on && fleet_.primary(group_) == this) fleet_.lostPrimary(group_);
+  if (!on) dropAll(true), listen();  // what it held is over
+}
+
+Time DataServer::position(Time now) { return fleet_.primary(group_) == this ? now : log_->position(now); }
+
+Fleet::Fleet(Context& c, Audit& audit, const FleetSettings& s, std::vector<ClassModel> classes)
+    : c_(c), audit_(audit), s_(s), classes_(std::move(classes)), groups_(static_cast<std::size_t>(s.groups)) {
+  int number = 0;
+  for (int g = 0; g < s.groups; ++g)
+    for (int m = 0; m < s.members; ++m) {
+      ++number;
+      const std::string zone =
+          s.zones.empty() ? "" : s.zones[static_cast<std::size_t>(number) % s.zones.size()];
+      servers_.push_back(std::make_unique<DataServer>(c, *this, audit, number, g + 1, zone,
+                                                      c.uniform(s.speedLeast, s.speedMost)));
+      if (m == 0) groups_[static_cast<std::size_t>(g)].primary = servers_.back().get();
+    }
+}
+Fleet::~Fleet() = default;
+
+const ClassModel* Fleet::find(const std::string& name) const {
+  for (const ClassModel& m : classes_)
+    if (m.name == name) return &m;
+  return nullptr;
+}
+DataServer* Fleet::byName(const std::string& name) {
+  for (const auto& s : servers_)
+    if (s->name() == name) return s.get();
+  return nullptr;
+}
+DataServer* Fleet::primary(int group) { return groups_[static_cast<std::size_t>(group - 1)].primary; }
+
+// The replicas stand still until one of them takes over.
+void Fleet::lostPrimary(int group) {
+  Group& g = groups_[static_cast<std::size_t>(group - 1)];
+  const Time now = c_.now();
+  DataServer* const old = g.primary;
+  old->log().restartFrom(now, now);
+  g.primary = nullptr;
+  for (const auto& s : servers_)
+    if (s->group() == group) s->log().cut(true, now);
+  g.failover = std::make_unique<Timer>(c_, [this, group] { takeOver(group); });
+  g.failover->in(c_.uniform(s_.detectLeast, s_.detectMost) + c_.uniform(s_.takeoverLeast, s_.takeoverMost));
+}
+
+void Fleet::takeOver(int group) {
+  Group& g = groups_[static_cast<std::size_t>(group - 1)];
+  const Time now = c_.now();
+  DataServer* best = nullptr;
+  for (const auto& s : servers_)
+    if (s->group() == group && s->runs() && !s->vanished_ && !s->hangs_ &&
+        (!best || s->log().position(now) > best->log().position(now)))
+      best = s.get();
+  if (!best) return g.failover->in(std::chrono::seconds(1));
+  g.primary = best;
+  for (const auto& s : servers_)
+    if (s->group() == group) s->log().cut(false, now);
+}
+
+std::string Fleet::write(int group, const ClassModel& cls, const std::string& key, const std::string& value,
+                         Time now) {
+  Group& g = groups_[static_cast<std::size_t>(group - 1)];
+  if (!key.empty()) {
+    const auto it = g.keys.find(key);
+    if (it != g.keys.end() && now - it->second.at <= cls.droppedFor)
+      return value;  // it has run: nothing happens
+    g.keys[key] = {now, value};
+    audit_.ran(now, key, cls.droppedFor);
+  }
+  for (const auto& s : servers_)
+    if (s->group() == group && s.get() != g.primary) s->log().commit(now);
+  return value;
+}
+
+void Fleet::finish(Time) {
+  for (const auto& s : servers_) audit_.cold(s->coldMultiple());
+}
+
+}  // namespace sablespur::lab
--- /dev/null
+++ b/lab/main.cpp
@@ -0,0 +1,150 @@
+// sablespur-lab: experiments with real proxies and stand-ins for all else.
+#include <signal.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+
+#include "lab/report.hpp"
+#include "lab/run.hpp"
+
+namespace {
+
+using namespace sablespur::lab;
+namespace fs = std::filesystem;
+
+// Four stand-ins, one proxy, and a server that goes and comes back, for ever.
+constexpr const char* kDemo = R"(
+[experiment]
+title = demo
+proxies = 1
+[fleet]
+groups = 1
+members = 4
+[load]
+rate = 60
+[class tour-read]
+share = 93%
+work_least = 5ms
+work_most = 20ms
+data = bounded
+max_age = 200ms
+repeats = safe
+aim = 400ms
+give_up = 1200ms
+[class handset-write]
+share = 7%
+work_least = 10ms
+work_most = 30ms
+data = write
+repeats = keyed
+repeats_dropped_for = 2s
+aim = 1s
+give_up = 3s
+worth = 6
+[settings]
+dnssd.refresh_most = 1s
+[script]
+from 10s every 20s until 3600s withdraw s-4
+from 20s every 20s until 3600s publish s-4
+)";
+
+std::string proxyBeside(const char* self) {
+  const fs::path p = fs::path(self).parent_path() / "sablespur";
+  return fs::exists(p) ? p.string() : "sablespur";
+}
+
+int complain(const std::vector<sablespur::Fault>& faults) {
+  for (const auto& f : faults) std::fprintf(stderr, "%s\n", f.text().c_str());
+  return 1;
+}
+
+// A connection for each client and server side at once, in one process.
+void raiseDescriptors() {
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+int list(const std::string& dir) {
+  std::vector<fs::path> files;
+  for (const auto& entry : fs::recursive_directory_iterator(dir))
+    if (entry.path().extension() == ".ini") files.push_back(entry.path());
+  std::sort(files.begin(), files.end());
+  int bad = 0;
+  for (const auto& f : files) {
+    std::vector<sablespur::Fault> faults;
+    const Experiment e = readExperiment(f.string(), faults);
+    bad |= faults.empty() ? 0 : complain(faults);
+    std::printf("%-48s %4lld s  %s\n", f.string().c_str(),
+                static_cast<long long>(e.duration.count() / 1000000), e.title.c_str());
+  }
+  return bad;
+}
+
+int play(Experiment e, const std::string& program, std::string out, bool forEver) {
+  if (out.empty()) out = (fs::temp_directory_path() / ("sablespur-lab-" + std::to_string(getpid()))).string();
+  fs::create_directories(out);
+  Run::Options o;
+  o.program = program;
+  o.directory = out;
+  o.progress = forEver || isatty(2);
+  o.forEver = forEver;
+  Run run(e, o);
+  const EventPtr interrupt(evsignal_new(
+      run.loop(), SIGINT, [](evutil_socket_t, short, void* r) { static_cast<Run*>(r)->stop(); }, &run));
+  event_add(interrupt.get(), nullptr);
+  const Outcome outcome = run.play();
+  writeReport(out, e, outcome, run.audit(), run.fleet());
+  for (const auto& j : outcome.claims) {
+    if (j.known)
+      std::printf("%-7s %s (measured %g)\n", j.held ? "held" : "BROKEN", j.claim.text.c_str(), j.measured);
+    else
+      std::printf("BROKEN  %s (not measured)\n", j.claim.text.c_str());
+  }
+  std::size_t shown = 0;
+  for (const auto& b : run.audit().broken())
+    if (++shown <= 10)
+      std::printf("at %.3f s, %s: %s\n", static_cast<double>(b.at.count()) / 1e6, b.rule.c_str(),
+                  b.what.c_str());
+  std::printf("report: %s/report.md\n", out.c_str());
+  std::printf("claims: %zu held, %zu broken\n", outcome.claims.size() - outcome.broken(), outcome.broken());
+  return outcome.broken() == 0 ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  signal(SIGPIPE, SIG_IGN);
+  raiseDescriptors();
+  CLI::App app{"sablespur-lab: experiments with real proxies and stand-ins for all else", "sablespur-lab"};
+  app.require_subcommand(1);
+  std::string file, out, program = proxyBeside(argv[0]), dir = "lab/experiments";
+  std::int64_t seed = -1;
+  CLI::App* const running = app.add_subcommand("run", "play an experiment; exit 1 if a claim is broken");
+  running->add_option("FILE", file, "experiment (INI)")->required();
+  running->add_option("--out", out, "folder for tables and charts");
+  running->add_option("--seed", seed, "in place of the file's");
+  running->add_option("--proxy", program, "the proxy's program")->capture_default_str();
+  CLI::App* const listing = app.add_subcommand("list", "list the experiments");
+  listing->add_option("--dir", dir, "where they are")->capture_default_str();
+  CLI::App* const demo = app.add_subcommand("demo", "a few servers, a proxy, clients; Ctrl-C ends it");
+  demo->add_option("--proxy", program, "the proxy's program")->capture_default_str();
+  CLI11_PARSE(app, argc, argv);
+  try {
+    if (listing->parsed()) return list(dir);
+    std::vector<sablespur::Fault> faults;
+    Experiment e = demo->parsed() ? parseExperiment(kDemo, "demo", faults) : readExperiment(file, faults);
+    if (!faults.empty()) return complain(faults);
+    if (seed >= 0) e.seed = static_cast<std::uint64_t>(seed);
+    return play(std::move(e), program, out, demo->parsed());
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "sablespur-lab: %s\n", e.what());
+    return 1;
+  }
+}
--- /dev/null
+++ b/lab/name_server.hpp
@@ -0,0 +1,94 @@
+// A stand-in name server, authoritative for one domain: DNS-SD records of data servers over UDP and TCP, with
+// the additional records of RFC 6763 section 12, and misbehaviour on request. Written from the RFCs; it
+// shares only the message codec with the proxy. Loopback addresses only.
+#pragma once
+
+#include <event2/event.h>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "wire/dns/message.hpp"
+
+namespace sablespur::lab {
+
+struct ServiceInstance {
+  std::string label;  // "s-1"
+  std::vector<std::string>
+      addresses;  // "127.0.0.1"; several: several A or AAAA records; none: no address yet
+  std::uint16_t port = 0;
+  std::vector<std::string> txt;  // "group=3"
+  std::uint32_t ttl = 2;
+  bool hasSrv = true, hasTxt = true;
+};
+
+class NameServer {
+ public:
+  enum class Mood {
+    Good,
+    Silent,  // takes queries and says nothing
+    ServFail,
+    Refused,
+    Lame,           // NOERROR with nothing, not authoritative, no SOA
+    Noise,          // bytes that are no message
+    Loop,           // a name whose compression points at itself
+    Counts,         // a head that promises more records than come
+    WrongId,        // the right answer under another id
+    WrongQuestion,  // to another question, with the zone emptied
+    WrongPort,      // the zone emptied, from another port
+    Truncated,      // TC over UDP
+    TruncatedOnly,  // TC over UDP and no TCP at all
+    NoEdns          // FORMERR for what has an OPT record
+  };
+
+  NameServer(event_base*, const std::string& domain, const std::string& service, int port = 0);
+  ~NameServer();
+  NameServer(const NameServer&) = delete;
+  NameServer& operator=(const NameServer&) = delete;
+
+  int port() const { return port_; }
+  void publish(const ServiceInstance&);  // or replaces
+  void withdraw(const std::string& label);
+  void clear() { instances_.clear(); }
+  void mood(Mood m);
+  void additionals(bool on) { additionals_ = on; }
+  void negativeTtl(std::uint32_t s) { negativeTtl_ = s; }
+
+  // Called when an answer that names all instances goes out: each with whether it wants work (state=leaving).
+  std::function<void(const std::map<std::string, bool>&)> onTold;
+
+  struct Counts {
+    std::uint64_t udp = 0, tcp = 0;
+    std::map<dns::Type, std::uint64_t> types;
+  };
+  const Counts& counts() const { return counts_; }
+  static bool moodOf(const std::string& name, Mood&);  // "silent", "wrong-id", ...
+
+ private:
+  class Tcp;
+  std::string answer(const std::string& query, bool tcp);
+  dns::Message records(const dns::Question&) const;
+  void readUdp();
+  void listenTcp();
+
+  event_base* const base_;
+  const dns::Name domain_, service_;
+  int port_ = 0, udp_ = -1, other_ = -1, listener_ = -1;
+  event* readable_ = nullptr;
+  event* acceptable_ = nullptr;
+  std::map<std::string, ServiceInstance> instances_;
+  std::list<std::unique_ptr<Tcp>> connections_;
+  Mood mood_ = Mood::Good;
+  bool additionals_ = true;
+  std::uint32_t negativeTtl_ = 1, serial_ = 1;
+  Counts counts_;
+};
+
+}  // namespace sablespur::lab
--- /dev/null
+++ b/lab/proxy_process.cpp
@@ -0,0 +1,102 @@
+#include "lab/proxy_process.hpp"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <stdexcept>
+
+namespace sablespur::lab {
+
+ProxyProcess::ProxyProcess(Context& c, std::string program, std::string settingsPath, std::string logPath)
+    : c_(c), program_(std::move(program)), settings_(std::move(settingsPath)), log_(std::move(logPath)) {}
+
+ProxyProcess::~ProxyProcess() {
+  kill();
+  readable_.reset();
+  if (err_ >= 0) close(err_);
+}
+
+void ProxyProcess::start(std::function<void(int)> ready) {
+  if (running()) return;
+  ready_ = std::move(ready);
+  told_ = false;
+  text_.clear();
+  readable_.reset();
+  if (err_ >= 0) close(err_);
+  int ends[2];
+  if (pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
+  pid_ = fork();
+  if (pid_ == 0) {
+    dup2(ends[1], 1);
+    dup2(ends[1], 2);
+    execl(program_.c_str(), "sablespur", "serve", "--config", settings_.c_str(), static_cast<char*>(nullptr));
+    _exit(127);
+  }
+  close(ends[1]);
+  err_ = ends[0];
+  fcntl(err_, F_SETFL, O_NONBLOCK);
+  readable_.reset(event_new(
+      c_.loop.get(), err_, EV_READ | EV_PERSIST,
+      [](evutil_socket_t, short, void* self) { static_cast<ProxyProcess*>(self)->read(); }, this));
+  event_add(readable_.get(), nullptr);
+}
+
+void ProxyProcess::read() {
+  char bytes[4096];
+  const ssize_t n = ::read(err_, bytes, sizeof bytes);
+  if (n <= 0) {
+    event_del(readable_.get());
+    return;
+  }
+  std::ofstream(log_, std::ios::app).write(bytes, n);
+  if (told_) return;
+  text_.append(bytes, static_cast<std::size_t>(n));
+  const std::size_t at = text_.find("event=listening");
+  if (at == std::string::npos || text_.find('\n', at) == std::string::npos) return;
+  told_ = true;
+  const int port = std::atoi(text_.c_str() + text_.find(" port=", at) + 6);
+  if (ready_) ready_(port);
+}
+
+void ProxyProcess::signal(int which) const {
+  if (pid_ > 0) ::kill(pid_, which);
+}
+bool ProxyProcess::running() {
+  if (pid_ <= 0) return false;
+  int status = 0;
+  if (waitpid(pid_, &status, WNOHANG) != pid_) return true;
+  status_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+  pid_ = -1;
+  return false;
+}
+void ProxyProcess::kill() {
+  if (!running()) return;
+  ::kill(pid_, SIGKILL);
+  waitpid(pid_, nullptr, 0);
+  pid_ = -1;
+}
+
+double ProxyProcess::cpuSeconds() const {
+  if (pid_ <= 0) return 0;
+  // Nanoseconds on a core; /proc/PID/stat counts in hundredths of a second.
+  std::ifstream stat("/proc/" + std::to_string(pid_) + "/schedstat");
+  double ns = 0;
+  stat >> ns;
+  return ns / 1e9;
+}
+double ProxyProcess::residentMb() const {
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  for (std::string word; status >> word;)
+    if (word == "VmRSS:") {
+      double kb = 0;
+      status >> kb;
+      return kb / 1024;
+    }
+  return 0;
+}
+
+}  // namespace sablespur::lab
--- /dev/null
+++ b/lab/registry.cpp
@@ -0,0 +1,129 @@
+#include "lab/registry.hpp"
+
+#include <cstdio>
+#include <stdexcept>
+
+namespace sablespur::lab {
+namespace {
+
+constexpr Time kQuiet = std::chrono::seconds(2);  // an empty line comes so often
+
+std::string chunk(const std::string& text) {
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+  return size + text + "\r\n";
+}
+
+}  // namespace
+
+class Registry::Connection {
+ public:
+  Connection(Registry& r, evutil_socket_t fd) : r_(r), quiet_(r.c_, [this] { pause(); }) {
+    bev_.reset(bufferevent_socket_new(r.c_.loop.get(), fd, BEV_OPT_CLOSE_ON_FREE));
+    bufferevent_setcb(
+        bev_.get(), [](bufferevent*, void* self) { static_cast<Connection*>(self)->read(); },
+        [](bufferevent*, void* self) {
+          auto* const c = static_cast<Connection*>(self);
+          if (c->last_) delete c;
+        },
+        [](bufferevent*, short what, void* self) {
+          if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) delete static_cast<Connection*>(self);
+        },
+        this);
+    bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
+    r_.connections_.insert(this);
+  }
+  ~Connection() { r_.connections_.erase(this); }
+  void changed() {
+    if (!watches_) return;
+    const std::string line = r_.changes(known_, false);
+    known_ = r_.generation_;
+    put(bev_.get(), chunk(line));
+    quiet_.in(kQuiet);
+  }
+
+ private:
+  void pause() {
+    put(bev_.get(), chunk("\n"));
+    quiet_.in(kQuiet);
+  }
+  void read() {
+    evbuffer* const in = bufferevent_get_input(bev_.get());
+    const std::size_t n = evbuffer_get_length(in);
+    std::string text(n, '\0');
+    evbuffer_copyout(in, text.data(), n);
+    if (text.find("\r\n\r\n") == std::string::npos) return;
+    evbuffer_drain(in, n);
+    if (r_.down_) {
+      last_ = true;
+      return put(bev_.get(), "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    }
+    const std::size_t after = text.find("after=");
+    watches_ = text.find("watch=1") != std::string::npos;
+    put(bev_.get(), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const std::uint64_t from =
+        after == std::string::npos ? 0 : std::strtoull(text.c_str() + after + 6, nullptr, 10);
+    put(bev_.get(), chunk(r_.changes(from, from == 0 || from > r_.generation_)));
+    known_ = r_.generation_;
+    if (watches_) return quiet_.in(kQuiet);
+    last_ = true;
+    put(bev_.get(), "0\r\n\r\n");
+  }
+
+  Registry& r_;
+  BufferEventPtr bev_;
+  Timer quiet_;
+  std::uint64_t known_ = 0;
+  bool watches_ = false, last_ = false;
+};
+
+Registry::Registry(Context& c, std::function<void(const std::string&, bool)> onTold)
+    : c_(c), onTold_(std::move(onTold)) {
+  const sockaddr_in a = loopbackAddress(0, 1, 0);
+  listener_.reset(evconnlistener_new_bind(
+      c.loop.get(),
+      [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
+        new Connection(*static_cast<Registry*>(self), fd);  // it deletes itself
+      },
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, 64, reinterpret_cast<const sockaddr*>(&a),
+      sizeof a));
+  if (!listener_) throw std::runtime_error("the stand-in registry finds no port");
+  sockaddr_in got{};
+  socklen_t n = sizeof got;
+  getsockname(evconnlistener_get_fd(listener_.get()), reinterpret_cast<sockaddr*>(&got), &n);
+  port_ = ntohs(got.sin_port);
+}
+Registry::~Registry() {
+  while (!connections_.empty()) delete *connections_.begin();
+}
+
+std::string Registry::changes(std::uint64_t after, bool whole) {
+  std::string list;
+  for (const auto& [name, e] : entries_) {
+    if (whole ? e.gone : e.generation <= after) continue;
+    list += (list.empty() ? "{" : ",{") + e.json + "}";
+  }
+  for (const auto& [name, e] : entries_) onTold_(name, e.in && !e.gone);
+  return "{\"generation\":" + std::to_string(generation_) + ",\"reset\":" + (whole ? "true" : "false") +
+         ",\"instances\":[" + list + "]}\n";
+}
+
+void Registry::set(const std::string& name, const std::string& json, bool in) {
+  entries_[name] = {json, in, false, ++generation_};
+  changed();
+}
+void Registry::left(const std::string& name) {
+  entries_[name] = {"\"instanceId\":\"" + name + "\",\"lifecycle\":\"left\"", false, true, ++generation_};
+  changed();
+}
+void Registry::changed() {
+  if (down_) return;
+  const std::set<Connection*> all = connections_;
+  for (Connection* c : all) c->changed();
+}
+void Registry::down(bool on) {
+  down_ = on;
+  while (on && !connections_.empty()) delete *connections_.begin();
+}
+
+}  // namespace sablespur::lab
--- /dev/null
+++ b/lab/run.cpp
@@ -0,0 +1,366 @@
+#include "lab/run.hpp"
+
+#include <signal.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <stdexcept>
+
+namespace sablespur::lab {
+namespace {
+
+constexpr const char* kDomain = "lab.example.org";
+constexpr const char* kService = "_postgresql._tcp";
+constexpr Time kReady = std::chrono::seconds(10), kFinish = std::chrono::seconds(5);
+
+double sum(const std::vector<double>& v) {
+  double s = 0;
+  for (const double x : v) s += x;
+  return s;
+}
+
+}  // namespace
+
+std::size_t Outcome::broken() const {
+  return static_cast<std::size_t>(
+      std::count_if(claims.begin(), claims.end(), [](const Judged& j) { return !j.held; }));
+}
+
+Run::Run(const Experiment& e, const Options& o)
+    : e_(e), o_(o), c_(e.seed), steps_(c_, [this] { nextStep(); }), seconds_(c_, [this] { second(); }) {}
+Run::~Run() = default;
+
+std::string Run::settings(std::size_t k) const {
+  const Proxy& p = proxies_[k];
+  std::string zones;
+  for (const std::string& z : e_.fleet.zones) zones += (zones.empty() ? "" : ", ") + z;
+  std::string s = "[proxy]\nname = p" + std::to_string(k + 1) +
+                  "\nlisten = 127.0.0.1:0\nproxies = " + std::to_string(proxies_.size()) +
+                  "\nzones = " + zones +
+                  "\n[rules]\ncold_capacity = " + std::to_string(e_.fleet.machine.coldShare) +
+                  "\ncold_for = " + std::to_string(e_.fleet.machine.coldFor.count()) +
+                  "us\nfall_multiple = " + std::to_string(e_.fleet.machine.fallMultiple) +
+                  "\nfall_for = " + std::to_string(e_.fleet.machine.fallFor.count()) + "us\n[discovery]\n";
+  if (p.names)
+    s += "source = dnssd\n[dnssd]\ndomain = " + std::string(kDomain) +
+         "\nname_servers = 127.0.0.1:" + std::to_string(p.names->port()) + "\n";
+  else
+    s += "source = registry\nregistry = 127.0.0.1:" + std::to_string(p.registry->port()) + "\n";
+  for (const ClassModel& m : e_.classes) s += "[class " + m.name + "]\n" + m.settings;
+  // The experiment's own keys go into the sections that stand already.
+  std::string text = s;
+  std::string section;
+  for (std::size_t at = 0; at < e_.settings.size();) {
+    const std::size_t end = std::min(e_.settings.find('\n', at), e_.settings.size());
+    const std::string line = e_.settings.substr(at, end - at);
+    at = end + 1;
+    if (!line.empty() && line[0] == '[') {
+      section = line;
+      if (text.find(line + "\n") == std::string::npos) text += line + "\n";
+      continue;
+    }
+    const std::size_t place = text.find(section + "\n");
+    text.insert(place + section.size() + 1, line + "\n");
+  }
+  return text;
+}
+
+void Run::open() {
+  if (e_.fleet.basePort == 0) e_.fleet.basePort = 10000 + getpid() * 8 % 20000;
+  fleet_ = std::make_unique<Fleet>(c_, audit_, e_.fleet, e_.classes);
+  proxies_.resize(static_cast<std::size_t>(e_.proxies));
+  for (std::size_t k = 0; k < proxies_.size(); ++k) {
+    Proxy& p = proxies_[k];
+    const int number = static_cast<int>(k) + 1;
+    const auto told = [this, number](const std::string& name, bool in) {
+      for (const auto& s : fleet_->servers())
+        if (s->name() == name) audit_.told(c_.now(), number, s->number(), in);
+    };
+    if (e_.discovery == "dnssd") {
+      p.names = std::make_unique<NameServer>(c_.loop.get(), kDomain, kService);
+      p.names->onTold = [this, number](const std::map<std::string, bool>& all) {
+        for (const auto& s : fleet_->servers()) {
+          const auto it = all.find(s->name());
+          audit_.told(c_.now(), number, s->number(), it != all.end() && it->second);
+        }
+      };
+    } else {
+      p.registry = std::make_unique<Registry>(c_, told);
+    }
+  }
+  for (const auto& s : fleet_->servers()) publish(*s, false);
+  for (std::size_t k = 0; k < proxies_.size(); ++k) {
+    Proxy& p = proxies_[k];
+    const std::string base = o_.directory + "/proxy-" + std::to_string(k + 1);
+    p.settingsPath = base + ".ini";
+    std::ofstream(p.settingsPath) << settings(k);
+    p.process = std::make_unique<ProxyProcess>(c_, o_.program, p.settingsPath, base + ".log");
+    ClientSettings load = e_.load;
+    load.rate /= static_cast<double>(proxies_.size());
+    load.groups = e_.fleet.groups;
+    load.valueBytes = load.valueBytes > 0 ? load.valueBytes : e_.fleet.valueBytes;
+    p.clients =
+        std::make_unique<Clients>(c_, audit_, fleet_->classes(), load, "p" + std::to_string(k + 1) + "-");
+    p.process->start([this, k](int port) {
+      proxies_[k].clients->target(loopbackAddress(0, 1, port));
+      proxies_[k].ready = true;
+    });
+  }
+  for (const DirectLoad& d : e_.direct) {
+    DataServer* const s = fleet_->byName(d.server);
+    if (!s) throw std::runtime_error("[load " + d.name + "] server: there is no " + d.server);
+    ClientSettings load = d.settings;
+    load.groups = 1;
+    load.valueBytes = load.valueBytes > 0 ? load.valueBytes : e_.fleet.valueBytes;
+    direct_.push_back(std::make_unique<Clients>(c_, audit_, fleet_->classes(), load, d.name + "-"));
+    direct_.back()->target(s->address(0));
+  }
+  const auto up = [this] {
+    return std::all_of(proxies_.begin(), proxies_.end(), [](const Proxy& p) { return p.ready; });
+  };
+  if (!wait(kReady, up))
+    throw std::runtime_error("a proxy did not come up; see " + o_.directory + "/proxy-1.log");
+}
+
+bool Run::wait(Time most, const std::function<bool()>& done) {
+  const Time end = c_.now() + most;
+  Timer tick(c_, [] {});
+  while (!done()) {
+    if (c_.now() >= end) return false;
+    tick.in(std::chrono::milliseconds(5));
+    event_base_loop(c_.loop.get(), EVLOOP_ONCE);
+  }
+  return true;
+}
+
+void Run::publish(DataServer& s, bool leaving) {
+  listed_[s.number()] = true;
+  for (std::size_t k = 0; k < proxies_.size(); ++k) {
+    const sockaddr_in a = s.address(static_cast<int>(k) + 1);
+    if (proxies_[k].names) {
+      ServiceInstance i;
+      i.label = s.name();
+      i.addresses = {hostText(a)};
+      i.port = ntohs(a.sin_port);
+      i.txt = {"group=" + std::to_string(s.group()), "zone=" + s.zone()};
+      if (leaving) i.txt.push_back("state=leaving");
+      proxies_[k].names->publish(i);
+    } else {
+      const std::string json =
+          "\"instanceId\":\"" + s.name() + "\",\"hostPort\":\"" + addressText(a) + "\",\"zone\":\"" +
+          s.zone() + "\",\"machineType\":\"m\",\"cell\":" + std::to_string(s.group()) + ",\"lifecycle\":\"" +
+          (leaving ? "leaving" : "active") + "\",\"weight\":1.0,\"startedAtMs\":" +
+          std::to_string(s.startedAt() > Time(0) ? c_.unixMs(s.startedAt()) : 0);
+      proxies_[k].registry->set(s.name(), json, !leaving);
+    }
+  }
+}
+
+void Run::withdraw(DataServer& s) {
+  listed_[s.number()] = false;
+  audit_.withdrawn(c_.now(), s.number());
+  for (Proxy& p : proxies_) p.names ? p.names->withdraw(s.name()) : p.registry->left(s.name());
+}
+
+void Run::act(const Step& step) {
+  const std::vector<std::string>& w = step.words;
+  const std::string& what = w[0];
+  const auto complain = [&](const std::string& why) {
+    throw std::runtime_error(e_.file + ":" + std::to_string(step.line) + ": [script]: " + why);
+  };
+  const auto server = [&]() -> DataServer& {
+    DataServer* const s = fleet_->byName(w[1]);
+    if (!s) complain("there is no data server " + w[1]);
+    return *s;
+  };
+  const auto value = [&](std::size_t k) { return std::atof(w[k].c_str()); };
+  if (what == "withdraw")
+    withdraw(server());
+  else if (what == "publish")
+    publish(server(), false);
+  else if (what == "toggle")
+    listed_[server().number()] ? withdraw(server()) : publish(server(), false);
+  else if (what == "drain") {
+    audit_.withdrawn(c_.now(), server().number());
+    publish(server(), true);
+  } else if (what == "rename") {
+    DataServer& s = server();
+    for (Proxy& p : proxies_) p.names ? p.names->withdraw(s.name()) : p.registry->left(s.name());
+    s.rename(w[2]);
+    publish(s, false);
+  } else if (what == "empty") {
+    for (const auto& s : fleet_->servers()) withdraw(*s);
+  } else if (what == "refill") {
+    for (const auto& s : fleet_->servers()) publish(*s, false);
+  } else if (what == "kill")
+    server().kill();
+  else if (what == "start")
+    server().start();
+  else if (what == "vanish")
+    server().vanish(true);
+  else if (what == "back") {
+    server().vanish(false);
+    server().hang(false);
+  } else if (what == "hang")
+    server().hang(true);
+  else if (what == "slow")
+    server().slow(value(2));
+  else if (what == "errors")
+    server().errors(value(2) / 100);
+  else if (what == "resets")
+    server().resets(value(2) / 100);
+  else if (what == "lag")
+    server().lag(value(2));
+  else if (what == "primary") {  // "primary kill 1": of group 1
+    DataServer* const s = fleet_->primary(std::atoi(w[2].c_str()));
+    if (s && w[1] == "kill") s->kill();
+    if (s && w[1] == "hang") s->hang(true);
+    if (s && w[1] == "vanish") s->vanish(true);
+  } else if (what == "dns") {
+    NameServer::Mood mood{};
+    if (!NameServer::moodOf(w[1], mood)) complain("there is no mood " + w[1]);
+    for (Proxy& p : proxies_)
+      if (p.names) p.names->mood(mood);
+  } else if (what == "registry") {
+    for (Proxy& p : proxies_)
+      if (p.registry) p.registry->down(w[1] == "down");
+  } else if (what == "rate") {
+    for (Proxy& p : proxies_) p.clients->rate(value(1) / static_cast<double>(proxies_.size()));
+  } else if (what == "proxy") {  // "proxy 2 kill"
+    const auto k = static_cast<std::size_t>(std::atoi(w[1].c_str())) - 1;
+    if (k >= proxies_.size()) complain("there is no proxy " + w[1]);
+    Proxy& p = proxies_[k];
+    if (w[2] == "term" || w[2] == "kill") p.cpuGone += p.process->cpuSeconds() - p.cpuAtStart;
+    if (w[2] == "term" || w[2] == "kill") p.cpuAtStart = 0;
+    if (w[2] == "term")
+      p.process->signal(SIGTERM);
+    else if (w[2] == "hup")
+      p.process->signal(SIGHUP);
+    else if (w[2] == "kill")
+      p.process->kill();
+    else if (w[2] == "start")
+      p.process->start([this, k](int port) { proxies_[k].clients->target(loopbackAddress(0, 1, port)); });
+    else
+      complain("a proxy can be sent term, hup, kill or start");
+  }
+}
+
+void Run::nextStep() {
+  const Time now = c_.now() - started_;
+  while (step_ < e_.script.size() && e_.script[step_].at <= now) act(e_.script[step_++]);
+  if (step_ < e_.script.size()) steps_.in(e_.script[step_].at - now);
+}
+
+double Run::cpu() const {
+  double s = 0;
+  for (const Proxy& p : proxies_) s += p.process->cpuSeconds() - p.cpuAtStart + p.cpuGone;
+  return s;
+}
+
+void Run::second() {
+  Second s;
+  s.at = static_cast<double>((c_.now() - started_).count()) / 1e6;
+  s.cpu = cpu();
+  for (const Proxy& p : proxies_) s.residentMb = std::max(s.residentMb, p.process->residentMb());
+  s.served = audit_.count(Got::Served);
+  s.refused = audit_.count(Got::Refused);
+  s.failed = audit_.count(Got::Failed) + audit_.count(Got::Nothing);
+  for (const auto& [server, in] : listed_) s.members += in;
+  const Second before = second_.empty() ? Second() : second_.back();
+  second_.push_back(s);
+  if (o_.progress) {
+    std::fprintf(
+        stderr,
+        "\r%5.0f s  served %zu/s  refused %zu/s  failed %zu/s  members %zu  cpu %.1f%%  memory %.1f MB   ",
+        s.at, s.served - before.served, s.refused - before.refused, s.failed - before.failed, s.members,
+        100 * (s.cpu - before.cpu), s.residentMb);
+    if (o_.forEver) std::fprintf(stderr, "\n");
+    std::fflush(stderr);
+  }
+  seconds_.in(std::chrono::seconds(1));
+}
+
+void Run::stop() { stopped_ = true; }
+
+Outcome Run::play() {
+  open();
+  wait(e_.warmup, [] { return false; });
+  started_ = c_.now();
+  for (Proxy& p : proxies_) p.cpuAtStart = p.process->cpuSeconds();
+  for (const Proxy& p : proxies_)
+    if (p.names) dnsAtStart_ += static_cast<double>(p.names->counts().udp + p.names->counts().tcp);
+  for (Proxy& p : proxies_)
+    if (e_.load.rate > 0 || e_.load.loop) p.clients->start();
+  for (const auto& d : direct_) d->start();
+  nextStep();
+  seconds_.in(std::chrono::seconds(1));
+  wait(o_.forEver ? std::chrono::hours(24 * 365) : e_.duration, [this] { return stopped_; });
+  const Time loaded = c_.now() - started_;
+  const double cpuUsed = cpu();
+  for (Proxy& p : proxies_) p.clients->stop();
+  for (const auto& d : direct_) d->stop();
+  wait(kFinish, [this] {
+    return std::all_of(proxies_.begin(), proxies_.end(),
+                       [](const Proxy& p) { return p.clients->open() == 0; });
+  });
+  seconds_.stop();
+  steps_.stop();
+  if (o_.progress) std::fprintf(stderr, "\n");
+  fleet_->finish(c_.now());
+  audit_.finish(c_.now());
+
+  Outcome out;
+  out.seconds = second_;
+  out.figures["proxy_cpu_s"] = cpuUsed;
+  figures(out, loaded);
+  for (const Claim& claim : e_.claims) {
+    Outcome::Judged j;
+    j.claim = claim;
+    const auto it = out.figures.find(claim.figure);
+    j.known = it != out.figures.end();
+    j.measured = j.known ? it->second : 0;
+    j.held = j.known && claim.holds(j.measured);  // what was not measured is not claimed
+    out.claims.push_back(j);
+  }
+  return out;
+}
+
+void Run::figures(Outcome& out, Time loaded) {
+  auto& f = out.figures;
+  for (const auto& [name, v] : audit_.figures()) f[name] = v;
+  const double seconds = static_cast<double>(loaded.count()) / 1e6;
+  f["seconds"] = seconds;
+  std::size_t through = 0, crashed = 0;
+  std::vector<double> latencies;
+  double dns = 0, peak = 0;
+  for (Proxy& p : proxies_) {
+    through += p.clients->latencies().size();
+    latencies.insert(latencies.end(), p.clients->latencies().begin(), p.clients->latencies().end());
+    crashed += !p.process->running() && p.process->exitStatus() != 0;
+    if (p.names) dns += static_cast<double>(p.names->counts().udp + p.names->counts().tcp);
+  }
+  for (const Second& s : second_) peak = std::max(peak, s.residentMb);
+  f["crashes"] = static_cast<double>(crashed);
+  f["resident_mb"] = peak;
+  f["proxy_cpu_share"] = f["proxy_cpu_s"] / seconds / static_cast<double>(proxies_.size());
+  if (f["requests"] > 0 && through > 0)
+    f["proxy_cpu_us_per_request"] = 1e6 * f["proxy_cpu_s"] / static_cast<double>(through);
+  f["requests_per_s"] = f["requests"] / seconds;
+  f["dns_queries_per_s_and_proxy"] = (dns - dnsAtStart_) / seconds / static_cast<double>(proxies_.size());
+  const auto median = [](std::vector<double> v) {
+    if (v.empty()) return 0.0;
+    std::nth_element(v.begin(), v.begin() + static_cast<std::ptrdiff_t>(v.size() / 2), v.end());
+    return v[v.size() / 2];
+  };
+  for (const auto& d : direct_) {
+    f["direct_p50_ms"] = median(d->latencies());
+    f["direct_mean_ms"] =
+        d->latencies().empty() ? 0 : sum(d->latencies()) / static_cast<double>(d->latencies().size());
+    f["proxied_p50_ms"] = median(latencies);
+    f["added_p50_us"] = 1e3 * (f["proxied_p50_ms"] - f["direct_p50_ms"]);
+  }
+}
+
+}  // namespace sablespur::lab
--- a/src/config/ini.cpp
+++ b/src/base/ini.cpp
@@ -1,4 +1,4 @@
-#include "config/ini.hpp"
+#include "base/ini.hpp"
 
 #include <ini.h>
 
@@ -14,6 +14,7 @@
   std::string_view rest;
   IniFile file;
   std::string path;
+  std::set<std::string> raw;
   int line = 0;
 
   void fault(std::string problem, std::string fix) {
@@ -37,7 +38,16 @@
       fault("longer than " + std::to_string(room - 2) + " characters", "shorten the line");
       text = {};
     }
-    if (!text.empty() && text[0] == '[') header(text);
+    if (!text.empty() && text[0] == '[') {
+      header(text);
+    } else if (!file.sections.empty() && raw.count(file.sections.back().type) > 0) {
+      const std::size_t comment = std::min(text.find(" ;"), text.size());
+      std::string_view entry = text.substr(0, comment);
+      while (!entry.empty() && kBlank.find(entry.back()) != std::string_view::npos) entry.remove_suffix(1);
+      if (!entry.empty() && entry[0] != ';' && entry[0] != '#')
+        file.sections.back().entries.push_back({"", std::string(entry), line});
+      text = {};
+    }
     std::memcpy(to, text.data(), text.size());
     to[text.size()] = '\n';
     to[text.size() + 1] = '\0';
@@ -62,10 +72,11 @@
 
 }  // namespace
 
-IniFile parseIni(std::string_view text, const std::string& path) {
+IniFile parseIni(std::string_view text, const std::string& path, const std::set<std::string>& raw) {
   Reading r;
   r.rest = text;
   r.path = path;
+  r.raw = raw;
   const auto reader = [](char* to, int room, void* of) { return static_cast<Reading*>(of)->next(to, room); };
   const auto handler = [](void* of, const char*, const char* key, const char* value) {
     Reading& reading = *static_cast<Reading*>(of);
--- a/src/config/ini.hpp
+++ b/src/base/ini.hpp
@@ -5,11 +5,12 @@
 // both. Indentation means nothing; a comment begins with ; or # at a line's start, or with ; after a blank.
 #pragma once
 
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "config/config.hpp"
+#include "base/fault.hpp"
 
 namespace sablespur {
 
@@ -28,6 +29,8 @@
   std::vector<Fault> faults;         // lines that are no INI
 };
 
-IniFile parseIni(std::string_view text, const std::string& file);
+// In the sections of the types named raw every line that is no header is an entry by itself, with the key ""
+// and the line, without a comment behind it, as its value.
+IniFile parseIni(std::string_view text, const std::string& file, const std::set<std::string>& raw = {});
 
 }  // namespace sablespur
--- a/src/config/units.cpp
+++ b/src/base/units.cpp
@@ -1,4 +1,4 @@
-#include "config/units.hpp"
+#include "base/units.hpp"
 
 #include <algorithm>
 #include <charconv>
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -37,20 +37,12 @@
 bool operator==(const DnsSdSettings& a, const DnsSdSettings& b) {
   const auto all = [](const DnsSdSettings& s) {
     return std::tie(s.domain, s.service, s.servers, s.refreshLeast, s.refreshMost, s.jitter, s.tryTimeout,
-                    s.udpPayload, s.defaultGroup, s.keepFor, s.flapHalfLife, s.flapMost, s.flapSuppress,
-                    s.flapReuse);
+                    s.queriesPerSecond, s.udpPayload, s.defaultGroup, s.keepFor, s.flapHalfLife, s.flapMost,
+                    s.flapSuppress, s.flapReuse);
   };
   return all(a) == all(b);
 }
 
-std::string Fault::text() const {
-  std::string t = file;
-  if (line > 0) t += ":" + std::to_string(line);
-  t += ": ";
-  if (!where.empty()) t += where + ": ";
-  return t + problem + (fix.empty() ? "" : "; " + fix);
-}
-
 BadSettings::BadSettings(std::vector<Fault> all) : BadInput(summary(all)), faults(std::move(all)) {}
 
 }  // namespace sablespur
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "base/fault.hpp"
 #include "knotstack/balancer.hpp"
 #include "log/log.hpp"
 #include "membership/list.hpp"
@@ -30,6 +31,7 @@
   Time refreshLeast{}, refreshMost{};  // records are asked for again after their TTL, bounded by these
   double jitter = 0;                   // and sooner by a random part of up to this
   Time tryTimeout{};                   // of one question to one name server
+  double queriesPerSecond = 50;        // for single records, where an answer has no room for all
   int udpPayload = 0;                  // EDNS0
   std::optional<knotstack::GroupId> defaultGroup;  // of instances that do not say
   std::string defaultGroupName;                    // as the file has it
@@ -69,15 +71,6 @@
 // Fills the bounds from limits within the above.
 void deriveBounds(Config&, std::size_t descriptors, std::uint64_t memory);
 
-// What is wrong in a file of settings. `line` 0: the file as a whole. The message is one line, without the
-// fix.
-struct Fault {
-  std::string file;
-  int line = 0;
-  std::string where;  // "[section] key", or empty
-  std::string problem, fix;
-  std::string text() const;  // "FILE:LINE: [section] key: problem; fix"
-};
 // All that is wrong, in the order of the lines; what() is the first and how many more there are, in one line.
 struct BadSettings : BadInput {
   explicit BadSettings(std::vector<Fault>);
--- a/src/config/ini_config.cpp
+++ b/src/config/ini_config.cpp
@@ -6,8 +6,8 @@
 #include <set>
 #include <sstream>
 
+#include "base/ini.hpp"
 #include "config/config.hpp"
-#include "config/ini.hpp"
 #include "config/keys.hpp"
 
 namespace sablespur {
--- a/src/config/keys.cpp
+++ b/src/config/keys.cpp
@@ -148,6 +148,11 @@
       {"dnssd", "try_timeout", Kind::Duration, "400ms", 10 * kMillisecond, 30 * kSecond, "",
        [](Draft& d, const KeyValue& v) { d.config.dnssd.tryTimeout = time(v); },
        "A name server that has not answered by then is left for the next one."},
+      {"dnssd", "queries_per_s", Kind::Number, "50", 1, 100000, "",
+       [](Draft& d, const KeyValue& v) { d.config.dnssd.queriesPerSecond = as<double>(v); },
+       "The budget for questions about single records, where a zone has more instances than an answer has "
+       "room for. "
+       "The list of instances is asked for on time whatever this is."},
       {"dnssd", "udp_payload", Kind::Count, "1232", 512, 4096, "",
        [](Draft& d, const KeyValue& v) { d.config.dnssd.udpPayload = static_cast<int>(as<std::int64_t>(v)); },
        "The longest datagram that is taken (EDNS0). Above 1232 it may be fragmented and lost."},
--- a/src/membership/dnssd/directory.hpp
+++ b/src/membership/dnssd/directory.hpp
@@ -9,6 +9,11 @@
 // A set of records is asked for again after its TTL, bounded on both sides and shortened by a random part of
 // up to `jitter`, so that proxies started together drift apart. What cannot be asked stands as it was; only
 // an answer that says "it is not there" (RFC 2308) takes it away.
+//
+// PTR is asked on time, whatever else there is. Questions for single records have a budget a second: where a
+// zone has more instances than an answer has room for, what a record says may be older than its TTL, but a
+// withdrawal is told on time. The cost of an answer grows with what it holds, not with the number of
+// instances.
 #pragma once
 
 #include <chrono>
@@ -45,8 +50,9 @@
   void failed(Time now, const dns::Question&);
   std::optional<Time> next() const;  // when due has something, if nothing is out
 
-  bool settled() const;                     // everything has been asked for at least once
-  std::vector<Instance> instances() const;  // those that are whole
+  bool settled();                                     // everything has been asked for at least once
+  std::uint64_t version() const { return version_; }  // another one where instances() or faults() may differ
+  std::vector<Instance> instances() const;            // those that are whole
   // Those that are not, by name, and why; for the log and for staff.
   const std::map<std::string, std::string>& faults() const { return faults_; }
   bool failing() const { return ptrFailures_ > 0; }
@@ -61,8 +67,14 @@
   };
   void put(Time now, const dns::Question&, std::vector<dns::Data>, std::uint32_t ttl);
   void absent(Time now, const dns::Question&, const dns::Message&);
-  void take(Time now, const std::vector<dns::Record>&, bool additional);
-  void resolve();
+  std::vector<dns::Question> take(Time now, const std::vector<dns::Record>&, bool additional);
+  void answeredPtr(Time now, const dns::Message&, bool tcp);
+  void resolveAll();
+  void resolve(const dns::Name& instance);
+  void resolve(const dns::Question&);  // the instances that it is of
+  void describe(const dns::Name& instance, std::optional<Instance>&, std::string& fault);
+  void collect();
+  bool spend(Time now);
   std::vector<dns::Name> names() const;
   const Set* find(const dns::Name&, dns::Type) const;
   Time after(Time now, std::uint32_t ttl);
@@ -76,8 +88,15 @@
   pcg32 random_;
   std::map<dns::Question, Set> sets_;
   std::map<dns::Name, Instance> whole_;
-  std::map<dns::Name, Address> chosen_;  // of each instance: kept while it is still listed
+  std::map<dns::Name, Address> chosen_;             // of each instance: kept while it is still listed
+  std::map<dns::Name, std::set<dns::Name>> hosts_;  // instances by target
+  std::map<dns::Name, dns::Name> targets_;          // and the other way
   std::map<std::string, std::string> faults_;
+  std::uint64_t version_ = 0;
+  bool settled_ = false;
+  double budget_ = 0;  // of questions for single records
+  Time budgetAt_{};
+  std::size_t out_ = 0;
   int ptrFailures_ = 0;
   bool bundled_ = false;  // the last PTR answer brought all else along
   bool tcp_ = false;      // PTR is asked over TCP
--- a/src/membership/dnssd/source.cpp
+++ b/src/membership/dnssd/source.cpp
@@ -48,13 +48,15 @@
   if (!r.ok && q.type != dns::Type::Ptr)
     logEvent(LogLevel::Warning, "record_failed",
              {{"name", q.name}, {"type", static_cast<int>(q.type)}, {"why", r.why}});
-  if (r.ok) tell();
+  // What only confirms a single record tells nothing new; the PTR answer is the word that the list stands.
+  if (r.ok && (q.type == dns::Type::Ptr || directory_->version() != version_ || !told_)) tell();
   ask();
 }
 
 // Not before the first list is whole: what came after it would count as just started.
 void DnsSd::tell() {
   if (!told_ && !directory_->settled()) return;
+  version_ = directory_->version();
   for (const auto& [name, why] : directory_->faults()) {
     const auto it = logged_.find(name);
     if (it == logged_.end() || it->second != why)
--- a/src/membership/dnssd/source.hpp
+++ b/src/membership/dnssd/source.hpp
@@ -40,6 +40,7 @@
   std::unique_ptr<Resolver> resolver_;
   Event timer_;
   bool told_ = false;
+  std::uint64_t version_ = 0;                  // of the directory, when it was last told
   std::map<std::string, std::string> logged_;  // faults that the log has
 };
 
--- a/src/membership/list.cpp
+++ b/src/membership/list.cpp
@@ -7,6 +7,11 @@
 using knotstack::Lifecycle;
 using simdjson::dom::element;
 
+bool operator==(const Instance& a, const Instance& b) {
+  return a.name == b.name && a.address == b.address && a.zone == b.zone && a.kind == b.kind &&
+         a.group == b.group && a.state == b.state && a.weight == b.weight && a.startedMs == b.startedMs;
+}
+
 Address parseAddress(std::string_view text, const std::string& key) {
   const auto address = Address::parse(text);
   if (!address) throw BadInput("key " + key + ": '" + std::string(text) + "' is no address with a port");
--- a/src/membership/list.hpp
+++ b/src/membership/list.hpp
@@ -22,6 +22,8 @@
   double weight = 1;
   std::int64_t startedMs = 0;  // Unix time; 0: long ago
 };
+bool operator==(const Instance&, const Instance&);
+inline bool operator!=(const Instance& a, const Instance& b) { return !(a == b); }
 struct InstanceList {
   std::uint64_t generation = 0;
   bool reset = false;  // the whole list: what is absent is gone
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -16,11 +16,6 @@
 
 std::int64_t unixMs(Membership::Time t) { return t.count() / 1000; }
 
-bool same(const Instance& a, const Instance& b) {
-  return a.address == b.address && a.zone == b.zone && a.kind == b.kind && a.group == b.group &&
-         a.state == b.state && a.weight == b.weight && a.startedMs == b.startedMs;
-}
-
 Instance gone(Instance i) {
   i.state = Lifecycle::Gone;
   return i;
@@ -184,7 +179,7 @@
     if (!wanted) continue;
     if (other) ++e->incarnation;
     next.name = e->incarnation > 1 ? *name + "#" + std::to_string(e->incarnation) : *name;
-    if (e->toldEngine && same(next, e->told)) continue;
+    if (e->toldEngine && next == e->told) continue;
     e->told = next;
     e->toldEngine = true;
     list.instances.push_back(std::move(next));
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -8,7 +8,7 @@
 #include <sstream>
 
 #include "app/members.hpp"
-#include "config/units.hpp"
+#include "base/units.hpp"
 #include "scenario.hpp"
 
 namespace sablespur {
--- /dev/null
+++ b/tests/lab_test.cpp
@@ -0,0 +1,215 @@
+// The lab itself: its models, its auditors, and each auditor against a proxy that breaks its rule.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <filesystem>
+
+#include "lab/audit.hpp"
+#include "lab/experiment.hpp"
+#include "lab/model.hpp"
+#include "lab/run.hpp"
+
+namespace sablespur::lab {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST(LabMachine, ServesAsManyAtOnceAsItHasCores) {
+  MachineSettings s;
+  s.cores = 2;
+  s.room = 1;
+  Machine m(s, Time(0), true);
+  EXPECT_EQ(m.take(Time(0), 1000), Time(1000));
+  EXPECT_EQ(m.take(Time(0), 3000), Time(3000));
+  EXPECT_EQ(m.take(Time(0), 1000), Time(2000));  // waits for the first
+  EXPECT_EQ(m.take(Time(0), 1000), std::nullopt);
+  EXPECT_EQ(m.held(Time(1500)), 2u);
+  m.slow(4);
+  EXPECT_EQ(m.take(Time(5000), 1000), Time(9000));
+}
+TEST(LabMachine, IsColdAfterItsStartAndFallsUnderTooMuch) {
+  MachineSettings s;
+  s.cores = 1;
+  Machine m(s, Time(0), false);
+  EXPECT_NEAR(m.capacity(Time(0)), 0.21, 1e-9);
+  EXPECT_NEAR(m.capacity(seconds(9)), 0.605, 1e-9);
+  EXPECT_NEAR(m.capacity(seconds(18)), 1, 1e-9);
+  // 0.21 of a core over 1.5 s are 315 ms; 2.5 times that fells it.
+  EXPECT_FALSE(m.sent(Time(0), 780e3));
+  EXPECT_NEAR(m.worst(), 780.0 / 315, 1e-6);
+  EXPECT_TRUE(m.sent(Time(1), 20e3));
+  Machine later(s, Time(0), false);
+  EXPECT_FALSE(later.sent(Time(0), 700e3));
+  EXPECT_FALSE(later.sent(seconds(2), 700e3));  // another window
+  Machine warm(s, Time(0), true);
+  EXPECT_FALSE(warm.sent(Time(0), 1e9));
+}
+TEST(LabLog, FallsBehindWhenItIsSlowAndCatchesUp) {
+  LogApply log(milliseconds(5), milliseconds(10));
+  EXPECT_EQ(log.position(seconds(1)), seconds(1) - milliseconds(5));
+  log.slow(10);
+  for (int k = 0; k < 5; ++k) log.commit(seconds(2) + milliseconds(k));
+  EXPECT_EQ(log.position(seconds(2) + milliseconds(50)), seconds(2) - Time(1));
+  EXPECT_EQ(log.position(seconds(2) + milliseconds(250)), seconds(2) + milliseconds(2) - Time(1));
+  EXPECT_EQ(log.position(seconds(3)), seconds(3) - milliseconds(5));
+  log.cut(true, seconds(4));
+  EXPECT_EQ(log.position(seconds(9)), seconds(4) - milliseconds(5));
+}
+
+Audit::Send sendOf(Time at, int server, const std::string& id) {
+  Audit::Send s;
+  s.at = at;
+  s.proxy = 1;
+  s.server = server;
+  s.id = id;
+  return s;
+}
+TEST(LabAudit, CountsSendsAfterTheGraceAndNotThoseWithinIt) {
+  Audit a;
+  a.withdrawn(seconds(1), 3);
+  a.told(seconds(2), 1, 3, false);
+  a.send(sendOf(seconds(2) + milliseconds(1000), 3, "a"));
+  a.send(sendOf(seconds(2) + milliseconds(1100), 3, "b"));
+  Audit::Send other = sendOf(seconds(9), 3, "c");
+  other.proxy = 2;  // it was told nothing
+  a.send(other);
+  a.told(seconds(10), 1, 3, true);
+  a.send(sendOf(seconds(30), 3, "d"));
+  EXPECT_EQ(a.figures()["late_sends"], 1);
+  EXPECT_EQ(a.figures()["sends_in_grace"], 1);
+  EXPECT_EQ(a.figures()["told_max_ms"], 1000);
+}
+TEST(LabAudit, ASecondAttemptIsACopyOnlyWhileTheFirstIsOut) {
+  Audit a;
+  const auto first = a.send(sendOf(Time(0), 1, "a"));
+  a.send(sendOf(milliseconds(5), 2, "a"));
+  a.ended(milliseconds(10), first, false);  // its end was on its way
+  const auto second = a.send(sendOf(seconds(1), 1, "b"));
+  a.send(sendOf(seconds(1) + milliseconds(5), 2, "b"));
+  a.ended(seconds(1) + milliseconds(40), second, true);
+  a.finish(seconds(2));
+  EXPECT_EQ(a.figures()["second_copies"], 1);
+}
+TEST(LabAudit, EveryRequestIsAnsweredOnceWithItsOwnValue) {
+  Audit a;
+  for (const char* id : {"a", "b", "c"}) a.request(Time(0), id);
+  a.answer(seconds(1), "a", Got::Served, "v-a", seconds(1), true, 1, 1);
+  a.answer(seconds(1), "b", Got::Served, "v-a", seconds(1), true, 1, 1);
+  a.answer(seconds(1), "c", Got::Nothing, "", seconds(1), false, 2, 0);
+  a.answer(seconds(1), "a", Got::Served, "v-a", seconds(1), true, 1, 1);
+  auto f = a.figures();
+  EXPECT_EQ(f["lost"], 2);
+  EXPECT_EQ(f["extra_answers"], 1);
+  EXPECT_EQ(f["requests"], 3);
+  EXPECT_EQ(f["worth_share"], 0.5);
+}
+TEST(LabExperiment, FaultsNameTheLine) {
+  std::vector<Fault> faults;
+  parseExperiment(
+      "[experiment]\nduration = 5\n[fleet]\nmember = 3\n[class r]\nshare = 1\n[script]\n5s withdraw\n5x kill "
+      "s-1\n"
+      "from 1s every 0 until 5s kill s-1\n[claims]\nlost == 0\n",
+      "x.ini", faults);
+  std::string all;
+  for (const Fault& f : faults) all += f.text() + "\n";
+  for (const char* wanted :
+       {"x.ini:2: [experiment] duration: '5' has no unit", "x.ini:4: [fleet] member: there is no",
+        "x.ini:8: [script]", "x.ini:9: [script]", "x.ini:10: [script]: it repeats without end",
+        "x.ini:12: [claims]: 'lost == 0' is no claim"})
+    EXPECT_NE(all.find(wanted), std::string::npos) << wanted << "\nin\n" << all;
+}
+TEST(LabExperiment, ThoseInTheFolderAreFreeOfFaults) {
+  int n = 0;
+  for (const auto& entry :
+       std::filesystem::recursive_directory_iterator(SABLESPUR_SOURCE "/lab/experiments")) {
+    if (entry.path().extension() != ".ini") continue;
+    std::vector<Fault> faults;
+    const Experiment e = readExperiment(entry.path().string(), faults);
+    EXPECT_TRUE(faults.empty()) << faults.front().text();
+    EXPECT_FALSE(e.claims.empty()) << entry.path();
+    const bool isLong = entry.path().string().find("/long/") != std::string::npos;
+    EXPECT_TRUE(isLong || e.duration + e.warmup <= seconds(50)) << entry.path();
+    ++n;
+  }
+  EXPECT_GE(n, 8);
+}
+
+// Each rule, broken on purpose by a rogue proxy under the same small experiment: its auditor must find it.
+// What no rogue breaks is free of it, so that an auditor that always cries is found, too.
+struct Rogue {
+  const char* mode;
+  const char* figure;
+};
+class LabRogue : public testing::TestWithParam<Rogue> {};
+TEST_P(LabRogue, IsFound) {
+  setenv("ROGUE", GetParam().mode, 1);
+  std::vector<Fault> faults;
+  const Experiment e = parseExperiment(R"(
+[experiment]
+duration = 3s
+warmup = 300ms
+[fleet]
+groups = 1
+members = 3
+apply_work = 1ms
+[load]
+rate = 80
+[class read]
+share = 80%
+work_least = 5ms
+work_most = 10ms
+data = bounded
+max_age = 200ms
+repeats = safe
+aim = 900ms
+give_up = 1s
+[class write]
+share = 20%
+work_least = 5ms
+work_most = 10ms
+data = write
+repeats = keyed
+repeats_dropped_for = 500ms
+aim = 900ms
+give_up = 1s
+[script]
+300ms lag s-2 400
+200ms withdraw s-3
+210ms kill s-3
+1s start s-3
+1100ms publish s-3
+)",
+                                       "rogue", faults);
+  ASSERT_TRUE(faults.empty()) << faults.front().text();
+  Experiment changed = e;
+  if (std::string(GetParam().mode) == "flood") changed.load.rate = 500;  // what a warm one could just do
+  if (std::string(GetParam().mode) == "late") {                          // the server stays, its record goes
+    changed.script.clear();
+    changed.script.push_back({milliseconds(200), {"withdraw", "s-3"}, 0});
+  }
+  char dir[] = "/tmp/sablespur-lab-XXXXXX";
+  ASSERT_NE(mkdtemp(dir), nullptr);
+  Run::Options o;
+  o.program = SABLESPUR_ROGUE;
+  o.directory = dir;
+  lab::Run run(changed, o);
+  Outcome out = run.play();
+  std::filesystem::remove_all(dir);
+  EXPECT_GT(out.figures[GetParam().figure], 0) << "by " << GetParam().mode;
+  EXPECT_GT(out.figures["served"], 0);
+  // The auditors that this rogue gives nothing to find.
+  for (const char* other : {"late_sends", "second_copies", "double_effects", "extra_answers"})
+    if (std::string(other) != GetParam().figure) {
+      EXPECT_EQ(out.figures[other], 0) << other << " by " << GetParam().mode;
+    }
+}
+INSTANTIATE_TEST_SUITE_P(Each, LabRogue,
+                         testing::Values(Rogue{"late", "late_sends"}, Rogue{"copies", "second_copies"},
+                                         Rogue{"lose", "lost"}, Rogue{"swap", "lost"},
+                                         Rogue{"stale", "stale_reads"}, Rogue{"flood", "felled"},
+                                         Rogue{"twice", "double_effects"}, Rogue{"extra", "extra_answers"}),
+                         [](const auto& i) { return std::string(i.param.mode); });
+
+}  // namespace
+}  // namespace sablespur::lab
