--- a/lab/audit.cpp
+++ b/lab/audit.cpp
@@ -1,9 +1,8 @@
 #include "lab/audit.hpp"
 
-#include <prometheus/summary.h>
-
 #include <algorithm>
-#include <cmath>
+
+#include "lab/quantiles.hpp"
 
 namespace sablespur::lab {
 namespace {
@@ -12,24 +11,13 @@
 
 double ms(Time t) { return static_cast<double>(t.count()) / 1e3; }
 
-// Quantiles of what was measured, by prometheus-cpp's summary (Cormode, Korn, Muthukrishnan, Srivastava
-// 2005).
-struct Quantiles {
-  prometheus::Summary summary{{{0.5, 0.005}, {0.9, 0.005}, {0.99, 0.0005}}, std::chrono::hours(24)};
-  double most = 0;
-  std::size_t n = 0;
-  void add(double v) {
-    summary.Observe(v);
-    most = std::max(most, v);
-    ++n;
-  }
-  void into(std::map<std::string, double>& to, const std::string& prefix) const {
-    if (n == 0) return;
-    for (const auto& q : summary.Collect().summary.quantile)
-      to[prefix + "p" + std::to_string(std::lround(q.quantile * 100)) + "_ms"] = q.value;
-    to[prefix + "max_ms"] = most;
-  }
-};
+void into(std::map<std::string, double>& to, const std::string& prefix, const Quantiles& q) {
+  if (q.count() == 0) return;
+  to[prefix + "p50_ms"] = q.at(0.5);
+  to[prefix + "p90_ms"] = q.at(0.9);
+  to[prefix + "p99_ms"] = q.at(0.99);
+  to[prefix + "max_ms"] = q.most();
+}
 
 }  // namespace
 
@@ -176,9 +164,9 @@
     if (a.got == Got::Served) latency.add(ms(a.latency));
   for (const Told& t : told_)
     if (!t.in && t.after >= Time(0)) told.add(ms(t.after));
-  latency.into(f, "");
-  told.into(f, "told_");
-  f["withdrawals_told"] = static_cast<double>(told.n);
+  into(f, "", latency);
+  into(f, "told_", told);
+  f["withdrawals_told"] = static_cast<double>(told.count());
   return f;
 }
 
--- a/lab/report.cpp
+++ b/lab/report.cpp
@@ -5,7 +5,8 @@
 #include <cstdlib>
 #include <fstream>
 #include <map>
-#include <vector>
+
+#include "lab/quantiles.hpp"
 
 namespace sablespur::lab {
 namespace {
@@ -46,23 +47,22 @@
 
 // By second: quantiles of what was served, and sends by server. What charts need, and small enough to keep.
 void bySecond(const std::string& dir, const Audit& a, const Fleet& fleet) {
-  std::map<long, std::vector<double>> latency;
+  std::map<long, Quantiles> latency;
   std::map<long, std::size_t> unserved;
   std::map<long, std::map<int, std::size_t>> sends;
   for (const auto& x : a.answers()) {
     const long second = static_cast<long>(x.at.count() / 1000000);
     if (x.got == Got::Served)
-      latency[second].push_back(seconds(x.latency) * 1e3);
+      latency[second].add(seconds(x.latency) * 1e3);
     else
       ++unserved[second];
   }
   for (const auto& x : a.sends()) ++sends[static_cast<long>(x.at.count() / 1000000)][x.server];
   std::ofstream out(dir + "/latency_by_second.csv");
   out << "second,served,not_served,p50_ms,p99_ms\n";
-  for (auto& [second, all] : latency) {
-    std::sort(all.begin(), all.end());
-    out << second << ',' << all.size() << ',' << unserved[second] << ',' << number(all[all.size() / 2]) << ','
-        << number(all[all.size() * 99 / 100]) << '\n';
+  for (const auto& [second, all] : latency) {
+    out << second << ',' << all.count() << ',' << unserved[second] << ',' << number(all.at(0.5)) << ','
+        << number(all.at(0.99)) << '\n';
   }
   std::ofstream by(dir + "/sends_by_second.csv");
   by << "second";
--- a/lab/run.cpp
+++ b/lab/run.cpp
@@ -8,6 +8,8 @@
 #include <fstream>
 #include <stdexcept>
 
+#include "lab/quantiles.hpp"
+
 namespace sablespur::lab {
 namespace {
 
@@ -349,10 +351,10 @@
     f["proxy_cpu_us_per_request"] = 1e6 * f["proxy_cpu_s"] / static_cast<double>(through);
   f["requests_per_s"] = f["requests"] / seconds;
   f["dns_queries_per_s_and_proxy"] = (dns - dnsAtStart_) / seconds / static_cast<double>(proxies_.size());
-  const auto median = [](std::vector<double> v) {
-    if (v.empty()) return 0.0;
-    std::nth_element(v.begin(), v.begin() + static_cast<std::ptrdiff_t>(v.size() / 2), v.end());
-    return v[v.size() / 2];
+  const auto median = [](const std::vector<double>& v) {
+    Quantiles q;
+    for (const double x : v) q.add(x);
+    return q.at(0.5);
   };
   for (const auto& d : direct_) {
     f["direct_p50_ms"] = median(d->latencies());
