--- a/src/base/ini.cpp
+++ b/src/base/ini.cpp
@@ -3,7 +3,6 @@
 #include <ini.h>
 
 #include <algorithm>
-#include <cstring>
 
 namespace sablespur {
 namespace {
@@ -48,7 +47,7 @@
         file.sections.back().entries.push_back({"", std::string(entry), line});
       text = {};
     }
-    std::memcpy(to, text.data(), text.size());
+    std::copy(text.begin(), text.end(), to);
     to[text.size()] = '\n';
     to[text.size() + 1] = '\0';
     return to;
