Add the pure parts of translation: terms, codecs for 2.0 and extended queries, SCRAM

Need: old desks have to reach new data servers (protocol 2.0, 3.0 and 3.2; bytea in two forms; backslashes in literals; logins that an old client does not know).

Nothing uses them yet: the front and the pool follow.

--- /dev/null
+++ b/fuzz/extended.cpp
@@ -0,0 +1,37 @@
+// The extended sub-protocol: what clients send, and answers as they are read and written again.
+#include "wire/pg/extended.hpp"
+
+#include <cstdlib>
+
+#include "fuzz/target.hpp"
+#include "translate/answer.hpp"
+#include "wire/pg/codec.hpp"
+#include "wire/pg/pg.hpp"
+#include "wire/pg2/codec.hpp"
+
+using namespace sablespur;
+
+int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  const std::string_view text(reinterpret_cast<const char*>(data), size);
+  pg::parseParse(text);
+  pg::parseTarget(text);
+  pg::parseExecute(text);
+  if (const auto b = pg::parseBind(text)) {
+    const std::string m = pg::bindMessage(*b);
+    if (std::string_view(m).substr(pg::kHead) != text) std::abort();  // read back, it is the same
+  }
+  const pg::Codec three(0);
+  const pg2::Codec two;
+  for (const translate::ClientCodec* codec :
+       {static_cast<const translate::ClientCodec*>(&three), static_cast<const translate::ClientCodec*>(&two)})
+    for (const std::int16_t format : {0, 1}) {
+      translate::Conversion c(*codec, {translate::ByteaForm::Escape, {format}}, true, 4096, 3);
+      const bool good = pg::readAnswer(text, c);
+      if (!c.why().empty() && good) std::abort();
+      if (c.take().size() > 4096) std::abort();
+    }
+  const auto p = pg::readProblem(text);
+  if (!p.code.empty() && pg::readProblem(std::string_view(three.problem(p)).substr(pg::kHead)).code != p.code)
+    std::abort();
+  return 0;
+}
--- /dev/null
+++ b/fuzz/translate.cpp
@@ -0,0 +1,44 @@
+// Statements and values between generations.
+#include <cstdlib>
+
+#include "fuzz/target.hpp"
+#include "translate/answer.hpp"
+#include "translate/parameters.hpp"
+#include "translate/scanner.hpp"
+#include "translate/values.hpp"
+
+using namespace sablespur;
+
+int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  const std::string_view text(reinterpret_cast<const char*>(data), size);
+  for (const bool backslashes : {false, true}) {
+    translate::Scanner scanner(text, backslashes);
+    std::string_view piece;
+    std::size_t covered = 0;
+    while (scanner.next(piece) != translate::Token::End) {
+      if (piece.empty() || piece.data() != text.data() + covered) std::abort();
+      covered += piece.size();
+    }
+    if (covered != size) std::abort();
+    // Rewritten for the other side and read there, it is left alone from then on.
+    const std::string there = translate::rewriteLiterals(text, backslashes, !backslashes);
+    if (translate::rewriteLiterals(text, backslashes, backslashes) != text) std::abort();
+    if (there.size() < size) std::abort();
+    const auto n = translate::countParameters(text, backslashes);
+    if (n && *n < 64) {
+      const std::vector<std::string> literals(*n, "1");
+      if (const auto out = translate::substitute(text, backslashes, literals, 4096);
+          out && out->size() > 4096)
+        std::abort();
+    }
+  }
+  if (const auto bytes = translate::readBytea(text))
+    for (const auto form : {translate::ByteaForm::Hex, translate::ByteaForm::Escape})
+      if (translate::readBytea(translate::writeBytea(form, *bytes)) != *bytes) std::abort();
+  for (const std::uint32_t type : {16u, 17u, 20u, 21u, 23u, 26u, 700u, 701u, 2950u, 1700u}) {
+    translate::toBinary(type, text);
+    std::string why;
+    translate::literalOf({text, type, true}, why);
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/translate/answer.cpp
@@ -0,0 +1,144 @@
+#include "translate/answer.hpp"
+
+#include <charconv>
+#include <cmath>
+#include <cstring>
+
+#include "translate/parameters.hpp"
+#include "translate/values.hpp"
+
+namespace sablespur::translate {
+namespace {
+
+std::string bigEndian(std::uint64_t v, std::size_t size) {
+  std::string bytes;
+  for (std::size_t k = size; k-- > 0;) bytes.push_back(static_cast<char>(v >> 8 * k));
+  return bytes;
+}
+template <typename T>
+std::optional<T> number(std::string_view text) {
+  T v{};
+  const char* const end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, v);
+  return error == std::errc() && stop == end ? std::make_optional(v) : std::nullopt;
+}
+template <typename T>
+std::optional<std::string> integer(std::string_view text) {
+  const auto v = number<T>(text);
+  return v ? std::make_optional(bigEndian(static_cast<std::uint64_t>(*v), sizeof(T))) : std::nullopt;
+}
+template <typename Float, typename Bits>
+std::optional<std::string> floating(std::string_view text) {
+  std::optional<Float> v = number<Float>(text);  // "NaN" and "Infinity" too
+  if (!v) return std::nullopt;
+  Bits bits;
+  std::memcpy(&bits, &*v, sizeof bits);
+  return bigEndian(bits, sizeof bits);
+}
+std::optional<std::string> uuid(std::string_view text) {
+  std::string digits;
+  for (const char c : text)
+    if (c != '-') digits.push_back(c);
+  const auto bytes = digits.size() == 32 ? readBytea("\\x" + digits) : std::nullopt;
+  return bytes;
+}
+
+}  // namespace
+
+std::optional<std::string> toBinary(std::uint32_t type, std::string_view text) {
+  switch (type) {
+    case kBool:
+      if (text != "t" && text != "f") return std::nullopt;
+      return std::string(1, text == "t" ? '\1' : '\0');
+    case kBytea:
+      return readBytea(text);
+    case kInt2:
+      return integer<std::int16_t>(text);
+    case kInt4:
+      return integer<std::int32_t>(text);
+    case kInt8:
+      return integer<std::int64_t>(text);
+    case kOid:
+      return integer<std::uint32_t>(text);
+    case kFloat4:
+      return floating<float, std::uint32_t>(text);
+    case kFloat8:
+      return floating<double, std::uint64_t>(text);
+    case kText:
+    case kVarchar:
+    case kUnknown:
+      return std::string(text);
+    case kUuid:
+      return uuid(text);
+    default:
+      return std::nullopt;
+  }
+}
+
+bool Conversion::fail(std::string why) {
+  why_ = std::move(why);
+  out_.clear();
+  return false;
+}
+
+bool Conversion::wantsBinary(std::size_t column) const {
+  const auto& r = wanted_.results;
+  if (r.empty()) return false;
+  return r.size() == 1 ? r[0] == 1 : column < r.size() && r[column] == 1;
+}
+
+// Guards the memory: an answer grows when its form changes.
+bool Conversion::put(const std::string& message) {
+  if (out_.size() + message.size() > most_)
+    return fail("an answer that is too long in the form that was asked for");
+  out_ += message;
+  return true;
+}
+
+bool Conversion::columns(const std::vector<Column>& columns) {
+  if (wanted_.results.size() > 1 && wanted_.results.size() != columns.size())
+    return fail("formats for " + std::to_string(wanted_.results.size()) + " columns where there are " +
+                std::to_string(columns.size()));
+  std::vector<Column> told = columns;
+  for (std::size_t k = 0; k < told.size(); ++k) {
+    types_.push_back(told[k].type);
+    told[k].binary = wantsBinary(k);
+    binary_.push_back(told[k].binary);
+  }
+  return !described_ || put(codec_.columns(told));
+}
+
+bool Conversion::row(const std::vector<Value>& values) {
+  if (values.size() != types_.size()) return fail("a row of other columns than were described");
+  if (mostRows_ > 0 && rows_ == mostRows_) {
+    suspended_ = true;
+    return true;
+  }
+  ++rows_;
+  std::vector<std::string> changed(values.size());
+  std::vector<Value> row = values;
+  bool binary = !values.empty();
+  for (std::size_t k = 0; k < values.size(); ++k) {
+    binary = binary && binary_[k];
+    if (!values[k]) continue;
+    if (binary_[k]) {
+      auto bytes = toBinary(types_[k], *values[k]);
+      if (!bytes)
+        return fail("a value of type " + std::to_string(types_[k]) + " that cannot be told in binary");
+      changed[k] = std::move(*bytes);
+      row[k] = changed[k];
+    } else if (types_[k] == kBytea && wanted_.bytea) {
+      const auto bytes = readBytea(*values[k]);
+      if (!bytes) return fail("a bytea that is in neither of its forms");
+      if (byteaLength(*wanted_.bytea, *bytes) > most_)
+        return fail("a value that is too long in the form that was asked for");
+      changed[k] = writeBytea(*wanted_.bytea, *bytes);
+      row[k] = changed[k];
+    }
+  }
+  return put(codec_.row(row, binary));
+}
+
+bool Conversion::completed(std::string_view tag) { return suspended_ || put(codec_.completed(tag)); }
+
+}  // namespace sablespur::translate
--- /dev/null
+++ b/src/wire/pg/codec.cpp
@@ -0,0 +1,186 @@
+#include "wire/pg/codec.hpp"
+
+#include <algorithm>
+
+#include "wire/pg/pg.hpp"
+
+namespace sablespur::pg {
+namespace {
+
+using translate::Column;
+using translate::Problem;
+using translate::Value;
+
+constexpr std::size_t kColumnTail = 18;  // table, column, type, size, modifier, format
+
+void put16(std::string& to, std::size_t v) {
+  to.push_back(static_cast<char>(v >> 8));
+  to.push_back(static_cast<char>(v));
+}
+void put32(std::string& to, std::uint32_t v) {
+  for (int shift = 24; shift >= 0; shift -= 8) to.push_back(static_cast<char>(v >> shift));
+}
+std::uint16_t read16(std::string_view from, std::size_t at) {
+  return static_cast<std::uint16_t>(static_cast<unsigned char>(from[at]) << 8 |
+                                    static_cast<unsigned char>(from[at + 1]));
+}
+
+bool readRow(std::string_view body, std::vector<Value>& values) {
+  values.clear();
+  if (body.size() < 2) return false;
+  const std::size_t n = read16(body, 0);
+  body.remove_prefix(2);
+  for (std::size_t k = 0; k < n; ++k) {
+    if (body.size() < 4) return false;
+    const std::uint32_t length = readInt32(body.data());
+    body.remove_prefix(4);
+    if (length == 0xffffffff) {
+      values.emplace_back();
+      continue;
+    }
+    if (length > body.size()) return false;
+    values.emplace_back(body.substr(0, length));
+    body.remove_prefix(length);
+  }
+  return body.empty();
+}
+
+struct Field {
+  char letter;
+  std::string Problem::*text;
+};
+// Those of 7.4, when 3.0 was new, then those that came later.
+constexpr Field kFirstFields[] = {{'S', &Problem::severity}, {'C', &Problem::code},
+                                  {'M', &Problem::text},     {'D', &Problem::detail},
+                                  {'H', &Problem::hint},     {'P', &Problem::position}};
+constexpr Field kLaterFields[] = {{'s', &Problem::schema},
+                                  {'t', &Problem::table},
+                                  {'c', &Problem::column},
+                                  {'d', &Problem::type},
+                                  {'n', &Problem::constraint}};
+
+}  // namespace
+
+std::string Codec::columns(const std::vector<Column>& columns) const {
+  std::string body;
+  put16(body, columns.size());
+  for (const Column& c : columns) {
+    body.append(c.name).push_back('\0');
+    put32(body, 0);  // of no table that the client could ask for
+    put16(body, 0);
+    put32(body, c.type);
+    put16(body, static_cast<std::uint16_t>(c.size));
+    put32(body, static_cast<std::uint32_t>(c.modifier));
+    put16(body, c.binary ? 1 : 0);
+  }
+  return message('T', body);
+}
+
+std::string Codec::row(const std::vector<Value>& values, bool) const {
+  std::string body;
+  std::size_t size = 2;
+  for (const Value& v : values) size += 4 + (v ? v->size() : 0);
+  body.reserve(size);
+  put16(body, values.size());
+  for (const Value& v : values) {
+    put32(body, v ? static_cast<std::uint32_t>(v->size()) : 0xffffffff);
+    if (v) body.append(*v);
+  }
+  return message('D', body);
+}
+
+std::string Codec::completed(std::string_view tag) const { return message('C', std::string(tag) + '\0'); }
+std::string Codec::emptyStatement() const { return message('I', {}); }
+std::string Codec::ready() const { return readyForQuery(); }
+
+std::string Codec::problem(const Problem& p) const {
+  std::string body;
+  const auto put = [&](char letter, const std::string& text) {
+    if (text.empty()) return;
+    body.push_back(letter);
+    body.append(text.c_str()).push_back('\0');
+  };
+  for (const Field& f : kFirstFields) {
+    put(f.letter, p.*f.text);
+    if (f.letter == 'S') put('V', p.severity);
+    // When to come back is a number alone in the detail, for programs.
+    if (f.letter == 'D' && p.detail.empty() && p.comeBackMs) put('D', std::to_string(*p.comeBackMs));
+  }
+  if (minor_ > 0)
+    for (const Field& f : kLaterFields) put(f.letter, p.*f.text);
+  body.push_back('\0');
+  return message('E', body);
+}
+
+bool readColumns(std::string_view body, std::vector<Column>& columns) {
+  columns.clear();
+  if (body.size() < 2) return false;
+  const std::size_t n = read16(body, 0);
+  if (n > translate::kMostColumns) return false;
+  body.remove_prefix(2);
+  for (std::size_t k = 0; k < n; ++k) {
+    const std::size_t end = body.find('\0');
+    if (end == std::string_view::npos || body.size() - end - 1 < kColumnTail) return false;
+    Column c;
+    c.name = body.substr(0, end);
+    body.remove_prefix(end + 1);
+    c.type = readInt32(body.data() + 6);
+    c.size = static_cast<std::int16_t>(read16(body, 10));
+    c.modifier = static_cast<std::int32_t>(readInt32(body.data() + 12));
+    c.binary = read16(body, 16) == 1;
+    body.remove_prefix(kColumnTail);
+    columns.push_back(c);
+  }
+  return body.empty();
+}
+
+bool isRow(std::string_view body, std::size_t columns) {
+  std::vector<Value> values;
+  return readRow(body, values) && values.size() == columns;
+}
+
+bool readAnswer(std::string_view in, translate::AnswerTaker& taker) {
+  std::vector<Value> values;
+  std::vector<Column> columns;
+  while (in.size() >= kHead) {
+    char bytes[kHead];
+    std::copy_n(in.data(), kHead, bytes);
+    const auto head = parseHead(bytes);
+    if (!head || in.size() - kHead < head->body) return false;
+    const std::string_view body = in.substr(kHead, head->body);
+    in.remove_prefix(kHead + head->body);
+    if (head->type == 'T') {
+      if (!readColumns(body, columns) || !taker.columns(columns)) return false;
+    } else if (head->type == 'D') {
+      if (!readRow(body, values) || !taker.row(values)) return false;
+    } else if (head->type == 'C') {
+      return in.empty() && isTag(body, false) && taker.completed(body.substr(0, body.size() - 1));
+    } else {
+      return false;
+    }
+  }
+  return false;  // without its completion
+}
+
+Problem readProblem(std::string_view body) {
+  Problem p;
+  p.severity.clear();
+  std::string nonLocalized;
+  while (!body.empty() && body[0] != '\0') {
+    const char letter = body[0];
+    const std::size_t end = body.find('\0', 1);
+    if (end == std::string_view::npos) return {};
+    const std::string text(body.substr(1, end - 1));
+    body.remove_prefix(end + 1);
+    if (letter == 'V') nonLocalized = text;
+    for (const Field& f : kFirstFields)
+      if (f.letter == letter) p.*f.text = text;
+    for (const Field& f : kLaterFields)
+      if (f.letter == letter) p.*f.text = text;
+  }
+  if (body.size() != 1 || p.code.size() != 5) return {};
+  if (!nonLocalized.empty()) p.severity = nonLocalized;
+  return p;
+}
+
+}  // namespace sablespur::pg
--- /dev/null
+++ b/src/wire/pg/codec.hpp
@@ -0,0 +1,38 @@
+// Version 3's form of what translate/terms.hpp names: answers and errors, read from data servers and written
+// for clients. Pure.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "translate/terms.hpp"
+
+namespace sablespur::pg {
+
+class Codec final : public translate::ClientCodec {
+ public:
+  explicit Codec(int minor) : minor_(minor) {}
+  std::string columns(const std::vector<translate::Column>&) const override;
+  std::string row(const std::vector<translate::Value>&, bool binary) const override;
+  std::string completed(std::string_view tag) const override;
+  std::string emptyStatement() const override;
+  std::string problem(const translate::Problem&) const override;
+  std::string ready() const override;
+
+ private:
+  const int minor_;  // 3.0's clients get the fields of its time alone
+};
+
+// Messages of an answer, from RowDescription or CommandComplete on; false: they are malformed, or the taker
+// said so.
+bool readAnswer(std::string_view messages, translate::AnswerTaker&);
+// The body of a RowDescription: names point into it. False: it is malformed.
+bool readColumns(std::string_view body, std::vector<translate::Column>&);
+// The form alone, for answers that are passed on as they are: a DataRow of so many columns.
+bool isRow(std::string_view body, std::size_t columns);
+// The body of an ErrorResponse; fields that are not known are passed over. Its code is empty where it is
+// malformed.
+translate::Problem readProblem(std::string_view body);
+
+}  // namespace sablespur::pg
--- /dev/null
+++ b/src/wire/pg2/codec.cpp
@@ -0,0 +1,32 @@
+#include "wire/pg2/codec.hpp"
+
+#include "wire/pg2/pg2.hpp"
+
+namespace sablespur::pg2 {
+
+std::string Codec::columns(const std::vector<translate::Column>& columns) const {
+  std::vector<Column> own;
+  for (const translate::Column& c : columns) own.push_back({std::string(c.name), c.type, c.size, c.modifier});
+  return cursor() + rowDescription(own);
+}
+
+std::string Codec::row(const std::vector<translate::Value>& values, bool binary) const {
+  return pg2::row(values, binary);
+}
+
+// "SELECT 3" counts since 9.0; programs of 2.0's time compare with "SELECT".
+std::string Codec::completed(std::string_view tag) const {
+  return pg2::completed(tag.substr(0, 7) == "SELECT " ? "SELECT" : tag);
+}
+std::string Codec::emptyStatement() const { return emptyQuery(); }
+std::string Codec::ready() const { return pg2::ready(); }
+
+std::string Codec::problem(const translate::Problem& p) const {
+  std::string text = p.severity + ":  " + p.text;
+  if (!p.detail.empty()) text += "\nDETAIL:  " + p.detail;
+  if (!p.hint.empty()) text += "\nHINT:  " + p.hint;
+  if (p.comeBackMs) text += "\nRETRY:  " + std::to_string(*p.comeBackMs) + " ms";
+  return error(text + "\n");
+}
+
+}  // namespace sablespur::pg2
--- /dev/null
+++ b/src/wire/pg2/codec.hpp
@@ -0,0 +1,24 @@
+// Version 2's form of what translate/terms.hpp names, for clients. Pure.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "translate/terms.hpp"
+
+namespace sablespur::pg2 {
+
+class Codec final : public translate::ClientCodec {
+ public:
+  std::string columns(const std::vector<translate::Column>&) const override;
+  std::string row(const std::vector<translate::Value>&, bool binary) const override;
+  std::string completed(std::string_view tag) const override;
+  std::string emptyStatement() const override;
+  // One string, without a code: what programs of that time look for stands at its beginning ("ERROR:  ..."),
+  // the rest follows in lines of their own. When to come back is the last line, "RETRY:  250 ms".
+  std::string problem(const translate::Problem&) const override;
+  std::string ready() const override;
+};
+
+}  // namespace sablespur::pg2
--- /dev/null
+++ b/tests/translate_test.cpp
@@ -0,0 +1,433 @@
+// Between generations: statements and values, protocol 2.0, the extended sub-protocol, logins.
+#include <gtest/gtest.h>
+
+#include <pcg_random.hpp>
+
+#include "auth/scram.hpp"
+#include "translate/answer.hpp"
+#include "translate/parameters.hpp"
+#include "translate/scanner.hpp"
+#include "translate/values.hpp"
+#include "wire/pg/codec.hpp"
+#include "wire/pg/extended.hpp"
+#include "wire/pg/pg.hpp"
+#include "wire/pg2/codec.hpp"
+#include "wire/pg2/pg2.hpp"
+
+namespace sablespur {
+namespace {
+
+using namespace std::literals;
+namespace tr = translate;
+
+// ---- statements
+// --------------------------------------------------------------------------------------------
+std::string tokens(std::string_view statement, bool backslashes = false) {
+  static const char names[] = "plsondcP";
+  std::string all;
+  tr::Scanner s(statement, backslashes);
+  std::string_view piece;
+  std::string joined;
+  for (tr::Token t; (t = s.next(piece)) != tr::Token::End;) {
+    all += names[static_cast<int>(t)];
+    joined += piece;
+  }
+  EXPECT_EQ(joined, statement);  // pieces follow each other without gaps
+  return all + (s.whole() ? "" : "!");
+}
+TEST(Scanner, FindsStringsNamesCommentsAndParameters) {
+  EXPECT_EQ(tokens("SELECT 'a''b', E'a\\'b', \"x'y\", $1 -- $2 'q\n, /* 'a' /* $3 */ */ $tag$ '$1' $tag$"),
+            "plpspnpPpcpcpd");
+  EXPECT_EQ(tokens("$$a$b$$ $1$2 a$1 x'ff' U&'a' U&\"b\" SELECT'a'"), "dpPPpopopnpl");
+  EXPECT_EQ(tokens("'a\\'"), "l");
+  EXPECT_EQ(tokens("'a\\'", true), "l!");
+  EXPECT_EQ(tokens("'a\\'b'", true), "l");
+  EXPECT_EQ(tokens("/* a"), "c!");
+  EXPECT_EQ(tokens("$a$ b"), "d!");
+  EXPECT_EQ(tokens("price$1 te'x'"), "pl");
+}
+TEST(Scanner, AnyBytesAreCoveredOnce) {
+  pcg32 random(5);
+  const std::string alphabet = "'\"$-/*\\eEa1 \n_&U";
+  for (int k = 0; k < 20000; ++k) {
+    std::string s;
+    for (auto n = random(30); n > 0; --n) s += alphabet[random(static_cast<std::uint32_t>(alphabet.size()))];
+    tokens(s, random(2) == 1);
+  }
+}
+TEST(Literals, MeanTheSameOnTheOtherSideOfTheSetting) {
+  EXPECT_EQ(tr::rewriteLiterals("SELECT 'a\\b', 'c', E'd\\e', \"f\\g\" /* 'h\\i' */", false, true),
+            "SELECT E'a\\\\b', 'c', E'd\\e', \"f\\g\" /* 'h\\i' */");
+  EXPECT_EQ(tr::rewriteLiterals("SELECT 'it\\'s', '\\\\x'", true, false), "SELECT E'it\\'s', E'\\\\x'");
+  EXPECT_EQ(tr::rewriteLiterals("SELECT'a\\b'", false, true), "SELECT E'a\\\\b'");
+  const std::string same = "SELECT 'a\\b' -- 'x\\";
+  EXPECT_EQ(tr::rewriteLiterals(same, false, false), same);
+  EXPECT_EQ(tr::quoteLiteral("it's"), "'it''s'");
+  EXPECT_EQ(tr::quoteLiteral("a\\b"), "E'a\\\\b'");
+  EXPECT_EQ(tr::quoteLiteral("a\0b"sv), std::nullopt);
+}
+TEST(Bytea, ReadsBothFormsAndWritesWhatItReads) {
+  EXPECT_EQ(tr::readBytea("\\x41ff0a"), "A\xff\n");
+  EXPECT_EQ(tr::readBytea("A\\377\\012\\\\"), "A\xff\n\\");
+  for (const char* bad : {"\\x4", "\\xzz", "\\", "\\4", "\\400", "\\08a", "a\\"})
+    EXPECT_EQ(tr::readBytea(bad), std::nullopt) << bad;
+  pcg32 random(9);
+  for (int k = 0; k < 500; ++k) {
+    std::string bytes;
+    for (auto n = random(200); n > 0; --n) bytes += static_cast<char>(random(256));
+    for (const auto form : {tr::ByteaForm::Hex, tr::ByteaForm::Escape}) {
+      const std::string text = tr::writeBytea(form, bytes);
+      EXPECT_EQ(text.size(), tr::byteaLength(form, bytes));
+      EXPECT_EQ(tr::readBytea(text), bytes);
+    }
+  }
+}
+TEST(Parameters, BecomeLiteralsWhereTheyStandAndNowhereElse) {
+  const std::string s = "SELECT $1, '$1', \"$1\", $2::int /* $1 */ -- $1\n, $$ $1 $$, $1";
+  EXPECT_EQ(tr::countParameters(s, false), 2u);
+  EXPECT_EQ(tr::substitute(s, false, {"'x'", "(-5)"}, 1000),
+            "SELECT 'x', '$1', \"$1\", (-5)::int /* $1 */ -- $1\n, $$ $1 $$, 'x'");
+  EXPECT_EQ(tr::substitute(s, false, {std::string(600, 'x'), "1"}, 1000), std::nullopt);
+  EXPECT_EQ(tr::countParameters("SELECT $70000", false), std::nullopt);
+  EXPECT_EQ(tr::countParameters("SELECT $0", false), std::nullopt);
+  std::string why;
+  const auto literal = [&](std::optional<std::string_view> v, std::uint32_t type, bool binary) {
+    return tr::literalOf({v, type, binary}, why).value_or("none");
+  };
+  EXPECT_EQ(literal(std::nullopt, 0, false), "NULL");
+  EXPECT_EQ(literal("it's", 0, false), "'it''s'");
+  EXPECT_EQ(literal("\xff\xff\xff\xfb"sv, tr::kInt4, true), "(-5)");
+  EXPECT_EQ(literal("\0\5"sv, tr::kInt2, true), "5");
+  EXPECT_EQ(literal("\x80\0\0\0\0\0\0\0"sv, tr::kInt8, true), "(-9223372036854775808)");
+  EXPECT_EQ(literal("\xff\xff\xff\xff"sv, tr::kOid, true), "4294967295");
+  EXPECT_EQ(literal("\1"sv, tr::kBool, true), "true");
+  EXPECT_EQ(literal("\0\xff"sv, tr::kBytea, true), "E'\\\\x00ff'::bytea");
+  EXPECT_EQ(literal("\x3f\xf8\0\0\0\0\0\0"sv, tr::kFloat8, true), "1.5");
+  EXPECT_EQ(literal("\x12\x34\x56\x78\x9a\xbc\xde\xf0\x12\x34\x56\x78\x9a\xbc\xde\xf0"sv, tr::kUuid, true),
+            "'12345678-9abc-def0-1234-56789abcdef0'::uuid");
+  EXPECT_EQ(literal("\0\0\0"sv, tr::kInt4, true), "none");
+  EXPECT_EQ(literal("x", 0, true), "none");
+  EXPECT_EQ(why, "a binary parameter whose type was not said");
+  EXPECT_EQ(literal("x", 1700, true), "none");
+}
+
+// ---- protocol 2.0
+// ------------------------------------------------------------------------------------------
+TEST(Pg2, StartupAndCancelHaveTheirFixedForm) {
+  pg2::Startup s;
+  s.database = "ledger";
+  s.user = std::string(40, 'u');  // cut to what the field holds
+  s.options = "-o x";
+  const std::string packet = pg2::startup(s);
+  ASSERT_EQ(packet.size(), pg2::kStartupLength);
+  const auto back = pg2::parseStartup(packet);
+  ASSERT_TRUE(back);
+  EXPECT_EQ(back->database, "ledger");
+  EXPECT_EQ(back->user, std::string(31, 'u'));
+  EXPECT_EQ(back->options, "-o x");
+  EXPECT_FALSE(pg2::parseStartup(packet.substr(1)));
+  std::string three = packet;
+  three[5] = 3;
+  EXPECT_FALSE(pg2::parseStartup(three));
+  const auto c = pg2::parseCancel(pg2::cancel({7, 0xdeadbeef}));
+  ASSERT_TRUE(c);
+  EXPECT_EQ(c->process, 7u);
+  EXPECT_EQ(c->key, 0xdeadbeefu);
+  EXPECT_FALSE(pg2::parseCancel(pg2::cancel({7, 1}) + "x"));
+}
+TEST(Pg2, WhatClientsSendEndsWithItsNul) {
+  bool bad = false;
+  const std::string q = pg2::query("SELECT 1");
+  for (std::size_t n = 0; n < q.size(); ++n) EXPECT_FALSE(pg2::parseSent(q.substr(0, n), bad)) << n;
+  const auto sent = pg2::parseSent(q + "X", bad);
+  ASSERT_TRUE(sent);
+  EXPECT_EQ(sent->text, "SELECT 1");
+  EXPECT_EQ(sent->size, q.size());
+  EXPECT_FALSE(pg2::parseSent("P\0\0\0\5", bad));  // only 3.0 knows it
+  EXPECT_TRUE(bad);
+  EXPECT_FALSE(pg2::parseSent("Q" + std::string(pg2::kLongestQuery + 1, 'x'), bad));
+  EXPECT_TRUE(bad);
+  std::size_t size = 0;
+  EXPECT_EQ(pg2::parsePassword(pg2::password("geheim"), size, bad), "geheim");
+  EXPECT_EQ(size, 11u);
+  EXPECT_FALSE(pg2::parsePassword("\xff\xff\xff\xff", size, bad));
+  EXPECT_TRUE(bad);
+}
+TEST(Pg2, RowsBearABitmapOfWhatIsNull) {
+  std::vector<pg2::Column> columns;
+  std::vector<pg2::Value> values;
+  for (int k = 0; k < 9; ++k) {
+    columns.push_back({"c" + std::to_string(k), 25, -1, -1});
+    values.push_back(k % 3 == 1 ? pg2::Value() : pg2::Value("v"));
+  }
+  values[8] = "";
+  EXPECT_EQ(pg2::row(values, false).substr(0, 3), "D\xb6\x80");
+  for (const bool binary : {false, true}) {
+    const std::string stream = pg2::cursor() + pg2::rowDescription(columns) + pg2::row(values, binary) +
+                               pg2::completed("SELECT") + pg2::notice("n") + pg2::error("ERROR:  e\n") +
+                               pg2::keyData({1, 2}) + pg2::askMd5("salt") + pg2::ready();
+    // In pieces of any size.
+    for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+      pg2::Reader reader;
+      std::string in = stream.substr(0, cut), types;
+      std::vector<std::optional<std::string>> row;
+      for (int half = 0; half < 2; ++half) {
+        std::size_t size = 0;
+        bool bad = false;
+        while (const auto m = reader.take(in, size, bad)) {
+          types += m->type;
+          if (m->type == 'D' || m->type == 'B') row = m->row;
+          in.erase(0, size);
+        }
+        ASSERT_FALSE(bad);
+        in += half == 0 ? stream.substr(cut) : "";
+      }
+      ASSERT_EQ(types, binary ? "PTBCNEKRZ" : "PTDCNEKRZ") << cut;
+      ASSERT_EQ(row.size(), 9u);
+      for (std::size_t k = 0; k < 9; ++k) ASSERT_EQ(row[k].has_value(), values[k].has_value()) << k;
+      ASSERT_EQ(row[8], "");
+    }
+  }
+}
+
+// ---- the extended sub-protocol
+// -------------------------------------------------------------------------------
+TEST(Extended, MessagesReadBackAndLyingCountsAreNone) {
+  const std::string p = pg::parseMessage("s1", "SELECT $1", {23, 0});
+  const auto parse = pg::parseParse(std::string_view(p).substr(pg::kHead));
+  ASSERT_TRUE(parse);
+  EXPECT_EQ(parse->statement, "SELECT $1");
+  EXPECT_EQ(parse->types, (std::vector<std::uint32_t>{23, 0}));
+  pg::Bind b;
+  b.statement = "s1";
+  b.formats = {0, 1, 1};
+  b.values = {"text"sv, "\0\1"sv, std::nullopt};
+  b.results = {1};
+  const std::string m = pg::bindMessage(b);
+  const std::string_view body = std::string_view(m).substr(pg::kHead);
+  const auto back = pg::parseBind(body);
+  ASSERT_TRUE(back);
+  EXPECT_EQ(back->values[0], "text");
+  EXPECT_EQ(back->values[1], "\0\1"sv);
+  EXPECT_FALSE(back->values[2]);
+  EXPECT_TRUE(back->binary(1) && !back->binary(0));
+  for (std::size_t n = 0; n < body.size(); ++n) EXPECT_FALSE(pg::parseBind(body.substr(0, n))) << n;
+  b.formats = {0, 1};  // neither none, one nor all
+  const std::string unfit = pg::bindMessage(b);
+  EXPECT_FALSE(pg::parseBind(std::string_view(unfit).substr(pg::kHead)));
+  EXPECT_FALSE(pg::parseBind("\0\0\xff\xff\0\0"sv));
+  const std::string d = pg::describeMessage({true, "p"}), e = pg::executeMessage({"p", 5});
+  EXPECT_TRUE(pg::parseTarget(std::string_view(d).substr(pg::kHead))->portal);
+  EXPECT_EQ(pg::parseExecute(std::string_view(e).substr(pg::kHead))->most, 5);
+  EXPECT_FALSE(pg::parseTarget("Xp\0"sv));
+}
+
+// ---- answers between forms
+// ---------------------------------------------------------------------------------
+using Row = std::vector<std::optional<std::string>>;
+// An answer as a data server of version 3 tells it.
+std::string serverAnswer(const std::vector<std::uint32_t>& types, const std::vector<Row>& rows,
+                         const std::string& tag) {
+  const pg::Codec server(2);
+  std::vector<tr::Column> columns;
+  static const std::string names[] = {"a", "b", "c", "d"};
+  for (std::size_t k = 0; k < types.size(); ++k) columns.push_back({names[k], types[k], -1, -1, false});
+  std::string all = types.empty() ? "" : server.columns(columns);
+  for (const Row& r : rows) {
+    std::vector<tr::Value> values;
+    for (const auto& v : r) values.push_back(v ? tr::Value(*v) : tr::Value());
+    all += server.row(values, false);
+  }
+  return all + server.completed(tag);
+}
+TEST(Answers, GoToVersion2WithItsBitmapAndItsTag) {
+  const pg2::Codec two;
+  tr::Conversion c(two, {tr::ByteaForm::Escape, {}}, true, 1 << 20);
+  ASSERT_TRUE(pg::readAnswer(
+      serverAnswer({tr::kInt4, tr::kBytea}, {{"7", "\\x41ff"}, {std::nullopt, "A\\000"}}, "SELECT 2"), c));
+  const std::string out = c.take();
+  pg2::Reader reader;
+  std::string types;
+  std::vector<Row> rows;
+  std::size_t size = 0;
+  bool bad = false;
+  for (std::string_view in = out; const auto m = reader.take(in, size, bad); in.remove_prefix(size)) {
+    types += m->type;
+    if (m->type == 'D') rows.push_back(m->row);
+    if (m->type == 'C') {
+      EXPECT_EQ(m->text, "SELECT");
+    }
+  }
+  EXPECT_EQ(types, "PTDDC");
+  EXPECT_EQ(rows, (std::vector<Row>{{"7", "A\\377"}, {std::nullopt, "A\\000"}}));
+}
+TEST(Answers, ComeInBinaryWhereThatIsWanted) {
+  const pg::Codec three(0);
+  tr::Conversion c(three, {std::nullopt, {1, 0}}, false, 1 << 20);
+  ASSERT_TRUE(pg::readAnswer(
+      serverAnswer({tr::kInt4, tr::kText}, {{"-5", "-5"}, {std::nullopt, ""}}, "SELECT 2"), c));
+  EXPECT_EQ(c.take(), pg::message('D', "\0\2\0\0\0\4\xff\xff\xff\xfb\0\0\0\2-5"sv) +
+                          pg::message('D', "\0\2\xff\xff\xff\xff\0\0\0\0"sv) +
+                          pg::message('C', "SELECT 2\0"sv));
+  EXPECT_EQ(tr::toBinary(tr::kBool, "t"), "\1");
+  EXPECT_EQ(tr::toBinary(tr::kFloat8, "1.5"), "\x3f\xf8\0\0\0\0\0\0"sv);
+  EXPECT_EQ(tr::toBinary(tr::kUuid, "12345678-9abc-def0-1234-56789abcdef0"),
+            "\x12\x34\x56\x78\x9a\xbc\xde\xf0\x12\x34\x56\x78\x9a\xbc\xde\xf0"sv);
+  EXPECT_EQ(tr::toBinary(tr::kInt2, "70000"), std::nullopt);
+  EXPECT_EQ(tr::toBinary(1700, "1.5"), std::nullopt);
+}
+// What literals make of binary parameters, toBinary undoes.
+TEST(Answers, BinaryFormsReadBack) {
+  pcg32 random(3);
+  for (int k = 0; k < 2000; ++k) {
+    const auto v = static_cast<std::int32_t>(random());
+    const auto bytes = tr::toBinary(tr::kInt4, std::to_string(v));
+    std::string why;
+    ASSERT_TRUE(bytes);
+    const std::string digits = std::to_string(v);
+    EXPECT_EQ(tr::literalOf({*bytes, tr::kInt4, true}, why), v < 0 ? "(" + digits + ")" : digits);
+  }
+}
+// A value that breaks off in its middle, or grows beyond the bound, leaves nothing that could go out.
+TEST(Answers, AFailureLeavesNoHalfAnswer) {
+  const pg::Codec three(0);
+  const auto why = [&](const std::string& answer, tr::Wanted wanted, std::size_t most) {
+    tr::Conversion c(three, std::move(wanted), true, most);
+    EXPECT_FALSE(pg::readAnswer(answer, c));
+    EXPECT_EQ(c.take(), "");
+    return c.why();
+  };
+  EXPECT_EQ(why(serverAnswer({tr::kBytea}, {{"\\x41"}, {"\\x4"}}, "SELECT 2"), {tr::ByteaForm::Escape, {}},
+                1 << 20),
+            "a bytea that is in neither of its forms");
+  EXPECT_EQ(why(serverAnswer({1700}, {{"1.5"}}, "SELECT 1"), {std::nullopt, {1}}, 1 << 20),
+            "a value of type 1700 that cannot be told in binary");
+  const std::string big = tr::writeBytea(tr::ByteaForm::Hex, std::string(32 << 10, '\1'));  // 64 KiB of text
+  EXPECT_EQ(why(serverAnswer({tr::kBytea}, {{big}}, "SELECT 1"), {tr::ByteaForm::Escape, {}}, 128 << 10),
+            "an answer that is too long in the form that was asked for");
+  EXPECT_EQ(why(serverAnswer({tr::kInt4}, {{"1"}}, "SELECT 1"), {std::nullopt, {1, 0}}, 1 << 20),
+            "formats for 2 columns where there are 1");
+  tr::Conversion enough(three, {tr::ByteaForm::Escape, {}}, true, 129 << 10);
+  EXPECT_TRUE(pg::readAnswer(serverAnswer({tr::kBytea}, {{big}}, "SELECT 1"), enough));
+}
+TEST(Answers, StopAtARowLimitAndSaySo) {
+  const pg::Codec three(0);
+  tr::Conversion c(three, {}, false, 1 << 20, 2);
+  ASSERT_TRUE(pg::readAnswer(serverAnswer({tr::kText}, {{"1"}, {"2"}, {"3"}}, "SELECT 3"), c));
+  EXPECT_TRUE(c.suspended());
+  EXPECT_EQ(c.take(), pg::message('D', "\0\1\0\0\0\0011"sv) + pg::message('D', "\0\1\0\0\0\0012"sv));
+}
+TEST(Answers, MalformedOnesAreNone) {
+  const pg::Codec three(0);
+  const std::string good = serverAnswer({tr::kText}, {{"1"}}, "SELECT 1");
+  for (std::size_t n = 0; n < good.size(); ++n) {
+    tr::Conversion c(three, {}, true, 1 << 20);
+    EXPECT_FALSE(pg::readAnswer(std::string_view(good).substr(0, n), c)) << n;
+  }
+  tr::Conversion again(three, {}, true, 1 << 20);
+  EXPECT_FALSE(pg::readAnswer(good + good, again));
+}
+TEST(Problems, SayWhatEachVersionCanRead) {
+  tr::Problem p;
+  p.code = "53300";
+  p.text = "no room";
+  p.comeBackMs = 250;
+  EXPECT_EQ(pg::Codec(0).problem(p), pg::message('E', "SERROR\0VERROR\0C53300\0Mno room\0D250\0\0"sv));
+  EXPECT_EQ(pg2::Codec().problem(p), "EERROR:  no room\nRETRY:  250 ms\n\0"sv);
+  // A newer server's fields: 3.0 gets those of its time, 3.2 gets all, what nobody knows is passed over.
+  const auto q = pg::readProblem("SFEHLER\0VERROR\0C23505\0Mtwice\0Dof it\0ttable\0nunique\0Zodd\0\0"sv);
+  EXPECT_EQ(q.severity, "ERROR");
+  EXPECT_EQ(pg::Codec(0).problem(q), pg::message('E', "SERROR\0VERROR\0C23505\0Mtwice\0Dof it\0\0"sv));
+  EXPECT_EQ(pg::Codec(2).problem(q),
+            pg::message('E', "SERROR\0VERROR\0C23505\0Mtwice\0Dof it\0ttable\0nunique\0\0"sv));
+  EXPECT_EQ(pg2::Codec().problem(q), "EERROR:  twice\nDETAIL:  of it\n\0"sv);
+  EXPECT_EQ(pg::readProblem("SERROR\0C2350\0Mtwice\0\0"sv).code, "");
+  EXPECT_EQ(pg::readProblem("SERROR\0C23505\0Mtwice"sv).code, "");
+}
+
+// ---- logins
+// ------------------------------------------------------------------------------------------------
+constexpr const char* kClientNonce = "rOprNGfwEbeRWgbNEkqO";
+const std::string kServerFirst =
+    "r=rOprNGfwEbeRWgbNEkqO%hvYDpWUa2RaTCAfuxFIlj)hNlF$k0,s=W22ZaJ0SNY7soEsUEjb6gQ==,i=4096";
+TEST(Scram, IsThatOfRfc7677) {
+  auth::ScramClient c("user", kClientNonce);
+  EXPECT_EQ(c.first(), "n,,n=user,r=rOprNGfwEbeRWgbNEkqO");
+  std::string why;
+  const auto challenge = c.challenged(kServerFirst, why);
+  ASSERT_TRUE(challenge) << why;
+  EXPECT_EQ(c.final(auth::saltPassword("pencil", challenge->salt, challenge->iterations)),
+            "c=biws,r=rOprNGfwEbeRWgbNEkqO%hvYDpWUa2RaTCAfuxFIlj)hNlF$k0,p=dHzbZapWIk4jUhN+"
+            "Ute9ytag9zjfMHgsqmmiz7AndVQ=");
+  EXPECT_TRUE(c.verify("v=6rriTRBi23WpRR/wtup+mMhUZUn/dB5nLTJRsjl95G4=", why));
+  EXPECT_FALSE(c.verify("v=7rriTRBi23WpRR/wtup+mMhUZUn/dB5nLTJRsjl95G4=", why));  // tampered
+  EXPECT_FALSE(c.verify("v=", why));
+  EXPECT_FALSE(c.verify("e=other-error", why));
+  EXPECT_FALSE(c.verify("", why));
+}
+TEST(Scram, ClientsTurnDownWhatAServerMayNotAsk) {
+  const auto fault = [](const std::string& m) {
+    auth::ScramClient c("user", kClientNonce);
+    std::string why;
+    EXPECT_FALSE(c.challenged(m, why)) << m;
+    return why;
+  };
+  EXPECT_EQ(fault("r=another,s=W22ZaJ0SNY7soEsUEjb6gQ==,i=4096"), "a nonce that is not ours");
+  EXPECT_EQ(fault("r="s + kClientNonce + ",s=W22ZaJ0SNY7soEsUEjb6gQ==,i=4096"), "a nonce that is not ours");
+  EXPECT_EQ(fault("r="s + kClientNonce + "x,s=W22ZaJ0SNY7soEsUEjb6gQ==,i=2000000000"),
+            "an iteration count out of range");
+  EXPECT_EQ(fault("r="s + kClientNonce + "x,s=W22ZaJ0SNY7soEsUEjb6gQ==,i=0"),
+            "an iteration count out of range");
+  for (const std::string bad : {"", "r=", "m=ext,r=x,s=y,i=1", "s=W22ZaJ0SNY7soEsUEjb6gQ==,r=x,i=1"})
+    fault(bad);
+  fault("r="s + kClientNonce + "x,s=,i=4096");
+  fault("r="s + kClientNonce + "x,s=*,i=4096");
+  fault("r="s + kClientNonce + "x,s=W22ZaJ0SNY7soEsUEjb6gQ==,i=-1");
+  fault("r="s + kClientNonce + "x,s=W22ZaJ0SNY7soEsUEjb6gQ==,i=4096x");
+}
+TEST(Scram, BothSidesAgreeOnTheRightPasswordAlone) {
+  const auth::Verifier v = auth::makeVerifier("pencil", "0123456789abcdef", 4096);
+  const auto kept = auth::parseVerifier(v.text());
+  ASSERT_TRUE(kept);
+  EXPECT_EQ(kept->text(), v.text());
+  for (const std::string bad : {"", "SCRAM-SHA-256$", "SCRAM-SHA-256$4096:x$y:z", "md5abc"})
+    EXPECT_FALSE(auth::parseVerifier(bad));
+  const auto login = [&](const std::string& password, auto spoil) {
+    auth::ScramServer s(*kept, "servernonce");
+    auth::ScramClient c("a=b,c", "clientnonce");
+    std::string why;
+    const auto first = s.first(c.first(), why);
+    if (!first) return "first: " + why;
+    const auto challenge = c.challenged(*first, why);
+    if (!challenge) return "challenge: " + why;
+    std::string final = c.final(auth::saltPassword(password, challenge->salt, challenge->iterations));
+    spoil(final);
+    const auto last = s.final(final, why);
+    if (!last) return "final: " + why;
+    return c.verify(*last, why) ? "in"s : "verify: " + why;
+  };
+  const auto good = [](std::string&) {};
+  EXPECT_EQ(login("pencil", good), "in");
+  EXPECT_EQ(login("pencils", good), "final: a wrong password");
+  EXPECT_EQ(login("pencil", [](std::string& m) { m.replace(m.find("servernonce"), 11, "othersnonce"); }),
+            "final: another nonce than at first");
+  EXPECT_EQ(login("pencil", [](std::string& m) { m.replace(m.find("biws"), 4, "eSws"); }),
+            "final: another binding than at first");
+  EXPECT_EQ(login("pencil", [](std::string& m) { m[m.size() - 5] = m[m.size() - 5] == 'A' ? 'B' : 'A'; }),
+            "final: a wrong password");
+  EXPECT_EQ(login("pencil", [](std::string& m) { m.resize(m.rfind(",p=")); }),
+            "final: a malformed last message");
+}
+TEST(Md5, IsThatOfPostgres) {
+  EXPECT_EQ(auth::md5Stored("user", "pencil"), "md520c46e3762c864548e296b33c3406aa9");
+  EXPECT_EQ(auth::md5Answer(auth::md5Stored("user", "pencil"), "salt"),
+            "md5d3d9bcccbaa2fb5234570d4d0f22b055");
+  EXPECT_EQ(auth::md5Stored("u", "").size(), 35u);
+  // md5("passuser"): what `select 'md5'||md5('pass'||'user')` gives.
+  EXPECT_EQ(auth::md5Stored("", ""), "md5d41d8cd98f00b204e9800998ecf8427e");
+  EXPECT_NE(auth::md5Answer(auth::md5Stored("u", "p"), "salt"),
+            auth::md5Answer(auth::md5Stored("u", "p"), "tlas"));
+}
+
+}  // namespace
+}  // namespace sablespur
