--- a/fuzz/translate.cpp
+++ b/fuzz/translate.cpp
@@ -26,8 +26,9 @@
     if (there.size() < size) std::abort();
     const auto n = translate::countParameters(text, backslashes);
     if (n && *n < 64) {
-      const std::vector<std::string> literals(*n, "1");
-      if (const auto out = translate::substitute(text, backslashes, literals, 4096);
+      std::string why;
+      const std::vector<translate::Parameter> parameters(*n, {std::string_view("it's"), 0, false});
+      if (const auto out = translate::substitute(text, backslashes, parameters, 4096, why);
           out && out->size() > 4096)
         std::abort();
     }
--- /dev/null
+++ b/lab/speaker.cpp
@@ -0,0 +1,227 @@
+#include "lab/speaker.hpp"
+
+#include <cstdlib>
+
+#include "auth/scram.hpp"
+#include "wire/pg/extended.hpp"
+#include "wire/pg/pg.hpp"
+#include "wire/pg/startup.hpp"
+#include "wire/pg2/pg2.hpp"
+
+namespace sablespur::lab {
+namespace {
+
+std::string withType(char type, std::string_view body) { return pg::message(type, body); }
+
+}  // namespace
+
+struct Speaker::Login {
+  auth::ScramClient scram;
+  bool verified = false;
+};
+
+std::optional<Version> versionOf(std::string_view text) {
+  if (text == "2.0") return Version::V20;
+  if (text == "3.0") return Version::V30;
+  if (text == "3.2") return Version::V32;
+  return std::nullopt;
+}
+
+std::string Speaker::hello() const {
+  if (version_ == Version::V20) return pg2::startup({pg2::kVersion, who_.database, who_.user, who_.options});
+  pg::Startup s;
+  s.minor = version_ == Version::V32 ? 2 : 0;
+  s.user = who_.user;
+  s.database = who_.database;
+  s.settings = who_.settings;
+  if (!who_.options.empty()) s.settings.emplace_back("options", who_.options);
+  return pg::startup(s);
+}
+std::string Speaker::query(std::string_view statement) const {
+  return version_ == Version::V20 ? pg2::query(statement) : pg::query(statement);
+}
+std::string Speaker::extended(std::string_view statement, const std::vector<Bound>& bound,
+                              bool binaryResults) const {
+  std::vector<std::uint32_t> types;
+  pg::Bind b;
+  for (const Bound& p : bound) {
+    types.push_back(p.type);
+    b.formats.push_back(p.binary ? 1 : 0);
+    b.values.push_back(p.value ? std::optional<std::string_view>(*p.value) : std::nullopt);
+  }
+  if (binaryResults) b.results = {1};
+  return pg::parseMessage("", statement, types) + pg::bindMessage(b) + pg::describeMessage({true, ""}) +
+         pg::executeMessage({"", 0}) + pg::syncMessage();
+}
+std::string Speaker::cancel() const { return cancelWith(process_, secret_); }
+std::string Speaker::cancelWith(std::uint32_t process, std::string_view secret) const {
+  if (version_ == Version::V20) return pg2::cancel({process, pg::readInt32(secret.data())});
+  return pg::cancel({process, std::string(secret)});
+}
+
+Reply Speaker::takeReply() {
+  Reply r = std::move(reply_);
+  reply_ = {};
+  return r;
+}
+
+Speaker::Got Speaker::take(std::string& in, std::string& send) {
+  return version_ == Version::V20 ? take2(in, send) : take3(in, send);
+}
+
+// A login's request. False: it cannot be met.
+bool Speaker::login(std::uint32_t request, std::string_view body, std::string& send) {
+  const auto say = [&](const std::string& text) {
+    send += version_ == Version::V20 ? pg2::password(text) : withType('p', text + '\0');
+  };
+  switch (request) {
+    case 0:
+      return !login_ || login_->verified;
+    case 3:
+      say(who_.password);
+      return true;
+    case 5:
+      say(auth::md5Answer(auth::md5Stored(who_.user, who_.password), body.substr(0, 4)));
+      return true;
+    case 10: {
+      if (body.find(auth::kScram) == std::string_view::npos) return false;
+      login_ =
+          std::make_shared<Login>(Login{auth::ScramClient("", "standinnonce" + std::to_string(std::rand()))});
+      const std::string first = login_->scram.first();
+      std::string m = std::string(auth::kScram) + '\0';
+      for (int shift = 24; shift >= 0; shift -= 8) m.push_back(static_cast<char>(first.size() >> shift));
+      send += withType('p', m + first);
+      return true;
+    }
+    case 11: {
+      const auto c = login_ ? login_->scram.challenged(body, why_) : std::nullopt;
+      if (!c) return false;
+      send += withType('p', login_->scram.final(auth::saltPassword(who_.password, c->salt, c->iterations)));
+      return true;
+    }
+    case 12:
+      return login_ && (login_->verified = login_->scram.verify(body, why_));
+    default:
+      return false;
+  }
+}
+
+Speaker::Got Speaker::take2(std::string& in, std::string& send) {
+  if (!reader_) reader_ = std::make_shared<pg2::Reader>();
+  auto& reader = *static_cast<pg2::Reader*>(reader_.get());
+  std::size_t size = 0;
+  bool bad = false;
+  while (const auto m = reader.take(in, size, bad)) {
+    in.erase(0, size);
+    reply_.seen += m->type;
+    if (m->type == 'R' && !login(m->number, m->text, send)) return Got::Broken;
+    if (m->type == 'K') {
+      process_ = m->key.process;
+      secret_.clear();
+      for (int shift = 24; shift >= 0; shift -= 8) secret_.push_back(static_cast<char>(m->key.key >> shift));
+    }
+    if (m->type == 'T') {
+      reply_.types.clear();
+      for (const auto& c : m->columns) reply_.types.push_back(c.type);
+    }
+    if (m->type == 'D' || m->type == 'B') reply_.rows.push_back(m->row);
+    if (m->type == 'C') reply_.tag = m->text;
+    if (m->type == 'E') {
+      reply_.error = m->text;
+      const std::size_t retry = m->text.find("\nRETRY:  ");
+      if (retry != std::string::npos) reply_.comeBackMs = std::atoi(m->text.c_str() + retry + 9);
+    }
+    if (m->type == 'Z') return Got::Ready;
+  }
+  if (bad) why_ = "no message of 2.0";
+  return bad ? Got::Broken : Got::More;
+}
+
+Speaker::Got Speaker::take3(std::string& in, std::string& send) {
+  const auto broken = [&](const char* why) {
+    why_ = why;
+    return Got::Broken;
+  };
+  for (;;) {
+    if (in.size() < 5) return Got::More;
+    const std::size_t length = pg::readInt32(in.data() + 1);
+    if (length < 4 || length > (8u << 20)) return broken("a length that is none");
+    if (in.size() < 1 + length) return Got::More;
+    const char type = in[0];
+    const std::string body = in.substr(5, length - 4);
+    in.erase(0, 1 + length);
+    reply_.seen += type;
+    switch (type) {
+      case 'R':
+        if (body.size() < 4 || !login(pg::readInt32(body.data()), std::string_view(body).substr(4), send))
+          return broken("a login that cannot be met");
+        break;
+      case 'K': {
+        const auto key = pg::parseKeyData(body);
+        if (!key || (version_ == Version::V30 && key->secret.size() != 4)) return broken("a malformed key");
+        process_ = key->process;
+        secret_ = key->secret;
+        break;
+      }
+      case 'v': {
+        const auto minor = pg::parseNegotiate(body);
+        if (!minor) return broken("a malformed negotiation");
+        minor_ = *minor;
+        break;
+      }
+      case 'T': {
+        reply_.types.clear();
+        columns_ = static_cast<unsigned char>(body[0]) << 8 | static_cast<unsigned char>(body[1]);
+        std::size_t at = 2;
+        for (std::size_t k = 0; k < columns_; ++k) {
+          at = body.find('\0', at);
+          if (at == std::string::npos || body.size() < at + 19) return broken("a malformed description");
+          reply_.types.push_back(pg::readInt32(body.data() + at + 7));
+          at += 19;
+        }
+        break;
+      }
+      case 'D': {
+        if (body.size() < 2) return broken("a malformed row");
+        const std::size_t n = static_cast<unsigned char>(body[0]) << 8 | static_cast<unsigned char>(body[1]);
+        std::vector<std::optional<std::string>> row;
+        std::size_t at = 2;
+        for (std::size_t k = 0; k < n; ++k) {
+          if (body.size() < at + 4) return broken("a malformed row");
+          const std::uint32_t size = pg::readInt32(body.data() + at);
+          at += 4;
+          if (size == 0xffffffff) {
+            row.emplace_back();
+            continue;
+          }
+          if (size > body.size() - at) return broken("a malformed row");
+          row.emplace_back(body.substr(at, size));
+          at += size;
+        }
+        reply_.rows.push_back(std::move(row));
+        break;
+      }
+      case 'C':
+        reply_.tag = body.c_str();
+        break;
+      case 'E':
+        for (std::size_t at = 0; at < body.size() && body[at] != '\0';) {
+          const char field = body[at];
+          const std::string text = body.c_str() + at + 1;
+          at += text.size() + 2;
+          if (field == 'C') reply_.code = text;
+          if (field == 'M') reply_.error = text;
+          if (field == 'D' && !text.empty() && text.find_first_not_of("0123456789") == std::string::npos)
+            reply_.comeBackMs = std::atoi(text.c_str());
+        }
+        break;
+      case 'Z':
+        return Got::Ready;
+      default:
+        if (std::string_view("SNI123nst").find(type) == std::string_view::npos)
+          return broken("a message that 3.0 does not know");
+    }
+  }
+}
+
+}  // namespace sablespur::lab
--- /dev/null
+++ b/lab/speaker.hpp
@@ -0,0 +1,79 @@
+// The client's side of one protocol version, for stand-in clients: what it sends, and how it reads what
+// comes. Pure. Written from the protocol's description, apart from the proxy's own front.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace sablespur::lab {
+
+enum class Version { V20, V30, V32 };
+std::optional<Version> versionOf(std::string_view text);  // "2.0", "3.0", "3.2"
+
+struct Reply {
+  std::vector<std::vector<std::optional<std::string>>> rows;
+  std::vector<std::uint32_t> types;
+  std::string tag, code, error;  // of 2.0 there is no code
+  std::optional<int> comeBackMs;
+  std::string seen;  // the messages' types, in order
+};
+
+struct Identity {
+  std::string user = "desk", database = "ledger", password;
+  std::vector<std::pair<std::string, std::string>> settings;
+  std::string options;
+};
+
+// A parameter of an extended query; nothing: null.
+struct Bound {
+  std::optional<std::string> value;
+  std::uint32_t type = 0;
+  bool binary = false;
+};
+
+class Speaker {
+ public:
+  Speaker(Version v, Identity who) : version_(v), who_(std::move(who)) {}
+  Version version() const { return version_; }
+  std::string hello() const;
+  std::string query(std::string_view statement) const;
+  // Parse, Bind, Describe of the portal, Execute and Sync of the unnamed statement; 3.x alone.
+  std::string extended(std::string_view statement, const std::vector<Bound>&,
+                       bool binaryResults = false) const;
+  std::string cancel() const;  // with the key that was told
+  std::string cancelWith(std::uint32_t process, std::string_view secret) const;
+
+  // Reads what has come and takes it out of `in`; `send` gets what a login wants said at once. Ready: the
+  // proxy waits for the next request, and reply() is whole.
+  enum class Got { More, Ready, Broken };
+  Got take(std::string& in, std::string& send);
+  const Reply& reply() const { return reply_; }
+  Reply takeReply();
+  std::uint32_t process() const { return process_; }
+  const std::string& secret() const { return secret_; }
+  int minor() const { return minor_; }             // what was agreed
+  const std::string& why() const { return why_; }  // Broken
+
+ private:
+  Got take2(std::string& in, std::string& send);
+  Got take3(std::string& in, std::string& send);
+  bool login(std::uint32_t request, std::string_view body, std::string& send);
+
+  const Version version_;
+  const Identity who_;
+  Reply reply_;
+  std::uint32_t process_ = 0;
+  std::string secret_, why_;
+  int minor_ = 0;
+  struct Login;
+  std::shared_ptr<Login> login_;
+  std::size_t columns_ = 0;
+  std::shared_ptr<void> reader_;  // of 2.0
+};
+
+}  // namespace sablespur::lab
--- a/src/back/pg/upstream.cpp
+++ b/src/back/pg/upstream.cpp
@@ -10,6 +10,10 @@
 #include <optional>
 
 #include "log/log.hpp"
+#include "translate/settings.hpp"
+#include "translate/values.hpp"
+#include "wire/pg/codec.hpp"
+#include "wire/pg/startup.hpp"
 
 namespace sablespur {
 namespace {
@@ -25,6 +29,8 @@
 // An answer whose first byte has come is whole by then: a data server writes it in one go. Guards against
 // lengths that promise more than comes.
 constexpr Time kWhole = std::chrono::milliseconds(250);
+// Guards the memory: answers of any number of rows are held whole until they are complete.
+constexpr std::size_t kLongestAnswer = 256 << 10;
 constexpr int kProbeTries = 4;        // connections that a probe may lose
 constexpr double kMostHeld = 100000;  // requests that a data server may say it holds
 
@@ -63,14 +69,19 @@
 // A connection belongs to its Upstream, which frees it; a job on it is only pointed at.
 class Upstream::Connection {
  public:
-  Connection(Upstream& owner, MemberId to, const Address& address)
+  Connection(Upstream& owner, MemberId to, const Address& address, int minor)
       : owner_(owner),
         member(to),
+        minor_(minor),
         timer(event_new(
             owner.base_, -1, 0,
             [](evutil_socket_t, short, void* self) { static_cast<Connection*>(self)->late(); }, this)) {
     bev_.reset(bufferevent_socket_new(owner.base_, -1, BEV_OPT_CLOSE_ON_FREE));
-    append(output(), pg::startup("api", "ledger"));
+    pg::Startup hello;
+    hello.minor = minor;
+    hello.user = owner.config_.serverUser;
+    hello.database = owner.config_.serverDatabase;
+    append(output(), pg::startup(hello));
     bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
     const bool refused =
         bufferevent_socket_connect(bev_.get(), address.data(), static_cast<int>(address.size())) != 0;
@@ -111,7 +122,10 @@
     role_ = Role::Unknown;
     positionMs_ = 0;
     report_.reset();
+    columns_ = 0;
   }
+  bool backslashes() const { return backslashes_; }
+  int minor() const { return minor_; }
 
  private:
   void event(short what) {
@@ -135,19 +149,17 @@
       if (evbuffer_copyout(in, bytes, sizeof bytes) < static_cast<ev_ssize_t>(sizeof bytes)) break;
       const auto head = pg::parseHead(bytes);
       // Judged by its head, before the rest is read: it may promise gigabytes.
-      if (!head || !due(head->type) ||
-          head->body > (head->type == 'D' ? pg::kRowHead + pg::kLongestValue : pg::kLongestNote))
+      if (!head || !due(head->type) || head->body > longest(head->type))
         return owner_.spoilt(*this, "a message that is none");
       const std::size_t whole = sizeof bytes + head->body;
+      if (!dialing && evbuffer_get_length(answer_.get()) + whole > kLongestAnswer)
+        return owner_.tooLong(*this);
       if (evbuffer_get_length(in) < whole) break;
       // Only the answer's own messages go on to the client. A row is moved, its value unread, but for a
       // probe's.
       if (head->type == 'D' && !job->probe()) {
-        char row[pg::kHead + pg::kRowHead];
-        char columns[pg::kRowHead];
-        const bool enough = evbuffer_copyout(in, row, sizeof row) == static_cast<ev_ssize_t>(sizeof row);
-        std::copy(row + pg::kHead, row + sizeof row, columns);
-        if (!enough || !pg::isRowHead(columns, head->body)) return owner_.spoilt(*this, "a malformed row");
+        if (!(strict() ? isValue(in, head->body) : isRow(in, head->body)))
+          return owner_.spoilt(*this, "a malformed row");
         stage_ = Stage::Row;
         evbuffer_remove_buffer(in, answer_.get(), whole);
         continue;
@@ -170,6 +182,44 @@
       startTimer(timer.get(), kWhole);
   }
 
+  // One row of one column, no more and no less.
+  bool strict() const { return job->probe() || !owner_.config_.anyRows; }
+  std::size_t longest(char type) const {
+    const bool any = !dialing && !strict();
+    if (type == 'D') return any ? pg::kLongestMessage : pg::kRowHead + pg::kLongestValue;
+    return any && type == 'T' ? pg::kLongestMessage : pg::kLongestNote;
+  }
+  static bool isValue(evbuffer* in, std::size_t body) {
+    char row[pg::kHead + pg::kRowHead];
+    char columns[pg::kRowHead];
+    const bool enough = evbuffer_copyout(in, row, sizeof row) == static_cast<ev_ssize_t>(sizeof row);
+    std::copy(row + pg::kHead, row + sizeof row, columns);
+    return enough && pg::isRowHead(columns, body);
+  }
+  // Whether the lengths within a row fit; the values are not looked at.
+  bool isRow(evbuffer* in, std::size_t body) const {
+    evbuffer_ptr at;
+    char n[4];
+    if (body < 2 || evbuffer_ptr_set(in, &at, pg::kHead, EVBUFFER_PTR_SET) != 0 ||
+        evbuffer_copyout_from(in, &at, n, 2) != 2 ||
+        (static_cast<unsigned char>(n[0]) << 8 | static_cast<unsigned char>(n[1])) !=
+            static_cast<int>(columns_))
+      return false;
+    std::size_t left = body - 2, skip = 2;
+    for (std::size_t k = 0; k < columns_; ++k) {
+      if (left < 4 || evbuffer_ptr_set(in, &at, skip, EVBUFFER_PTR_ADD) != 0 ||
+          evbuffer_copyout_from(in, &at, n, 4) != 4)
+        return false;
+      const std::uint32_t length = pg::readInt32(n);
+      const std::size_t value = length == 0xffffffff ? 0 : length;  // null
+      left -= 4;
+      if (value > left) return false;
+      left -= value;
+      skip = 4 + value;
+    }
+    return left == 0;
+  }
+
   // Whether a message of this type may come now: an answer is a description, a row, its completion, or an
   // error instead, and then ReadyForQuery.
   bool due(char type) const {
@@ -180,12 +230,14 @@
       case 'R':
       case 'K':
         return dialing;
+      case 'v':
+        return dialing && minor_ > 0;
       case 'T':
         return !dialing && stage_ == Stage::Start;
       case 'D':
-        return !dialing && stage_ == Stage::Described;
+        return !dialing && (stage_ == Stage::Described || (stage_ == Stage::Row && !strict()));
       case 'C':
-        return !dialing && stage_ == Stage::Row;
+        return !dialing && (stage_ == Stage::Row || (stage_ < Stage::Row && !strict()));
       case 'E':
         return dialing || stage_ < Stage::Complete;
       case 'Z':
@@ -215,6 +267,15 @@
         if (result_ == Result::Error && e.code != "XX000")
           logEvent(LogLevel::Warning, "server_error", {{"code", e.code}, {"text", e.text}});
         failure_ = result_;
+        // A server from before versions were negotiated: it is spoken to in 3.0 from now on.
+        if (dialing && minor_ > 0 && e.code == "0A000") {
+          owner_.dialOlder(*this);
+          return false;
+        }
+        if (!dialing && badStatement_ && owner_.config_.tellStatementErrors) {
+          evbuffer_drain(answer_.get(), evbuffer_get_length(answer_.get()));
+          append(answer_.get(), pg::message('E', body));
+        }
         if (!dialing && e.severity != "FATAL") return true;
         owner_.lost(*this, result_);
         return false;
@@ -224,6 +285,7 @@
         if (name.empty()) return malformed("a malformed parameter");
         if (name == "role")
           role_ = value == "primary" ? Role::Primary : value == "replica" ? Role::Replica : Role::Unknown;
+        if (name == "standard_conforming_strings") backslashes_ = value == "off";
         if (name == "applied_ms") {
           const char* const end = value.data() + value.size();
           const auto [stop, error] = std::from_chars(value.data(), end, positionMs_);
@@ -237,7 +299,8 @@
         owner_.lost(*this, Result::ConnectFailed);
         return false;
       case 'T':
-        if (!pg::isRowDescription(body)) return malformed("a malformed description");
+        if (strict() ? !pg::isRowDescription(body) : !described(body))
+          return malformed("a malformed description");
         stage_ = Stage::Described;
         return true;
       case 'D':
@@ -245,9 +308,15 @@
         stage_ = Stage::Row;
         return true;
       case 'C':
-        if (!pg::isTag(body, !job->probe())) return malformed("a malformed completion");
+        if (!pg::isTag(body, strict() && !job->probe())) return malformed("a malformed completion");
         stage_ = Stage::Complete;
         return true;
+      case 'v': {
+        const auto spoken = pg::parseNegotiate(body);
+        if (!spoken || *spoken > minor_) return malformed("a malformed negotiation");
+        owner_.endpoints_[member].minor = minor_ = *spoken;
+        return true;
+      }
       case 'Z':
         if (body.size() != 1 || std::string_view("ITE").find(body[0]) == std::string_view::npos)
           return malformed("a malformed end");
@@ -259,6 +328,13 @@
     }
   }
 
+  bool described(std::string_view body) {
+    std::vector<translate::Column> columns;
+    if (!pg::readColumns(body, columns)) return false;
+    columns_ = columns.size();
+    return true;
+  }
+
   void conclude() {
     Job& j = *job;
     job = nullptr;
@@ -270,7 +346,8 @@
     e.badStatement = badStatement_;
     e.role = role_;
     e.positionMs = positionMs_;
-    if (e.result == Result::Ok) e.answer = std::move(answer_);
+    if (e.result == Result::Ok || evbuffer_get_length(answer_.get()) > 0)
+      e.answer = {std::move(answer_), &pg::reader(), e.result != Result::Ok};
     owner_.finish(j, std::move(e));
   }
 
@@ -284,9 +361,16 @@
   Role role_ = Role::Unknown;
   std::int64_t positionMs_ = 0;
   std::optional<std::string> report_;
+  std::size_t columns_ = 0;   // as described
+  bool backslashes_ = false;  // by its own word
 
  public:
   const MemberId member;
+
+ private:
+  int minor_;  // of version 3, as asked for, then as agreed
+
+ public:
   bool dialing = true;  // no ReadyForQuery has come yet
   Job* job = nullptr;
   Event timer;  // of the dial, then of idleness
@@ -334,7 +418,7 @@
 }
 
 void Upstream::dial(MemberId id, Endpoint& e) {
-  auto c = std::make_unique<Connection>(*this, id, e.address);
+  auto c = std::make_unique<Connection>(*this, id, e.address, std::min(e.minor, config_.serverMinor));
   ++e.dialing;
   connections_.emplace(c.get(), std::move(c));
 }
@@ -440,17 +524,53 @@
   evbuffer* const out = j.on->output();
   j.written = true;
   if (j.probe()) return append(out, pg::query("SHOW load"));
+  const bool backslashes = j.message->from && j.message->from->backslashes;
+  if (backslashes != j.on->backslashes()) return rewrite(j);
   // The statement goes on as it came, by reference, but for the time that is left.
   const auto left = std::max<std::int64_t>((j.until - engine_.now()).count() / 1000, 1);
   const std::string digits = std::to_string(left);
-  const std::size_t length = evbuffer_get_length(j.message->before.get()) + digits.size() +
+  const std::size_t before = evbuffer_get_length(j.message->before.get()),
+                    length = before + (before > 0 ? digits.size() : 0) +
                              evbuffer_get_length(j.message->after.get());
   append(out, pg::queryHead(length));
   evbuffer_add_buffer_reference(out, j.message->before.get());
-  append(out, digits);
+  if (before > 0) append(out, digits);  // else the statement does not say how long it waits
   evbuffer_add_buffer_reference(out, j.message->after.get());
 }
 
+// For a server that reads string literals otherwise than who wrote them.
+void Upstream::rewrite(Job& j) {
+  std::string statement;
+  const auto copy = [&](evbuffer* part) {
+    const std::size_t at = statement.size(), n = evbuffer_get_length(part);
+    statement.resize(at + n);
+    evbuffer_copyout(part, statement.data() + at, n);
+  };
+  copy(j.message->before.get());
+  if (!statement.empty())
+    statement += std::to_string(std::max<std::int64_t>((j.until - engine_.now()).count() / 1000, 1));
+  copy(j.message->after.get());
+  statement.pop_back();  // its NUL
+  const std::string there = translate::rewriteLiterals(statement, !j.on->backslashes(), j.on->backslashes());
+  if (there.size() + 1 > pg::kLongestMessage) return tooLong(*j.on);
+  append(j.on->output(), pg::query(there));
+}
+
+// By no fault of the server: the statement, or what it asks for, has no room here.
+void Upstream::tooLong(Connection& c) {
+  Job& j = *c.job;
+  c.job = nullptr;
+  j.on = nullptr;
+  drop(c);
+  Ending e;
+  e.result = Result::Error;
+  e.badStatement = true;
+  e.answer = {newBuffer(), &pg::reader(), true};
+  append(e.answer.messages.get(),
+         pg::error("ERROR", "54000", "a statement or an answer that is too long to be passed on"));
+  finish(j, std::move(e));
+}
+
 void Upstream::cancel(RequestId id, int attempt) {
   const auto it = attempts_.find({id, attempt});
   if (it == attempts_.end()) return;  // its end is on the way already
@@ -571,6 +691,14 @@
   finish(*j, std::move(ending));
 }
 
+void Upstream::dialOlder(Connection& c) {
+  const MemberId id = c.member;
+  Endpoint& e = endpoints_[id];
+  e.minor = 0;
+  drop(c);
+  dial(id, e);
+}
+
 void Upstream::dialFailed(Endpoint& e, Result how) {
   e.dialAgain = engine_.now() + kDialAgain;
   if (e.waiting.size() <= static_cast<std::size_t>(e.dialing)) return;
--- a/src/back/pg/upstream.hpp
+++ b/src/back/pg/upstream.hpp
@@ -36,6 +36,7 @@
     std::vector<Connection*> idle;  // the last one used comes last
     std::deque<Job*> waiting;       // for a connection
     int dialing = 0;
+    int minor = 2;     // of version 3, the newest that it is known to speak
     Time dialAgain{};  // no connection is opened in advance before then
     std::unique_ptr<Job> probe;
   };
@@ -45,8 +46,11 @@
   void dial(MemberId, Endpoint&);
   bool stands(Connection&);  // dialed or released: takes the next job or idles; false: it was dropped
   void write(Job&);
+  void rewrite(Job&);
+  void tooLong(Connection&);                   // ends its job
   void lost(Connection&, Result);              // its end; tells that of its job
   void spoilt(Connection&, const char* what);  // the same, by what it sent
+  void dialOlder(Connection&);                 // in place of one that was turned down for its version
   void dialFailed(Endpoint&, Result);
   void timedOut(Job&);
   void finish(Job&, Ending);  // the end of a job, told once
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -58,8 +58,14 @@
   Time idleClose{};                      // data servers close what stands idle for so long
   bool sessions = false;                 // some class needs to know a request's session
   Source source = Source::Registry;
-  DnsSdSettings dnssd;            // of Source::DnsSd
-  std::vector<GroupName> groups;  // those that have a name
+  DnsSdSettings dnssd;               // of Source::DnsSd
+  std::vector<GroupName> groups;     // those that have a name
+  bool extended = false;             // the extended query sub-protocol is spoken with clients
+  bool version2 = false;             // protocol 2.0 is spoken with clients
+  bool anyRows = false;              // answers may have any number of columns and rows; else one of each
+  bool tellStatementErrors = false;  // a data server's word on a bad statement is passed on
+  int serverMinor = 0;               // of version 3, asked of data servers
+  std::string serverUser = "api", serverDatabase = "ledger";
   LogForm logForm = LogForm::Logfmt;
   LogLevel logLevel = LogLevel::Info;
 };
--- a/src/config/keys.cpp
+++ b/src/config/keys.cpp
@@ -232,6 +232,20 @@
        "Leave it at "
        "no unless the list is known to lose servers that run."},
 
+      {"data_servers", "protocol", Kind::Choice, "3.0", 0, 0, "3.0 3.2",
+       [](Draft& d, const KeyValue& v) { d.config.serverMinor = word(v) == "3.2" ? 2 : 0; },
+       "The version that is asked of data servers. One that knows only 3.0 is spoken to in 3.0."},
+      {"data_servers", "user", Kind::Text, "api", 0, 0, "",
+       [](Draft& d, const KeyValue& v) { d.config.serverUser = word(v); },
+       "As whom the proxy logs in there."},
+      {"data_servers", "database", Kind::Text, "ledger", 0, 0, "",
+       [](Draft& d, const KeyValue& v) { d.config.serverDatabase = word(v); }, "And to which database."},
+      {"data_servers", "answers", Kind::Choice, "rows", 0, 0, "value rows",
+       [](Draft& d, const KeyValue& v) { d.config.anyRows = word(v) == "rows"; },
+       "Any number of columns and rows, 256 KiB at most; or always one row of one column, so that anything "
+       "else is "
+       "taken for a spoilt answer."},
+
       {"clients", "come_again", Kind::Flag, "yes", 0, 0, "",
        [](Draft& d, const KeyValue& v) { d.config.settings.retryAfter = as<bool>(v); },
        "Whether refusals tell when to come back (field D, in ms)."},
@@ -244,6 +258,20 @@
        "what it "
        "served each session."},
 
+      {"clients", "extended_queries", Kind::Flag, "yes", 0, 0, "",
+       [](Draft& d, const KeyValue& v) { d.config.extended = as<bool>(v); },
+       "Whether Parse, Bind, Execute and the like are taken. Each execution goes on as one simple query."},
+      {"clients", "version_2", Kind::Flag, "yes", 0, 0, "",
+       [](Draft& d, const KeyValue& v) { d.config.version2 = as<bool>(v); },
+       "Whether clients that speak protocol 2.0 are taken. They can't be told a SQLSTATE, nor what else 2.0 "
+       "has no "
+       "place for."},
+      {"clients", "statement_errors", Kind::Choice, "told", 0, 0, "told hidden",
+       [](Draft& d, const KeyValue& v) { d.config.tellStatementErrors = word(v) == "told"; },
+       "A statement that a data server turns away for what it says (classes 22 and 42): its error is passed "
+       "on in the "
+       "client's form, or the client gets 40003."},
+
       {"rules", "drain_grace", Kind::Duration, "1s", 0, kHour, "",
        [](Draft& d, const KeyValue& v) { d.config.settings.drainGrace = time(v); },
        "Nothing new to a data server later than this after it was told that it drains or is gone."},
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -142,10 +142,10 @@
   if (e.ending.role == Role::Replica) o.note |= 2;
   if (it != held_.end() && o.closed) {
     Requester* const asker = it->second.asker;
-    if (asker && e.ending.badStatement)
+    if (asker && e.ending.badStatement && !e.ending.answer.messages)
       actions_.emplace_back([asker] { asker->failed(); });
     else if (asker)
-      actions_.emplace_back([asker, answer = std::make_shared<Buffer>(std::move(e.ending.answer))] {
+      actions_.emplace_back([asker, answer = std::make_shared<Answer>(std::move(e.ending.answer))] {
         asker->served(std::move(*answer));
       });
     held_.erase(it);
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -15,6 +15,11 @@
 #include "core/event.hpp"
 #include "knotstack/balancer.hpp"
 
+namespace sablespur::translate {
+class AnswerReader;
+struct Side;
+}  // namespace sablespur::translate
+
 namespace sablespur {
 
 using knotstack::MemberId;
@@ -24,13 +29,22 @@
 // A request as it goes on to a member; between the two parts stands what is left of its time, in ms.
 struct Message {
   Buffer before, after;
+  std::shared_ptr<const translate::Side>
+      from;  // what its writer said of itself; null: what everyone takes for granted
+};
+
+// What a member answered, as it came; the engine passes it on unseen.
+struct Answer {
+  Buffer messages;
+  const translate::AnswerReader* reader = nullptr;  // of the form that they are in
+  bool problem = false;                             // one error, for what the statement says
 };
 
 // Whoever asked. It says so by Engine::left when it goes before it got one of these, once.
 class Requester {
  public:
   virtual ~Requester() = default;
-  virtual void served(Buffer answer) = 0;
+  virtual void served(Answer) = 0;
   virtual void refused(Time retryAfter) = 0;  // 0: no word on when to come back
   virtual void failed() = 0;
 };
@@ -63,7 +77,7 @@
   Role role = Role::Unknown;
   std::int64_t positionMs = 0;  // Unix time; 0: not told
   bool badStatement = false;    // the member turned the statement away for what it says
-  Buffer answer;                // Result::Ok only
+  Answer answer;                // Result::Ok; with badStatement the error, if it is to be told
 };
 
 // Positions as the module takes them: after a zero that is near, rounded down, 0 where there is none.
--- a/src/front/pg/clients.hpp
+++ b/src/front/pg/clients.hpp
@@ -8,9 +8,12 @@
 
 #include "core/engine.hpp"
 #include "core/event.hpp"
+#include "wire/pg/startup.hpp"
 
 namespace sablespur {
 
+class Session;
+
 class Clients {
  public:
   Clients(event_base*, Engine&, const Config&);  // throws std::runtime_error where it cannot listen
@@ -21,7 +24,7 @@
   int port() const;
 
  private:
-  class Session;
+  friend class Session;
   void accepted(evutil_socket_t);
   void acceptFailed();
   void closed(Session&);
@@ -29,6 +32,8 @@
   bool makeRoom();
   void round();
   void firstAsked(const Session& by);
+  pg::Key newKey(Session&, std::size_t length);  // the session takes it out of keys_ at its end
+  void cancel(const pg::Key&);                   // by a CancelRequest; a wrong key changes nothing
   void stopListening();
 
   event_base* const base_;
@@ -41,7 +46,8 @@
   Event pause_, lastCall_, round_;
   bool draining_ = false;
   std::function<void()> done_;
-  std::unordered_set<std::string> openIds_;  // of the requests that are out
+  std::unordered_set<std::string> openIds_;           // of the requests that are out
+  std::unordered_map<std::uint32_t, Session*> keys_;  // by the process number that a session was told
   std::unordered_map<Session*, std::unique_ptr<Session>> sessions_;
 };
 
--- /dev/null
+++ b/src/front/pg/prepared.cpp
@@ -0,0 +1,189 @@
+#include "front/pg/prepared.hpp"
+
+#include "translate/parameters.hpp"
+#include "wire/pg/codec.hpp"
+#include "wire/pg/pg.hpp"
+
+namespace sablespur {
+namespace {
+
+// Guards the memory: a client that never closes what it prepares.
+constexpr std::size_t kMostNames = 256, kLongestColumns = 8192;
+
+Prepared::Said fault(const char* code, std::string text) { return {{}, code, std::move(text)}; }
+Prepared::Said malformed(const char* what) {
+  return fault("08P01", std::string("malformed ") + what + " message");
+}
+std::string quoted(std::string_view name) { return "\"" + std::string(name) + "\""; }
+
+bool blank(std::string_view text) { return text.find_first_not_of(" \t\r\n;") == std::string_view::npos; }
+
+// A RowDescription as the asker gets it, with its formats.
+std::string described(const std::string& body, const translate::Wanted& wanted) {
+  std::vector<translate::Column> columns;
+  if (!pg::readColumns(body, columns)) return pg::noData();
+  for (std::size_t k = 0; k < columns.size(); ++k) {
+    const auto& r = wanted.results;
+    columns[k].binary = r.size() == 1 ? r[0] == 1 : k < r.size() && r[k] == 1;
+  }
+  return pg::Codec(0).columns(columns);
+}
+
+}  // namespace
+
+void Prepared::drop(std::map<std::string, Statement, std::less<>>::iterator it) {
+  bytes_ -= it->second.text.size() + it->second.columns.size();
+  statements_.erase(it);
+}
+void Prepared::drop(std::map<std::string, Portal, std::less<>>::iterator it) {
+  bytes_ -= it->second.text.size();
+  portals_.erase(it);
+}
+
+Prepared::Said Prepared::parse(std::string_view body, bool backslashes) {
+  auto m = pg::parseParse(body);
+  if (!m) return malformed("Parse");
+  if (const auto old = statements_.find(m->name); old != statements_.end()) {
+    if (!m->name.empty()) return fault("42P05", "prepared statement " + quoted(m->name) + " already exists");
+    drop(old);
+  }
+  if (statements_.size() >= kMostNames)
+    return fault("53400", "too many prepared statements, " + std::to_string(kMostNames) + " at most");
+  const auto n = translate::countParameters(m->statement, backslashes);
+  if (!n) return fault("42P02", "a parameter's number is out of range");
+  Statement s;
+  s.text = std::string(m->statement);
+  s.types = std::move(m->types);
+  s.parameters = std::max(*n, s.types.size());
+  bytes_ += s.text.size();
+  statements_.emplace(std::string(m->name), std::move(s));
+  return {pg::parseComplete(), nullptr, {}};
+}
+
+Prepared::Said Prepared::bind(std::string_view body, bool backslashes, std::size_t longest) {
+  auto m = pg::parseBind(body);
+  if (!m) return malformed("Bind");
+  const auto it = statements_.find(m->statement);
+  if (it == statements_.end())
+    return fault("26000", "prepared statement " + quoted(m->statement) + " does not exist");
+  const Statement& s = it->second;
+  if (m->values.size() != s.parameters)
+    return fault("08P01", "bind message supplies " + std::to_string(m->values.size()) +
+                              " parameters, but prepared statement " + quoted(m->statement) + " requires " +
+                              std::to_string(s.parameters));
+  for (const std::int16_t f : m->results)
+    if (f != 0 && f != 1) return malformed("Bind");
+  if (const auto old = portals_.find(m->portal); old != portals_.end()) {
+    if (!m->portal.empty()) return fault("42P03", "portal " + quoted(m->portal) + " already exists");
+    drop(old);
+  }
+  if (portals_.size() >= kMostNames)
+    return fault("53400", "too many portals, " + std::to_string(kMostNames) + " at most");
+  std::vector<translate::Parameter> parameters;
+  for (std::size_t k = 0; k < m->values.size(); ++k)
+    parameters.push_back({m->values[k], k < s.types.size() ? s.types[k] : 0, m->binary(k)});
+  std::string why;
+  auto text = translate::substitute(s.text, backslashes, parameters, longest, why);
+  if (!text) return fault("0A000", why);
+  Portal p;
+  p.statement = std::string(m->statement);
+  p.text = std::move(*text);
+  p.wanted.results = std::move(m->results);
+  bytes_ += p.text.size();
+  portals_.emplace(std::string(m->portal), std::move(p));
+  return {pg::bindComplete(), nullptr, {}};
+}
+
+Prepared::Said Prepared::describe(std::string_view body) {
+  const auto m = pg::parseTarget(body);
+  if (!m) return malformed("Describe");
+  if (m->portal) {
+    const auto it = portals_.find(m->name);
+    if (it == portals_.end()) return fault("34000", "portal " + quoted(m->name) + " does not exist");
+    it->second.describe = true;  // told with the answer of its Execute
+    return {};
+  }
+  const auto it = statements_.find(m->name);
+  if (it == statements_.end())
+    return fault("26000", "prepared statement " + quoted(m->name) + " does not exist");
+  const Statement& s = it->second;
+  if (!s.ran && !blank(s.text))
+    return fault("0A000",
+                 "Describe of a statement that has not run here is not supported; describe its portal");
+  std::vector<std::uint32_t> types = s.types;
+  types.resize(s.parameters);
+  for (std::uint32_t& t : types)
+    if (t == 0) t = translate::kText;
+  return {pg::parameterDescription(types) + (s.columns.empty() ? pg::noData() : described(s.columns, {})),
+          nullptr,
+          {}};
+}
+
+Prepared::Said Prepared::settle() {
+  std::string answer;
+  for (auto& [name, p] : portals_) {
+    if (!p.describe) continue;
+    p.describe = false;
+    const auto s = statements_.find(p.statement);
+    if (s == statements_.end() || !s->second.ran)
+      return fault("0A000", "Describe of a portal without its Execute is not supported");
+    answer += s->second.columns.empty() ? pg::noData() : described(s->second.columns, p.wanted);
+  }
+  return {answer, nullptr, {}};
+}
+
+Prepared::Said Prepared::close(std::string_view body) {
+  const auto m = pg::parseTarget(body);
+  if (!m) return malformed("Close");
+  if (m->portal) {
+    if (const auto it = portals_.find(m->name); it != portals_.end()) drop(it);
+  } else if (const auto it = statements_.find(m->name); it != statements_.end()) {
+    drop(it);
+  }
+  return {pg::closeComplete(), nullptr, {}};
+}
+
+Prepared::Said Prepared::execute(std::string_view body, std::optional<Asked>& asked) {
+  const auto m = pg::parseExecute(body);
+  if (!m) return malformed("Execute");
+  const auto it = portals_.find(m->portal);
+  if (it == portals_.end()) return fault("34000", "portal " + quoted(m->portal) + " does not exist");
+  Portal& p = it->second;
+  if (p.suspended) return fault("0A000", "Execute that goes on where a row limit stopped is not supported");
+  if (p.ran) return fault("55000", "portal " + quoted(m->portal) + " cannot be run anymore");
+  Asked a;
+  a.statement = blank(p.text) ? std::string() : p.text;
+  a.wanted = p.wanted;
+  a.described = p.describe;
+  a.mostRows = static_cast<std::size_t>(m->most);
+  p.describe = false;
+  p.ran = true;
+  last_ = std::string(m->portal);
+  asked = std::move(a);
+  return {};
+}
+
+void Prepared::executed(std::string_view columns, bool suspended) {
+  const auto p = portals_.find(last_);
+  if (p == portals_.end()) return;
+  p->second.suspended = suspended;
+  const auto s = statements_.find(p->second.statement);
+  if (s == statements_.end() || columns.size() > kLongestColumns) return;
+  s->second.ran = true;
+  bytes_ -= s->second.columns.size();
+  s->second.columns = std::string(columns);
+  bytes_ += columns.size();
+}
+
+Prepared::Said Prepared::sync() {
+  Said owed = settle();
+  while (!portals_.empty()) drop(portals_.begin());
+  return owed;
+}
+
+void Prepared::simpleQuery() {
+  if (const auto p = portals_.find(""); p != portals_.end()) drop(p);
+  if (const auto s = statements_.find(""); s != statements_.end()) drop(s);
+}
+
+}  // namespace sablespur
--- /dev/null
+++ b/src/front/pg/session.cpp
@@ -0,0 +1,582 @@
+#include "front/pg/session.hpp"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
+#include "front/pg/clients.hpp"
+#include "log/log.hpp"
+#include "wire/pg/codec.hpp"
+#include "wire/pg/pg.hpp"
+#include "wire/pg2/codec.hpp"
+#include "wire/pg2/pg2.hpp"
+
+namespace sablespur {
+namespace {
+
+constexpr std::size_t kTail = 512;       // the comment at a statement's end is shorter
+constexpr std::size_t kStart = 256;      // the quoted key at its start comes before
+constexpr timeval kWriteTimeout{10, 0};  // a client that takes nothing of its answer
+// A client that has not asked anything by then, or not sent the rest of what it began, is given up.
+constexpr Time kFirstAsk = std::chrono::milliseconds(2000), kHalfMessage = std::chrono::milliseconds(1500);
+// So long a new client is left to say who it is, however many others come.
+constexpr Time kNewcomer = std::chrono::milliseconds(25);
+// After its last word to a client that still sends, so much is read and thrown away before the close: closing
+// on unread input would reset the connection, and the error in it would be lost.
+constexpr Time kLinger = std::chrono::milliseconds(500);
+constexpr std::size_t kLingerBytes = 1 << 20;
+constexpr std::size_t kReadAhead = 16 << 10;  // read of a client before it is known what is coming
+constexpr std::size_t kUnread = 16 << 10;     // answers that a client has not read yet: no more is taken then
+constexpr std::uint32_t kLongestWaitMs = 3600 * 1000;
+constexpr std::size_t kGrowth =
+    64 << 10;  // of small answers, when their form changes; long ones at most double
+constexpr std::size_t kLongestSet = 1024;
+
+const pg::Codec kVersion30(0), kVersion32(2);
+const pg2::Codec kVersion20;
+
+std::uint64_t fnv1a(std::string_view text) {
+  std::uint64_t h = 0xcbf29ce484222325ull;
+  for (const unsigned char c : text) h = (h ^ c) * 0x100000001b3ull;
+  return h;
+}
+translate::Problem problem(const char* severity, const char* code, std::string_view text) {
+  translate::Problem p;
+  p.severity = severity;
+  p.code = code;
+  p.text = std::string(text);
+  return p;
+}
+
+}  // namespace
+
+Session::Session(Clients& owner, evutil_socket_t fd)
+    : owner_(owner),
+      bev_(bufferevent_socket_new(owner.base_, fd, BEV_OPT_CLOSE_ON_FREE)),
+      codec_(&kVersion30) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  bufferevent_setcb(
+      bev_.get(), [](bufferevent*, void* self) { static_cast<Session*>(self)->read(); },
+      [](bufferevent*, void* self) { static_cast<Session*>(self)->flushed(); },
+      [](bufferevent*, short what, void* self) { static_cast<Session*>(self)->event(what); }, this);
+  bufferevent_setwatermark(bev_.get(), EV_READ, 0, kReadAhead);
+  bufferevent_set_timeouts(bev_.get(), nullptr, &kWriteTimeout);
+  bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
+  lastActive_ = owner_.engine_.now();
+}
+Session::~Session() {
+  if (request_ != 0) owner_.engine_.left(request_);
+  owner_.asking_ -= asked_;
+  owner_.reserved_ -= held_;
+  owner_.keys_.erase(key_.process);
+  forget();
+  release();
+}
+
+// ---- answers
+// -------------------------------------------------------------------------------------------------
+void Session::served(Answer answer) {
+  request_ = 0;
+  write(std::move(answer));
+  answered();
+}
+void Session::refused(Time retryAfter) {
+  request_ = 0;
+  translate::Problem p = problem("ERROR", "53300", "no data server can take this request now");
+  const auto ms = (retryAfter.count() + 999) / 1000;
+  if (ms > 0) p.comeBackMs = static_cast<std::uint32_t>(ms);
+  tell(p);
+  answered();
+}
+void Session::failed() {
+  request_ = 0;
+  tell(problem("ERROR", "40003", "the request may have run; its outcome is unknown"));
+  answered();
+}
+void Session::cancelled() {
+  if (request_ == 0) return;  // its answer is out: there is nothing to give up
+  owner_.engine_.left(request_);
+  request_ = 0;
+  tell(problem("ERROR", "57014", "canceling statement due to user request"));
+  answered();
+}
+
+void Session::tell(const translate::Problem& p) {
+  append(output(), codec_->problem(p));
+  skipping_ = extended_;
+}
+
+// Where client and data server speak the same form, and nothing else was asked for, buffers are moved on
+// unread.
+void Session::write(Answer answer) {
+  evbuffer* const from = answer.messages.get();
+  const std::size_t length = evbuffer_get_length(from);
+  const auto whole = [&] {
+    return std::string_view(reinterpret_cast<const char*>(evbuffer_pullup(from, -1)), length);
+  };
+  if (answer.problem) return tell(answer.reader->problem(whole()));
+  const bool same =
+      speaks_ == Speaks::Version3 && answer.reader == &pg::reader() && wanted_.plain() && mostRows_ == 0;
+  if (same && !extended_) {
+    evbuffer_add_buffer(output(), from);
+    return;
+  }
+  std::string columns;
+  if (extended_ && answer.reader == &pg::reader()) {
+    char bytes[pg::kHead];
+    if (evbuffer_copyout(from, bytes, sizeof bytes) == sizeof bytes && bytes[0] == 'T') {
+      const auto head = pg::parseHead(bytes);
+      const auto* const at = evbuffer_pullup(from, static_cast<ev_ssize_t>(sizeof bytes + head->body));
+      columns.assign(reinterpret_cast<const char*>(at) + sizeof bytes, head->body);
+      if (same && !described_) evbuffer_drain(from, sizeof bytes + head->body);
+    }
+  }
+  if (extended_ && described_ && columns.empty()) append(output(), pg::noData());
+  if (same) {
+    evbuffer_add_buffer(output(), from);
+    return prepared_->executed(columns, false);
+  }
+  translate::Conversion conversion(*codec_, wanted_, described_, 2 * length + kGrowth, mostRows_);
+  if (!answer.reader->answer(whole(), conversion)) {
+    const std::string why = conversion.why().empty() ? "a malformed answer" : conversion.why();
+    logEvent(LogLevel::Warning, "not_translated", {{"why", why}});
+    return tell(problem("ERROR", "22P03", "the answer cannot be told: " + why));
+  }
+  append(output(), conversion.take());
+  if (!extended_) return;
+  if (conversion.suspended()) append(output(), pg::portalSuspended());
+  prepared_->executed(columns, conversion.suspended());
+}
+
+void Session::answered() {
+  forget();
+  release();
+  lastActive_ = owner_.engine_.now();
+  halfSince_ = Time(0);  // what waits behind is looked at next
+  if (!extended_) append(output(), codec_->ready());
+  extended_ = false;
+  wanted_ = {};
+  if (side_.bytea) wanted_.bytea = side_.bytea;
+  described_ = true;
+  mostRows_ = 0;
+  settle();
+}
+
+// ---- the connection
+// ------------------------------------------------------------------------------------------
+int Session::spare(Time now) {
+  if (lingering_) return 3;
+  if (request_ != 0 || ending_) return 0;
+  if (!asked_) return now - lastActive_ >= kNewcomer ? 2 : 0;
+  return idle() && evbuffer_get_length(output()) == 0 ? 1 : 0;
+}
+void Session::end() {
+  ending_ = true;
+  bufferevent_disable(bev_.get(), EV_READ);
+  if (evbuffer_get_length(output()) == 0) owner_.closed(*this);
+}
+bool Session::looksAlive(Time now) {
+  if (paused_ && !ending_ && evbuffer_get_length(input()) > 0) readSoon();
+  paused_ = false;
+  if (lingering_) return now - lastActive_ < kLinger;
+  if (request_ != 0 || ending_ || evbuffer_get_length(output()) > 0) return true;
+  if (!asked_ && now - lastActive_ >= kFirstAsk) return false;
+  return halfSince_ == Time(0) || now - halfSince_ < kHalfMessage;
+}
+void Session::event(short what) {
+  if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) owner_.closed(*this);
+}
+void Session::flushed() {
+  if (lingering_) {
+    shutdown(bufferevent_getfd(bev_.get()), SHUT_WR);
+    return;
+  }
+  if (ending_) return owner_.closed(*this);
+  read();  // what was left while the client did not read its answers
+}
+void Session::readSoon() {
+  bufferevent_trigger(bev_.get(), EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+}
+// After an answer. What was pipelined behind comes next, but not within this answer: the turn is not over.
+void Session::settle() {
+  if (evbuffer_get_length(input()) > 0)
+    readSoon();
+  else if (owner_.draining_ && !owner_.listener_ && !batch_)
+    end();
+}
+// What cannot be read to its end is fatal. Otherwise nothing more is taken before the next round: guards
+// against a client that sends the same again at full speed and keeps the loop from the others.
+void Session::reject(const char* code, std::string_view text, bool fatal) {
+  tell(problem(fatal ? "FATAL" : "ERROR", code, text));
+  paused_ = true;
+  if (!fatal) return answered();
+  release();
+  ending_ = lingering_ = true;
+  lastActive_ = owner_.engine_.now();
+  bufferevent_enable(bev_.get(), EV_READ);
+  discard();
+}
+void Session::discard() {
+  const std::size_t n = evbuffer_get_length(input());
+  evbuffer_drain(input(), n);
+  discarded_ += n;
+  if (discarded_ > kLingerBytes) owner_.closed(*this);
+}
+
+// Guards against clients that fill the memory together: a statement longer than what is read ahead takes
+// its part of what the configuration leaves for all such, from its head to its answer.
+bool Session::reserve(std::size_t whole) {
+  if (whole <= kReadAhead || reserved_ > 0) return true;
+  if (whole > owner_.config_.largeStatements - owner_.reserved_) return false;
+  owner_.reserved_ += reserved_ = whole;
+  bufferevent_setwatermark(bev_.get(), EV_READ, 0, whole);
+  return true;
+}
+void Session::release() {
+  if (reserved_ == 0) return;
+  owner_.reserved_ -= reserved_;
+  reserved_ = 0;
+  bufferevent_setwatermark(bev_.get(), EV_READ, 0, kReadAhead);
+}
+void Session::hold(std::size_t bytes) {
+  owner_.reserved_ += bytes - held_;
+  held_ = bytes;
+}
+
+void Session::read() {
+  if (lingering_) return discard();
+  while (request_ == 0 && !ending_ && !paused_ && evbuffer_get_length(output()) < kUnread) {
+    const bool took = speaks_ == Speaks::Nothing    ? takeStartup()
+                      : speaks_ == Speaks::Version3 ? takeMessage()
+                                                    : takeMessage2();
+    if (!took) break;
+    halfSince_ = Time(0);
+  }
+  if (ending_) return;
+  const std::size_t left = evbuffer_get_length(input());
+  if (halfSince_ == Time(0) && left > 0) halfSince_ = owner_.engine_.now();
+  // Guards against spinning: libevent calls back time and again while the input stands at its high
+  // watermark.
+  const bool room = left < std::max(kReadAhead, reserved_);
+  if (room != reading_) (room ? bufferevent_enable : bufferevent_disable)(bev_.get(), EV_READ);
+  reading_ = room;
+}
+
+std::string_view Session::pull(std::size_t n) {
+  return {reinterpret_cast<const char*>(evbuffer_pullup(input(), static_cast<ev_ssize_t>(n))), n};
+}
+
+// ---- the startup
+// ---------------------------------------------------------------------------------------------
+bool Session::takeStartup() {
+  char head[8];
+  if (evbuffer_copyout(input(), head, sizeof head) < static_cast<ev_ssize_t>(sizeof head)) return false;
+  const std::uint32_t length = pg::readInt32(head), code = pg::readInt32(head + 4);
+  if (length < sizeof head || length > pg::kLongestStartup) {
+    reject("08P01", "malformed startup message", true);
+    return false;
+  }
+  if (evbuffer_get_length(input()) < length) return false;
+  if (code == pg::kSslRequest || code == pg::kGssEncRequest) {
+    evbuffer_drain(input(), length);
+    append(output(), "N");
+    return true;
+  }
+  const std::string packet(pull(length));
+  evbuffer_drain(input(), length);
+  if (code == pg::kCancelRequest) {
+    // Of every version: what differs is how long the key is. Nothing is answered, whether it fits or not.
+    if (const auto key = pg::parseCancel(packet)) owner_.cancel(*key);
+    end();
+    return false;
+  }
+  if (code >> 16 == 3) return takeVersion3(packet);
+  if (code >> 16 == 2 && owner_.config_.version2) return takeVersion2(packet);
+  reject("0A000",
+         owner_.config_.version2 ? "versions 2 and 3 of the protocol are spoken here"
+                                 : "only version 3 of the protocol is spoken here",
+         true);
+  return false;
+}
+
+bool Session::takeVersion3(std::string_view packet) {
+  const auto s = pg::parseStartup(packet);
+  if (!s) {
+    reject("08P01", "malformed startup message", true);
+    return false;
+  }
+  for (const auto& [name, value] : s->settings) {
+    // Guards against turning away clients for what changes nothing: only what is known here can be wrong.
+    const auto why =
+        name == "options" ? translate::applyOptions(side_, value)
+        : name == "standard_conforming_strings" || name == "bytea_output" || name == "client_encoding"
+            ? translate::apply(side_, name, value)
+            : std::nullopt;
+    if (!why) continue;
+    reject("22023", *why, true);
+    return false;
+  }
+  const int minor = pg::agreedMinor(s->minor);
+  if (minor != s->minor || !s->extensions.empty()) append(output(), pg::negotiate(minor, s->extensions));
+  speaks_ = Speaks::Version3;
+  if (minor > 0) codec_ = &kVersion32;
+  key_ = owner_.newKey(*this, minor > 0 ? pg::kLongKey : pg::kShortKey);
+  append(output(), pg::welcome(key_, side_.backslashes));
+  welcomed();
+  settle();
+  return true;
+}
+
+bool Session::takeVersion2(std::string_view packet) {
+  codec_ = &kVersion20;
+  const auto s = pg2::parseStartup(packet);
+  side_.backslashes = true;  // in its time nothing else was known
+  side_.bytea = translate::ByteaForm::Escape;
+  const auto why = s ? translate::applyOptions(side_, s->options) : std::nullopt;
+  if (!s || why) {
+    reject("08P01", why ? *why : "malformed startup packet", true);
+    return false;
+  }
+  speaks_ = Speaks::Version2;
+  key_ = owner_.newKey(*this, pg::kShortKey);
+  append(output(), pg2::authenticationOk() + pg2::keyData({key_.process, pg::readInt32(key_.secret.data())}) +
+                       pg2::ready());
+  welcomed();
+  settle();
+  return true;
+}
+
+void Session::welcomed() {
+  told_ = side_.backslashes ? std::make_shared<const translate::Side>(side_) : nullptr;
+  wanted_.bytea = side_.bytea;
+}
+
+// ---- messages
+// ------------------------------------------------------------------------------------------------
+void Session::asked() {
+  if (!asked_) owner_.firstAsked(*this);
+  asked_ = true;
+}
+
+bool Session::takeMessage() {
+  char bytes[pg::kHead];
+  if (evbuffer_copyout(input(), bytes, sizeof bytes) < static_cast<ev_ssize_t>(sizeof bytes)) return false;
+  const auto head = pg::parseHead(bytes);
+  if (!head) {
+    reject("08P01", "a message's length is out of range", true);
+    return false;
+  }
+  const std::string_view known = owner_.config_.extended ? "QXPBDECSH" : "QX";
+  if (known.find(head->type) == std::string_view::npos) {
+    reject("0A000",
+           !owner_.config_.extended ? "only simple queries are spoken here"
+           : head->type == 'F'      ? "function calls are not supported here"
+           : head->type == 'd'      ? "COPY is not supported here"
+                                    : "a message that is not supported here",
+           true);
+    return false;
+  }
+  const std::size_t whole = sizeof bytes + head->body;
+  if (!reserve(whole)) {
+    reject("53200", "too many long statements at once", true);
+    return false;
+  }
+  if (evbuffer_get_length(input()) < whole) return false;
+  asked();
+  if (head->type == 'X') {
+    evbuffer_drain(input(), whole);
+    end();
+    return false;
+  }
+  if (head->type != 'Q') {
+    const std::string_view body = pull(whole).substr(sizeof bytes);
+    takeExtended(head->type, body);  // takes it out of the input, too
+    return !ending_;
+  }
+  evbuffer_drain(input(), sizeof bytes);
+  if (skipping_) {
+    evbuffer_drain(input(), head->body);
+    release();
+    return true;
+  }
+  Buffer statement = newBuffer();
+  evbuffer_remove_buffer(input(), statement.get(), head->body);
+  if (prepared_) prepared_->simpleQuery();
+  takeStatement(std::move(statement));
+  return true;
+}
+
+// Nothing says how long a message of version 2 is: a query ends at its NUL.
+bool Session::takeMessage2() {
+  const std::size_t have = evbuffer_get_length(input());
+  if (have == 0) return false;
+  char type = 0;
+  evbuffer_copyout(input(), &type, 1);
+  if (type == 'X') {
+    end();
+    return false;
+  }
+  if (type != 'Q') {
+    const std::string text = std::string("a message that protocol 2.0 does not have here: '") +
+                             (type >= ' ' && type < 0x7f ? type : '?') + "'";
+    reject("08P01", type == 'F' ? "function calls are not supported here" : text, true);
+    return false;
+  }
+  const auto end = evbuffer_search(input(), "", 1, nullptr);  // the first NUL
+  if (end.pos < 0) {
+    if (have > pg2::kLongestQuery)
+      reject("08P01", "a query that does not end", true);
+    else if (have >= kReadAhead && !reserve(pg2::kLongestQuery))
+      reject("53200", "too many long statements at once", true);
+    return false;
+  }
+  asked();
+  evbuffer_drain(input(), 1);
+  Buffer statement = newBuffer();
+  evbuffer_remove_buffer(input(), statement.get(), static_cast<std::size_t>(end.pos));  // NUL included
+  takeStatement(std::move(statement));
+  return true;
+}
+
+void Session::take(const Prepared::Said& said) {
+  append(output(), said.answer);
+  if (!said.code) return;
+  extended_ = true;
+  tell(problem("ERROR", said.code, said.text));
+  extended_ = false;
+}
+
+void Session::takeExtended(char type, std::string_view body) {
+  const std::size_t whole = pg::kHead + body.size();
+  if (!prepared_) prepared_ = std::make_unique<Prepared>();
+  Prepared& p = *prepared_;
+  std::optional<Prepared::Asked> asked;
+  batch_ = type != 'S';
+  if (type == 'S') {
+    const Prepared::Said owed = p.sync();
+    if (!skipping_) take(owed);
+    skipping_ = false;
+    append(output(), codec_->ready());
+  } else if (!skipping_) {
+    switch (type) {
+      case 'P':
+        take(p.parse(body, side_.backslashes));
+        break;
+      case 'B':
+        take(p.bind(body, side_.backslashes, pg::kLongestMessage));
+        break;
+      case 'D':
+        take(p.describe(body));
+        break;
+      case 'C':
+        take(p.close(body));
+        break;
+      case 'E':
+        take(p.execute(body, asked));
+        break;
+      default:
+        take(p.settle());
+    }
+  }
+  evbuffer_drain(input(), whole);
+  // Guards the memory: what clients have prepared counts like long statements.
+  if (p.bytes() > held_ && p.bytes() - held_ > owner_.config_.largeStatements - owner_.reserved_)
+    return reject("53200", "too many prepared statements at once", true);
+  hold(p.bytes());
+  if (!asked) {
+    release();
+    if (type == 'S') settle();
+    return;
+  }
+  extended_ = true;
+  described_ = asked->described;
+  mostRows_ = asked->mostRows;
+  wanted_ = asked->wanted;
+  wanted_.bytea = side_.bytea;
+  Buffer statement = newBuffer();
+  append(statement.get(), asked->statement);
+  evbuffer_add(statement.get(), "", 1);
+  takeStatement(std::move(statement));
+}
+
+bool Session::takeSetting(std::string_view text) {
+  const auto set = translate::parseSet(text);
+  if (!set) return false;
+  if (const auto why = translate::apply(side_, set->first, set->second)) {
+    reject("22023", *why, false);
+    return true;
+  }
+  welcomed();
+  if (extended_ && described_) append(output(), pg::noData());
+  append(output(), codec_->completed("SET"));
+  if (set->first == "standard_conforming_strings" && speaks_ == Speaks::Version3)
+    append(output(), pg::parameterStatus(set->first, side_.backslashes ? "off" : "on"));
+  answered();
+  return true;
+}
+
+void Session::takeStatement(Buffer statement) {
+  const std::size_t length = evbuffer_get_length(statement.get());
+  char tail[kTail];
+  const std::size_t n = std::min(length, kTail);
+  evbuffer_ptr from;
+  evbuffer_ptr_set(statement.get(), &from, length - n, EVBUFFER_PTR_SET);
+  evbuffer_copyout_from(statement.get(), &from, tail, n);
+  // Guards the data servers, which close on what they cannot read: the one NUL is the last byte.
+  if (n == 0 || evbuffer_search(statement.get(), "", 1, nullptr).pos != static_cast<ev_ssize_t>(length) - 1)
+    return reject("08P01", "a query's end is not where its length says", true);
+  const std::string_view text(tail, n - 1);
+  if (n == length && text.find_first_not_of(" \t\r\n;") == std::string_view::npos) {
+    if (extended_ && described_) append(output(), pg::noData());
+    append(output(), codec_->emptyStatement());
+    return answered();
+  }
+  const pg::Comment comment = pg::parseComment(text);
+  if (comment.fault) {
+    if (length < kLongestSet &&
+        takeSetting({reinterpret_cast<const char*>(evbuffer_pullup(statement.get(), -1)), length - 1}))
+      return;
+    return reject("42601", comment.fault, false);
+  }
+  // Guards the one final answer that an id stands for: data servers know a request by it.
+  std::string id(comment.id);
+  if (owner_.openIds_.count(id) > 0) return reject("42710", "this id is that of an open request", false);
+  const auto& classes = owner_.config_.classes;
+  const auto cls = std::find(classes.begin(), classes.end(), comment.cls);
+  if (cls == classes.end()) return reject("42704", "unknown class", false);
+
+  const Time now = owner_.engine_.now();
+  knotstack::Request q;
+  q.cls = static_cast<int>(cls - classes.begin());
+  q.group = comment.cluster;
+  const auto& settings = owner_.config_.settings.classes[static_cast<std::size_t>(q.cls)];
+  q.deadline = now + (comment.waitLength > 0
+                          ? Time(std::chrono::milliseconds(std::min(comment.waitMs, kLongestWaitMs)))
+                          : settings.deadline);
+  if (comment.after > 0)
+    q.tokenMs = std::max(0.001f, static_cast<float>(static_cast<double>(now.count()) / 1e3 -
+                                                    static_cast<double>(comment.after)));
+  if (owner_.config_.sessions) {
+    char start[kStart];
+    const auto got = evbuffer_copyout(statement.get(), start, sizeof start);
+    const std::string_view key =
+        pg::parseKey({start, static_cast<std::size_t>(std::max<ev_ssize_t>(got, 0))});
+    if (!key.empty()) q.session = std::max<std::uint64_t>(fnv1a(key), 1);
+  }
+  Message message{newBuffer(), std::move(statement), told_};
+  if (comment.waitLength > 0) {
+    evbuffer_remove_buffer(message.after.get(), message.before.get(), length - n + comment.waitAt);
+    evbuffer_drain(message.after.get(), comment.waitLength);
+  }
+  owner_.openIds_.insert(id);
+  id_ = std::move(id);
+  request_ = owner_.engine_.request(*this, q, std::move(message));
+}
+void Session::forget() {
+  if (!id_.empty()) owner_.openIds_.erase(id_);
+  id_.clear();
+}
+
+}  // namespace sablespur
--- /dev/null
+++ b/src/front/pg/session.hpp
@@ -0,0 +1,110 @@
+// One client connection: its startup in whichever version it speaks, its requests one at a time, answers in
+// order. Part of front/pg; Clients owns it.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "core/engine.hpp"
+#include "core/event.hpp"
+#include "front/pg/prepared.hpp"
+#include "translate/settings.hpp"
+#include "translate/terms.hpp"
+#include "wire/pg/startup.hpp"
+
+namespace sablespur {
+
+class Clients;
+
+// What is pipelined behind a request waits in the input, which is bounded.
+class Session final : public Requester {
+ public:
+  Session(Clients& owner, evutil_socket_t fd);
+  ~Session() override;
+
+  void served(Answer) override;
+  void refused(Time retryAfter) override;
+  void failed() override;
+  // By a CancelRequest that bore this session's key: the request that is out is given up, with its one final
+  // answer.
+  void cancelled();
+
+  const pg::Key& key() const { return key_; }
+  bool idle() { return request_ == 0 && !ending_ && !batch_ && evbuffer_get_length(input()) == 0; }
+  // How readily this client gives up its place to a new one; 0: not at all.
+  int spare(Time now);
+  Time lastActive() const { return lastActive_; }
+  // Closes once all that was written has gone out; the object may be gone after this.
+  void end();
+  // Guards against clients that hold a place and do not ask: they are owed an end within 3 s. False: this one
+  // is to be closed.
+  bool looksAlive(Time now);
+
+ private:
+  enum class Speaks { Nothing, Version2, Version3 };
+
+  evbuffer* input() { return bufferevent_get_input(bev_.get()); }
+  evbuffer* output() { return bufferevent_get_output(bev_.get()); }
+  std::string_view pull(std::size_t n);  // the first bytes of the input, in one piece
+
+  void event(short what);
+  void flushed();
+  void read();
+  void readSoon();
+  void settle();
+  void discard();
+  bool reserve(std::size_t whole);
+  void release();
+  void hold(std::size_t bytes);  // for what is prepared
+
+  // An answer or an error is written; what waits behind comes next.
+  void answered();
+  void tell(const translate::Problem&);
+  void reject(const char* code, std::string_view text, bool fatal);
+  void take(const Prepared::Said&);
+
+  // Each takes one message, or leaves it (false) for when the rest has come.
+  bool takeStartup();
+  bool takeVersion3(std::string_view packet);
+  bool takeVersion2(std::string_view packet);
+  void welcomed();      // its side is known
+  bool takeMessage();   // of version 3
+  bool takeMessage2();  // of version 2
+  void takeExtended(char type, std::string_view body);
+  void asked();                             // for the first time
+  bool takeSetting(std::string_view text);  // a SET, which is answered here
+  // The statement is moved on whole, NUL included; only its ends are looked at.
+  void takeStatement(Buffer statement);
+  void forget();
+  void write(Answer);
+
+  Clients& owner_;
+  BufferEvent bev_;
+  Speaks speaks_ = Speaks::Nothing;
+  const translate::ClientCodec* codec_;
+  pg::Key key_;
+  translate::Side side_;
+  std::shared_ptr<const translate::Side> told_;  // side_, where it is not what data servers take for granted
+  std::unique_ptr<Prepared> prepared_;           // once it sends something of the extended sub-protocol
+  bool extended_ = false;                        // the request that is out comes from an Execute
+  bool skipping_ = false;                        // until Sync, after an error
+  bool batch_ = false;                           // a Sync is still to come
+  translate::Wanted wanted_;                     // of the request that is out
+  bool described_ = true;                        // its columns are told
+  std::size_t mostRows_ = 0;
+  bool asked_ = false, ending_ = false;
+  bool lingering_ = false;    // its last word is said; what still comes is thrown away
+  bool paused_ = false;       // until the next round
+  bool reading_ = true;       // EV_READ is enabled
+  std::string id_;            // of the request that is out
+  RequestId request_ = 0;     // that is out; 0: none
+  std::size_t reserved_ = 0;  // of Clients::reserved_, for the message at hand
+  std::size_t held_ = 0;      // the same, for what is prepared
+  std::size_t discarded_ = 0;
+  Time lastActive_{};  // when it came, or had its last answer
+  Time halfSince_{};   // since when there is input that makes no whole message; 0: there is none
+};
+
+}  // namespace sablespur
--- a/src/translate/parameters.cpp
+++ b/src/translate/parameters.cpp
@@ -1,5 +1,6 @@
 #include "translate/parameters.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <cstring>
@@ -10,7 +11,7 @@
 namespace sablespur::translate {
 namespace {
 
-constexpr std::size_t kMostParameters = 65535;
+constexpr std::size_t kMostParameters = 65535, kLongestWord = 64;
 
 // An integer in network order, of as many bytes as it has.
 std::optional<std::int64_t> integer(std::string_view bytes, std::size_t size) {
@@ -97,31 +98,100 @@
   return literal;
 }
 
+namespace {
+
+// A word that can stand in the request's comment. Guards the comment: a value must not end it, or name
+// another key.
+std::optional<std::string> bareOf(const Parameter& p, std::string& why) {
+  std::optional<std::string> text;
+  if (p.value && p.binary && (p.type == kInt2 || p.type == kInt4 || p.type == kInt8))
+    text = literalOf(p, why);
+  else if (p.value && (!p.binary || p.type == kText || p.type == kVarchar))
+    text = std::string(*p.value);
+  const bool word =
+      text && !text->empty() && text->size() <= kLongestWord &&
+      text->find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_.:-") ==
+          std::string::npos;
+  if (!word) why = "a parameter in the request's comment that is no plain word";
+  return word ? text : std::nullopt;
+}
+
+// Goes through the last comment: each $n that is a whole value, and what stands between.
+template <typename Text, typename Index>
+bool eachInComment(std::string_view comment, Text text, Index index) {
+  std::size_t from = 0;
+  for (std::size_t at = 0; (at = comment.find("=$", at)) != std::string_view::npos;) {
+    std::size_t end = at + 2;
+    while (end < comment.size() && comment[end] >= '0' && comment[end] <= '9') ++end;
+    if (end == at + 2) {
+      at = end;
+      continue;
+    }
+    text(comment.substr(from, at + 1 - from));
+    if (!index(comment.substr(at + 1, end - at - 1))) return false;
+    from = at = end;
+  }
+  text(comment.substr(from));
+  return true;
+}
+
+bool isRequestComment(std::string_view statement, std::string_view piece) {
+  const std::size_t open = statement.rfind("/*"),
+                    at = static_cast<std::size_t>(piece.data() - statement.data());
+  return open != std::string_view::npos && open >= at && open < at + piece.size();
+}
+
+}  // namespace
+
 std::optional<std::size_t> countParameters(std::string_view statement, bool backslashes) {
   std::size_t most = 0;
+  const auto count = [&](std::string_view piece) {
+    const auto n = indexOf(piece);
+    if (n) most = std::max(most, *n);
+    return n.has_value();
+  };
   Scanner scanner(statement, backslashes);
   std::string_view piece;
   for (Token t; (t = scanner.next(piece)) != Token::End;) {
-    if (t != Token::Parameter) continue;
-    const auto n = indexOf(piece);
-    if (!n) return std::nullopt;
-    most = std::max(most, *n);
+    if (t == Token::Parameter && !count(piece)) return std::nullopt;
+    if (t == Token::Comment && isRequestComment(statement, piece) &&
+        !eachInComment(
+            piece, [](std::string_view) {}, count))
+      return std::nullopt;
   }
   return most;
 }
 
 std::optional<std::string> substitute(std::string_view statement, bool backslashes,
-                                      const std::vector<std::string>& literals, std::size_t most) {
+                                      const std::vector<Parameter>& parameters, std::size_t most,
+                                      std::string& why) {
   std::string out;
+  bool good = true;
+  const auto put = [&](std::string_view text) {
+    if (out.size() + text.size() > most) {
+      why = "a statement that is too long with its parameters";
+      return good = false;
+    }
+    out.append(text);
+    return true;
+  };
+  const auto one = [&](std::string_view piece, auto form) {
+    const auto n = indexOf(piece);
+    if (!n || *n > parameters.size()) return put(piece);
+    const std::optional<std::string> text = form(parameters[*n - 1], why);
+    return good = good && text && put(*text);
+  };
   Scanner scanner(statement, backslashes);
   std::string_view piece;
-  for (Token t; (t = scanner.next(piece)) != Token::End;) {
-    const auto n = t == Token::Parameter ? indexOf(piece) : std::nullopt;
-    const std::string_view with = n && *n <= literals.size() ? std::string_view(literals[*n - 1]) : piece;
-    if (out.size() + with.size() > most) return std::nullopt;
-    out.append(with);
+  for (Token t; good && (t = scanner.next(piece)) != Token::End;) {
+    if (t == Token::Parameter)
+      one(piece, literalOf);
+    else if (t == Token::Comment && isRequestComment(statement, piece))
+      eachInComment(piece, put, [&](std::string_view p) { return one(p, bareOf); });
+    else
+      put(piece);
   }
-  return out;
+  return good ? std::make_optional(std::move(out)) : std::nullopt;
 }
 
 }  // namespace sablespur::translate
--- a/src/translate/parameters.hpp
+++ b/src/translate/parameters.hpp
@@ -23,12 +23,14 @@
 // not fit.
 std::optional<std::string> literalOf(const Parameter&, std::string& why);
 
-// How many parameters a statement names: the greatest $n. Nothing: a $n beyond 65535.
+// How many parameters a statement names, its comment included: the greatest $n. Nothing: a $n beyond 65535.
 std::optional<std::size_t> countParameters(std::string_view statement, bool backslashes);
 
-// The statement with each $n replaced; literals.size() is at least what countParameters says. Nothing where
-// the result would be longer than `most`.
+// The statement with each $n replaced by its literal; there are at least as many parameters as
+// countParameters says. In the last comment, which tells the proxy about the request ("id=$2,c=read"), $n
+// stands for the bare text: a prepared statement names each of its runs. Nothing and `why`: a value has no
+// literal, or the result would be longer than `most`.
 std::optional<std::string> substitute(std::string_view statement, bool backslashes,
-                                      const std::vector<std::string>& literals, std::size_t most);
+                                      const std::vector<Parameter>&, std::size_t most, std::string& why);
 
 }  // namespace sablespur::translate
--- a/src/translate/terms.hpp
+++ b/src/translate/terms.hpp
@@ -42,6 +42,15 @@
   std::optional<std::uint32_t> comeBackMs;              // when to come back with the same request
 };
 
+// Reads what a server answered. Which one an answer came with tells its form.
+class AnswerReader {
+ public:
+  virtual ~AnswerReader() = default;
+  virtual bool answer(std::string_view messages,
+                      AnswerTaker&) const = 0;                   // false: malformed, or the taker said so
+  virtual Problem problem(std::string_view messages) const = 0;  // one error; no code: malformed
+};
+
 // Writes for a client, each call whole messages.
 class ClientCodec {
  public:
--- a/src/wire/pg/codec.cpp
+++ b/src/wire/pg/codec.cpp
@@ -162,6 +162,22 @@
   return false;  // without its completion
 }
 
+namespace {
+class Reader final : public translate::AnswerReader {
+ public:
+  bool answer(std::string_view messages, translate::AnswerTaker& taker) const override {
+    return readAnswer(messages, taker);
+  }
+  Problem problem(std::string_view messages) const override {
+    return readProblem(messages.substr(std::min(kHead, messages.size())));
+  }
+};
+}  // namespace
+const translate::AnswerReader& reader() {
+  static const Reader one;
+  return one;
+}
+
 Problem readProblem(std::string_view body) {
   Problem p;
   p.severity.clear();
--- a/src/wire/pg/codec.hpp
+++ b/src/wire/pg/codec.hpp
@@ -24,6 +24,9 @@
   const int minor_;  // 3.0's clients get the fields of its time alone
 };
 
+// Version 3's answers, whatever the minor version.
+const translate::AnswerReader& reader();
+
 // Messages of an answer, from RowDescription or CommandComplete on; false: they are malformed, or the taker
 // said so.
 bool readAnswer(std::string_view messages, translate::AnswerTaker&);
--- a/src/wire/pg/pg.cpp
+++ b/src/wire/pg/pg.cpp
@@ -69,6 +69,9 @@
 }
 
 std::string query(std::string_view statement) { return message('Q', std::string(statement) + '\0'); }
+std::string parameterStatus(std::string_view name, std::string_view value) {
+  return message('S', std::string(name) + '\0' + std::string(value) + '\0');
+}
 std::string readyForQuery() { return message('Z', "I"); }
 
 std::string greeting() {
--- a/src/wire/pg/pg.hpp
+++ b/src/wire/pg/pg.hpp
@@ -32,6 +32,7 @@
 // Messages.
 std::string message(char type, std::string_view body);
 std::string startup(std::string_view user, std::string_view database);
+std::string parameterStatus(std::string_view name, std::string_view value);
 std::string query(std::string_view statement);
 std::string queryHead(std::size_t length);  // of a Query whose statement, NUL included, is that long
 std::string readyForQuery();
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -36,10 +36,10 @@
 };
 struct Asker : Requester {
   std::string got;
-  void served(Buffer answer) override {
+  void served(Answer answer) override {
     got += "served ";
-    got.append(reinterpret_cast<const char*>(evbuffer_pullup(answer.get(), -1)),
-               evbuffer_get_length(answer.get()));
+    got.append(reinterpret_cast<const char*>(evbuffer_pullup(answer.messages.get(), -1)),
+               evbuffer_get_length(answer.messages.get()));
   }
   void refused(Time) override { got += "refused"; }
   void failed() override { got += "failed"; }
@@ -68,15 +68,15 @@
     q.cls = cls;
     q.group = 3;
     q.deadline = engine.now() + std::chrono::seconds(5);
-    const RequestId id = engine.request(asker, q, Message{newBuffer(), newBuffer()});
+    const RequestId id = engine.request(asker, q, Message{newBuffer(), newBuffer(), nullptr});
     engine.turn();
     return id;
   }
   void end(RequestId id, int attempt, MemberId m, Result result) {
     Ending e;
     e.result = result;
-    e.answer = newBuffer();
-    append(e.answer.get(), "v");
+    e.answer.messages = newBuffer();
+    append(e.answer.messages.get(), "v");
     engine.ended(id, attempt, m, std::move(e));
   }
 };
@@ -89,7 +89,7 @@
   knotstack::Request q;
   q.group = 3;
   q.deadline = engine.now() + std::chrono::seconds(5);
-  engine.request(asker, q, Message{newBuffer(), newBuffer()});
+  engine.request(asker, q, Message{newBuffer(), newBuffer(), nullptr});
   EXPECT_TRUE(members.sent.empty());
   EXPECT_TRUE(engine.pending());
   engine.turn();
@@ -178,7 +178,7 @@
   knotstack::Request q;
   q.group = 3;
   q.deadline = fresh.now() + std::chrono::seconds(5);
-  fresh.request(asker, q, Message{newBuffer(), newBuffer()});
+  fresh.request(asker, q, Message{newBuffer(), newBuffer(), nullptr});
   fresh.turn();
   EXPECT_TRUE(members.sent.empty());
   fresh.probed(1, false, {});
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -16,7 +16,9 @@
 #include <sstream>
 
 #include "lab/name_server.hpp"
+#include "wire/pg/codec.hpp"
 #include "wire/pg/pg.hpp"
+#include "wire/pg/startup.hpp"
 
 namespace sablespur::test {
 namespace {
@@ -106,6 +108,8 @@
       << "\nrefresh_least = 100ms\nrefresh_most = 200ms\ngroup = 3\n";
   else
     s << "registry = 127.0.0.1:" << discoveryPort << "\n";
+  if (!setting.dataServers.empty()) s << "[data_servers]\n" << setting.dataServers;
+  if (!setting.clients.empty()) s << "[clients]\n" << setting.clients;
   for (std::size_t k = 0; !setting.dnssd && k < ports.size(); ++k)
     s << "[member s-" << k + 1 << "]\naddress = 127.0.0.1:" << ports[k] << "\ngroup = 3\nzone = a\n";
   s << "[class read]\ndata = bounded\nmax_age = 5s\nrepeats = safe\naim = 8s\ngive_up = 9s\n"
@@ -186,6 +190,7 @@
     waitpid(pid_, nullptr, 0);
   }
   for (auto& [name, c] : clients_) close(c.fd);
+  for (auto& [name, d] : desks_) close(d.c.fd);
   for (Server& s : servers_) {
     close(s.listener);
     for (Connection& c : s.all) close(c.fd);
@@ -220,6 +225,7 @@
   words >> who >> verb >> what >> std::ws;
   std::getline(words, rest);
   if (who == "list") return discovery(verb, what, rest);
+  if (who[0] == 'o') return desk(who, verb, rest.empty() ? what : what + " " + rest);
   if (who == "dns") return dns(verb, what, rest);
   if (who == "proxy" && what == "log")
     return until([&] { return log_.find(rest) != std::string::npos; }, "a line of the log");
@@ -267,6 +273,125 @@
   }
 }
 
+namespace {
+std::vector<std::string> parts(const std::string& text) {
+  std::vector<std::string> all;
+  for (std::size_t at = 0;;) {
+    const std::size_t bar = text.find(" | ", at);
+    all.push_back(text.substr(at, bar == std::string::npos ? bar : bar - at));
+    if (bar == std::string::npos) return all;
+    at = bar + 3;
+  }
+}
+std::string unhex(const std::string& text) {
+  std::string bytes;
+  for (std::size_t k = 0; k + 1 < text.size(); k += text[k] == ' ' ? 1 : 2)
+    if (text[k] != ' ') bytes.push_back(static_cast<char>(std::stoi(text.substr(k, 2), nullptr, 16)));
+  return bytes;
+}
+}  // namespace
+
+void Scenario::desk(const std::string& name, const std::string& verb, const std::string& rest) {
+  Desk& d = desks_[name];
+  const auto dial = [&](Connection& c) {
+    c.fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in a = loopback(port_);
+    ASSERT_EQ(connect(c.fd, reinterpret_cast<const sockaddr*>(&a), sizeof a), 0) << at_;
+  };
+  std::istringstream words(rest);
+  std::string first;
+  words >> first;
+  if (verb == "speaks") {
+    lab::Identity who;
+    for (std::string word; words >> word;) {
+      const std::string key = word.substr(0, word.find('=')), text = word.substr(word.find('=') + 1);
+      if (key == "user")
+        who.user = text;
+      else if (key == "password")
+        who.password = text;
+      else if (key == "options")
+        who.options = "-c " + text;
+      else
+        who.settings.emplace_back(key, text);
+    }
+    d.speaker = std::make_unique<lab::Speaker>(*lab::versionOf(first), who);
+    dial(d.c);
+    put(d.c.fd, d.speaker->hello());
+    return;
+  }
+  if (verb == "asks") return put(d.c.fd, d.speaker->query(rest));
+  if (verb == "sends") return put(d.c.fd, unhex(rest));
+  if (verb == "runs" || verb == "binary") {
+    const std::vector<std::string> all = parts(rest);
+    std::vector<lab::Bound> bound;
+    for (std::size_t k = 1; k < all.size(); ++k) {
+      const std::size_t colon = all[k].find(':');
+      if (all[k] == "NULL")
+        bound.push_back({});
+      else if (colon == std::string::npos)
+        bound.push_back({all[k], 0, false});
+      else
+        bound.push_back(
+            {unhex(all[k].substr(colon + 1)), static_cast<std::uint32_t>(std::stoul(all[k])), true});
+    }
+    return put(d.c.fd, d.speaker->extended(all[0], bound, verb == "binary"));
+  }
+  if (verb == "cancels") {
+    Connection c;
+    dial(c);
+    std::string secret = d.speaker->secret();
+    if (first == "wrong") secret.back() = static_cast<char>(secret.back() ^ 1);
+    if (first == "long") secret += std::string(4, '\0');
+    if (first == "short") secret.resize(4);
+    put(c.fd, pg::cancel({d.speaker->process(), secret}));
+    until(
+        [&] {
+          char byte;
+          return recv(c.fd, &byte, 1, MSG_DONTWAIT) == 0;
+        },
+        "the end of the cancel's connection");
+    close(c.fd);
+    return;
+  }
+  ASSERT_EQ(verb, "gets") << at_;
+  const std::string what = first, text = rest.size() > first.size() ? rest.substr(first.size() + 1) : "";
+  if (what == "closed") return until([&] { return d.c.ended; }, "the end of the connection");
+  const lab::Reply r = reply(d);
+  if (what == "in") {
+    EXPECT_EQ(r.error, "") << at_;
+  } else if (what == "row") {
+    ASSERT_EQ(r.rows.size(), 1u) << at_ << ": " << r.code << " " << r.error;
+    std::string got;
+    for (const auto& v : r.rows[0]) got += (got.empty() ? "" : " | ") + v.value_or("NULL");
+    EXPECT_EQ(got, value(text)) << at_;
+  } else if (what == "tag") {
+    EXPECT_EQ(r.tag, text) << at_ << ": " << r.code << " " << r.error;
+  } else if (what == "error") {
+    EXPECT_NE((r.code + " " + r.error).find(text), std::string::npos)
+        << at_ << ": " << r.code << " " << r.error;
+    EXPECT_FALSE(r.error.empty()) << at_;
+    EXPECT_TRUE(r.rows.empty()) << at_;
+  } else if (what == "seen") {
+    EXPECT_EQ(r.seen, text) << at_ << ": " << r.code << " " << r.error;
+  } else {
+    FAIL() << "no such step: " << at_;
+  }
+}
+
+// The next reply, whole; of a connection that ends, what has come.
+lab::Reply Scenario::reply(Desk& d) {
+  until(
+      [&] {
+        std::string send;
+        const auto got = d.speaker->take(d.c.in, send);
+        if (!send.empty()) put(d.c.fd, send);
+        EXPECT_NE(got, lab::Speaker::Got::Broken) << at_ << ": " << d.speaker->why();
+        return got != lab::Speaker::Got::More || d.c.ended;
+      },
+      "a reply");
+  return d.speaker->takeReply();
+}
+
 void Scenario::server(Server& s, const std::string& verb, const std::string& what, const std::string& rest) {
   if (verb == "expect" && what == "query") {
     Connection* found = nullptr;
@@ -290,6 +415,14 @@
     s.dropProbes = std::stoi(rest);
     return;
   }
+  if (verb == "says") {
+    s.says += what + "\n";
+    return;
+  }
+  if (verb == "speaks") {
+    s.speaks = what;
+    return;
+  }
   if (verb == "report") {
     s.report = what;
     return;
@@ -338,6 +471,29 @@
   } else if (what == "row") {
     put(c->fd,
         row(value(rest)) + pg::message('C', std::string("SELECT 1\0", 9)) + role + pg::readyForQuery());
+  } else if (what == "cells") {
+    std::vector<translate::Column> columns;
+    std::vector<std::string> texts;
+    std::istringstream words(rest);
+    for (std::string word; words >> word;) {
+      const std::size_t eq = word.find('=');
+      columns.push_back({"c", static_cast<std::uint32_t>(std::stoul(word.substr(0, eq))), -1, -1, false});
+      texts.push_back(word.substr(eq + 1));
+    }
+    std::vector<translate::Value> values;
+    for (const std::string& t : texts)
+      values.push_back(t == "NULL" ? translate::Value() : translate::Value(t));
+    const pg::Codec codec(2);
+    put(c->fd, codec.columns(columns) + codec.row(values, false) + codec.completed("SELECT 1") + role +
+                   pg::readyForQuery());
+  } else if (what == "done") {
+    put(c->fd, pg::Codec(2).completed(rest) + role + pg::readyForQuery());
+  } else if (what == "problem") {  // as a server of today puts it
+    translate::Problem p;
+    std::istringstream(rest) >> p.code >> p.text;
+    p.table = "rows";
+    p.hint = "look there";
+    put(c->fd, pg::Codec(2).problem(p) + role + pg::readyForQuery());
   } else if (what == "part") {
     const std::string whole = row(value(rest));
     put(c->fd, whole.substr(0, whole.size() - 2));
@@ -484,6 +640,7 @@
     if (c.fd >= 0 && !c.ended) fds.push_back({c.fd, POLLIN, 0});
   };
   for (auto& [name, c] : clients_) watch(c);
+  for (auto& [name, d] : desks_) watch(d.c);
   for (Connection& c : watches_) watch(c);
   for (Server& s : servers_) {
     if (s.listener >= 0) fds.push_back({s.listener, POLLIN, 0});
@@ -508,6 +665,8 @@
   };
   for (auto& [name, c] : clients_)
     if (ready(c.fd)) read(c);
+  for (auto& [name, d] : desks_)
+    if (ready(d.c.fd)) read(d.c);
   for (Connection& c : watches_)
     if (ready(c.fd)) read(c);
   accepted(listListener_, watches_);
@@ -535,9 +694,22 @@
 void Scenario::greet(Server& s, Connection& c) {
   if (s.silent) return;
   if (!c.greeted && c.in.size() >= 4 && c.in.size() >= pg::readInt32(c.in.data())) {
+    const auto hello = pg::parseStartup(std::string_view(c.in).substr(0, pg::readInt32(c.in.data())));
     c.in.erase(0, pg::readInt32(c.in.data()));
+    if (hello && hello->minor > 0 && s.speaks == "fatal") {
+      put(c.fd, pg::error("FATAL", "0A000", "unsupported frontend protocol 3.2: server supports 1.0 to 3.0"));
+      shutdown(c.fd, SHUT_WR);
+      return;
+    }
     c.greeted = true;
-    put(c.fd, pg::greeting());
+    std::string says;
+    std::istringstream lines(s.says);
+    for (std::string line; std::getline(lines, line);)
+      says += parameter(line.substr(0, line.find('=')), line.substr(line.find('=') + 1));
+    const int minor = hello && s.speaks == "3.2" ? hello->minor : 0;
+    if (hello && hello->minor > minor) says += pg::negotiate(minor, {});
+    const std::string greeting = pg::greeting();  // its own word after what it takes for granted
+    put(c.fd, greeting.substr(0, greeting.size() - 6) + says + pg::readyForQuery());
   }
   const std::string show = pg::query("SHOW load");
   if (!c.greeted || c.in.compare(0, show.size(), show) != 0) return;
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -7,12 +7,16 @@
 //   proxy send TERM          proxy expect exit 0     proxy expect log TEXT        proxy reload moved|broken
 //   proxy expect quiet       s2 send spoilt KIND      s2 report TEXT
 //   s2 drop probes N
-//   dns publish s2 [KEY=VALUE ...]   dns withdraw s2   dns mood NAME   dns move DOMAIN
+//   s2 send cells TYPE=VALUE ...   a row of columns by their types' ids     s2 send done TAG
+//   s2 says NAME=VALUE       of connections that it greets from then on      s2 speaks 3.2|old|fatal
+//   o1 speaks 2.0|3.0|3.2 [NAME=VALUE ...]   o1 asks TEXT   o1 runs TEXT | VALUE | TYPE:HEX ...   o1 cancels
+//   [wrong|long] o1 gets row A | B        o1 gets error WORD   o1 gets seen TYPES   o1 gets closed   o1 sends
+//   HEX dns publish s2 [KEY=VALUE ...]   dns withdraw s2   dns mood NAME   dns move DOMAIN
 //
-// c1, c2 ... are clients; s1 (the primary), s2 ... data servers that greet and report by themselves. A
-// reload replaces the file and sends SIGHUP: `moved` names another discovery, which `list` is from then on.
-// All are played by the test on loopback, at ports of the system's choice. An expect waits for what must
-// come; the watchdog only ends a test that has failed.
+// c1, c2 ... are clients of today; o1, o2 ... desks that speak any version; s1 (the primary), s2 ... data
+// servers that greet and report by themselves. A reload replaces the file and sends SIGHUP: `moved` names
+// another discovery, which `list` is from then on. All are played by the test on loopback, at ports of the
+// system's choice. An expect waits for what must come; the watchdog only ends a test that has failed.
 #pragma once
 
 #include <event2/event.h>
@@ -24,6 +28,8 @@
 #include <string>
 #include <vector>
 
+#include "lab/speaker.hpp"
+
 namespace sablespur::lab {
 class NameServer;
 }
@@ -33,9 +39,10 @@
   int servers = 2;
   std::string idleCloseUs = "15000000";
   int sockets = 1024, memoryMb = 192;
-  bool dnssd = false;   // found by service records; in our form
-  bool ini = false;     // settings in our form, by `serve --config`
-  int descriptors = 0;  // RLIMIT_NOFILE of the process; 0: as it is
+  bool dnssd = false;                // found by service records; in our form
+  bool ini = false;                  // settings in our form, by `serve --config`
+  std::string dataServers, clients;  // more lines of these sections of our form
+  int descriptors = 0;               // RLIMIT_NOFILE of the process; 0: as it is
 };
 
 std::string configuration(const Setting&, int discoveryPort, const std::vector<int>& serverPorts);
@@ -66,12 +73,20 @@
     bool primary = false, silent = false;
     std::string report;  // in place of its own
     int dropProbes = 0;  // so many are answered by the end of their connection
+    std::string says;    // parameters of its greeting
+    std::string speaks;  // to those that ask for more than 3.0
     std::list<Connection> all;
     Connection* current = nullptr;
   };
   void configure(int listPort) const;
   void step(const std::string& line);
   void client(Connection&, const std::string& verb, const std::string& what, const std::string& rest);
+  struct Desk {
+    Connection c;
+    std::unique_ptr<lab::Speaker> speaker;
+  };
+  void desk(const std::string& name, const std::string& verb, const std::string& rest);
+  lab::Reply reply(Desk&);
   void server(Server&, const std::string& verb, const std::string& what, const std::string& rest);
   void discovery(const std::string& verb, const std::string& what, const std::string& rest);
   void dns(const std::string& verb, const std::string& what, const std::string& rest);
@@ -90,6 +105,7 @@
   int pid_ = -1, err_ = -1, port_ = 0, status_ = -1;
   bool exited_ = false;
   std::map<std::string, Connection> clients_;
+  std::map<std::string, Desk> desks_;
   std::vector<Server> servers_;
   int listListener_ = -1;
   std::list<Connection> watches_;
--- a/tests/translate_test.cpp
+++ b/tests/translate_test.cpp
@@ -4,13 +4,17 @@
 #include <pcg_random.hpp>
 
 #include "auth/scram.hpp"
+#include "base/secret.hpp"
+#include "front/pg/prepared.hpp"
 #include "translate/answer.hpp"
 #include "translate/parameters.hpp"
 #include "translate/scanner.hpp"
+#include "translate/settings.hpp"
 #include "translate/values.hpp"
 #include "wire/pg/codec.hpp"
 #include "wire/pg/extended.hpp"
 #include "wire/pg/pg.hpp"
+#include "wire/pg/startup.hpp"
 #include "wire/pg2/codec.hpp"
 #include "wire/pg2/pg2.hpp"
 
@@ -85,12 +89,23 @@
 TEST(Parameters, BecomeLiteralsWhereTheyStandAndNowhereElse) {
   const std::string s = "SELECT $1, '$1', \"$1\", $2::int /* $1 */ -- $1\n, $$ $1 $$, $1";
   EXPECT_EQ(tr::countParameters(s, false), 2u);
-  EXPECT_EQ(tr::substitute(s, false, {"'x'", "(-5)"}, 1000),
+  const std::string long_(600, 'x');
+  std::string why;
+  EXPECT_EQ(tr::substitute(s, false, {{"x"sv, 0, false}, {"\xff\xff\xff\xfb"sv, tr::kInt4, true}}, 1000, why),
             "SELECT 'x', '$1', \"$1\", (-5)::int /* $1 */ -- $1\n, $$ $1 $$, 'x'");
-  EXPECT_EQ(tr::substitute(s, false, {std::string(600, 'x'), "1"}, 1000), std::nullopt);
+  EXPECT_EQ(tr::substitute(s, false, {{std::string_view(long_), 0, false}, {"1"sv, 0, false}}, 1000, why),
+            std::nullopt);
+  EXPECT_EQ(why, "a statement that is too long with its parameters");
+  // In the request's comment a parameter stands for its bare text, if it can do no harm there.
+  const std::string run = "SELECT /* $1 */ $1 /* id=$2,c=read,k=$1 */";
+  EXPECT_EQ(tr::countParameters(run, false), 2u);
+  EXPECT_EQ(tr::substitute(run, false, {{"5"sv, 0, false}, {"a-1"sv, 0, false}}, 1000, why),
+            "SELECT /* $1 */ '5' /* id=a-1,c=read,k=5 */");
+  for (const std::string_view bad : {"a,c=write", "*/ DROP", "", "a b"})
+    EXPECT_EQ(tr::substitute(run, false, {{"5"sv, 0, false}, {bad, 0, false}}, 1000, why), std::nullopt)
+        << bad;
   EXPECT_EQ(tr::countParameters("SELECT $70000", false), std::nullopt);
   EXPECT_EQ(tr::countParameters("SELECT $0", false), std::nullopt);
-  std::string why;
   const auto literal = [&](std::optional<std::string_view> v, std::uint32_t type, bool binary) {
     return tr::literalOf({v, type, binary}, why).value_or("none");
   };
@@ -345,6 +360,144 @@
   EXPECT_EQ(pg::readProblem("SERROR\0C23505\0Mtwice"sv).code, "");
 }
 
+// ---- prepared statements and portals
+// -------------------------------------------------------------------------
+std::string_view bodyOf(const std::string& message) { return std::string_view(message).substr(pg::kHead); }
+Prepared::Said bindTo(Prepared& p, std::string_view statement, std::string_view portal,
+                      std::vector<std::optional<std::string_view>> values) {
+  pg::Bind b;
+  b.statement = statement;
+  b.portal = portal;
+  b.values = std::move(values);
+  return p.bind(bodyOf(pg::bindMessage(b)), false, 1 << 16);
+}
+// The messages outlive the calls.
+Prepared::Said parseIn(Prepared& p, std::string_view name, std::string_view text,
+                       const std::vector<std::uint32_t>& types = {}) {
+  const std::string m = pg::parseMessage(name, text, types);
+  return p.parse(bodyOf(m), false);
+}
+Prepared::Said executeIn(Prepared& p, std::string_view portal, int most,
+                         std::optional<Prepared::Asked>& asked) {
+  const std::string m = pg::executeMessage({portal, most});
+  return p.execute(bodyOf(m), asked);
+}
+Prepared::Said describeIn(Prepared& p, bool portal, std::string_view name) {
+  const std::string m = pg::describeMessage({portal, name});
+  return p.describe(bodyOf(m));
+}
+TEST(PreparedStatements, RunAsOftenAsTheyAreBound) {
+  Prepared p;
+  EXPECT_EQ(parseIn(p, "s", "SELECT $1", {tr::kInt4}).answer, pg::parseComplete());
+  EXPECT_STREQ(parseIn(p, "s", "SELECT 2").code, "42P05");
+  std::optional<Prepared::Asked> asked;
+  for (const std::string value : {"5", "6"}) {
+    EXPECT_EQ(bindTo(p, "s", "", {value}).answer, pg::bindComplete());
+    EXPECT_EQ(describeIn(p, true, "").answer, "");  // told with the rows
+    EXPECT_FALSE(executeIn(p, "", 0, asked).code);
+    ASSERT_TRUE(asked);
+    EXPECT_EQ(asked->statement, "SELECT '" + value + "'");
+    EXPECT_TRUE(asked->described);
+    p.executed(std::string("\0\0", 2), false);
+    EXPECT_FALSE(p.sync().code);
+  }
+  // Once it has run, what it answers is known.
+  EXPECT_EQ(describeIn(p, false, "s").answer,
+            pg::parameterDescription({tr::kInt4}) + pg::message('T', std::string("\0\0", 2)));
+  EXPECT_STREQ(executeIn(p, "", 0, asked).code, "34000");  // Sync ended the portal
+  const std::string close = pg::closeMessage({false, "s"});
+  EXPECT_EQ(p.close(bodyOf(close)).answer, pg::closeComplete());
+  EXPECT_STREQ(bindTo(p, "s", "", {"5"}).code, "26000");
+  EXPECT_EQ(p.bytes(), 0u);
+}
+TEST(PreparedStatements, NameWhatTheyCannotDo) {
+  Prepared p;
+  std::optional<Prepared::Asked> asked;
+  parseIn(p, "", "SELECT $1, $2");
+  const auto few = bindTo(p, "", "", {"5"});
+  EXPECT_STREQ(few.code, "08P01");
+  EXPECT_EQ(few.text, "bind message supplies 1 parameters, but prepared statement \"\" requires 2");
+  EXPECT_FALSE(bindTo(p, "", "p", {"5", "6"}).code);
+  EXPECT_STREQ(bindTo(p, "", "p", {"5", "6"}).code, "42P03");
+  describeIn(p, true, "p");
+  EXPECT_STREQ(p.settle().code, "0A000");  // a Flush before it ran
+  EXPECT_FALSE(executeIn(p, "p", 1, asked).code);
+  EXPECT_EQ(asked->mostRows, 1u);
+  p.executed({}, true);
+  EXPECT_EQ(executeIn(p, "p", 1, asked).text,
+            "Execute that goes on where a row limit stopped is not supported");
+  EXPECT_STREQ(p.parse("no", false).code, "08P01");
+  EXPECT_STREQ(p.describe("Xno").code, "08P01");
+  EXPECT_STREQ(parseIn(p, "big", "SELECT $65536").code, "42P02");
+}
+TEST(PreparedStatements, AreBoundedInNumber) {
+  Prepared p;
+  int taken = 0;
+  for (int k = 0; k < 1000; ++k) taken += !parseIn(p, "s" + std::to_string(k), "SELECT 1").code;
+  EXPECT_EQ(taken, 256);
+  EXPECT_EQ(p.bytes(), 256u * 8);
+}
+
+// ---- settings that a side tells
+// --------------------------------------------------------------------------------
+TEST(Sides, TellTheirSettingsBySetOrAtTheStart) {
+  tr::Side side;
+  EXPECT_EQ(tr::parseSet("SET Bytea_Output TO 'escape';"), std::make_pair("bytea_output"s, "escape"s));
+  EXPECT_EQ(tr::parseSet("set session DateStyle='ISO, MDY'"), std::make_pair("datestyle"s, "ISO, MDY"s));
+  for (const char* no :
+       {"SELECT 1", "SET", "SET a", "SET a = 'b'; DROP TABLE c", "SETa = b", "SET a = b /* c */"})
+    EXPECT_FALSE(tr::parseSet(no)) << no;
+  EXPECT_FALSE(tr::apply(side, "standard_conforming_strings", "off"));
+  EXPECT_TRUE(side.backslashes);
+  EXPECT_EQ(tr::apply(side, "standard_conforming_strings", "maybe"),
+            "invalid value for parameter \"standard_conforming_strings\": \"maybe\"");
+  EXPECT_TRUE(tr::apply(side, "client_encoding", "LATIN1"));
+  EXPECT_FALSE(tr::apply(side, "client_encoding", "UTF8"));
+  EXPECT_TRUE(tr::apply(side, "role", "admin"));
+  EXPECT_FALSE(tr::applyOptions(side, "-c standard_conforming_strings=on --bytea-output=hex -o old"));
+  EXPECT_FALSE(side.backslashes);
+  EXPECT_EQ(side.bytea, tr::ByteaForm::Hex);
+  EXPECT_TRUE(tr::applyOptions(side, "-c geqo"));
+}
+
+// ---- startups and keys
+// -------------------------------------------------------------------------------------------
+TEST(Startups, OfVersion3ReadBack) {
+  pg::Startup s;
+  s.minor = 2;
+  s.user = "desk";
+  s.settings = {{"options", "-c a=b"}};
+  s.extensions = {"_pq_.odd"};
+  const std::string packet = pg::startup(s);
+  const auto back = pg::parseStartup(packet);
+  ASSERT_TRUE(back);
+  EXPECT_EQ(back->minor, 2);
+  EXPECT_EQ(back->settings, s.settings);
+  EXPECT_EQ(back->extensions, s.extensions);
+  for (std::size_t n = 0; n < packet.size(); ++n) EXPECT_FALSE(pg::parseStartup(packet.substr(0, n))) << n;
+  EXPECT_EQ(pg::agreedMinor(0), 0);
+  EXPECT_EQ(pg::agreedMinor(1), 0);
+  EXPECT_EQ(pg::agreedMinor(9), 2);
+  const std::string negotiation = pg::negotiate(0, {"_pq_.odd"});
+  EXPECT_EQ(pg::parseNegotiate(bodyOf(negotiation)), 0);
+  EXPECT_EQ(pg::parseNegotiate("\0\0\0\2\0\0\0\0"sv), 2);
+  EXPECT_FALSE(pg::parseNegotiate("\0\0\0\2\0\0\0\1"sv));
+}
+TEST(Keys, HaveTheLengthOfTheirVersion) {
+  for (const std::size_t n : {4u, 32u, 256u}) {
+    const pg::Key k{7, std::string(n, 'k')};
+    EXPECT_EQ(pg::parseCancel(pg::cancel(k))->secret, k.secret);
+    const std::string data = pg::keyData(k);
+    EXPECT_EQ(pg::parseKeyData(bodyOf(data))->secret, k.secret);
+  }
+  EXPECT_FALSE(pg::parseCancel(pg::cancel({7, "abc"})));
+  EXPECT_FALSE(pg::parseCancel(pg::cancel({7, std::string(257, 'k')})));
+  EXPECT_TRUE(sameSecret("abcd", "abcd"));
+  EXPECT_FALSE(sameSecret("abcd", "abcc"));
+  EXPECT_FALSE(sameSecret("abcd", "abc"));
+  EXPECT_NE(randomBytes(32), randomBytes(32));
+}
+
 // ---- logins
 // ------------------------------------------------------------------------------------------------
 constexpr const char* kClientNonce = "rOprNGfwEbeRWgbNEkqO";
