--- a/fuzz/extended.cpp
+++ b/fuzz/extended.cpp
@@ -1,4 +1,5 @@
-// The extended sub-protocol: what clients send, and answers as they are read and written again.
+// Startups, logins and the extended sub-protocol: what clients send, and answers as they are read and written
+// again.
 #include "wire/pg/extended.hpp"
 
 #include <cstdlib>
@@ -6,13 +7,26 @@
 #include "fuzz/target.hpp"
 #include "translate/answer.hpp"
 #include "wire/pg/codec.hpp"
+#include "wire/pg/login.hpp"
 #include "wire/pg/pg.hpp"
+#include "wire/pg/startup.hpp"
 #include "wire/pg2/codec.hpp"
 
 using namespace sablespur;
 
 int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   const std::string_view text(reinterpret_cast<const char*>(data), size);
+  if (const auto s = pg::parseStartup(text)) {
+    const auto again = pg::parseStartup(pg::startup(*s));
+    if (!again || again->user != s->user || again->settings != s->settings) std::abort();
+  }
+  if (const auto k = pg::parseCancel(text); k && pg::cancel(*k) != text) std::abort();
+  if (const auto k = pg::parseKeyData(text); k && std::string_view(pg::keyData(*k)).substr(pg::kHead) != text)
+    std::abort();
+  if (const auto minor = pg::parseNegotiate(text); minor && (*minor < 0 || *minor > 0xffff)) std::abort();
+  pg::parsePassword(text);
+  pg::parseSaslInitial(text);
+  pg::offersScram(text);
   pg::parseParse(text);
   pg::parseTarget(text);
   pg::parseExecute(text);
--- a/fuzz/scram.cpp
+++ b/fuzz/scram.cpp
@@ -3,6 +3,7 @@
 
 #include <cstdlib>
 
+#include "auth/users.hpp"
 #include "fuzz/target.hpp"
 
 using namespace sablespur;
@@ -17,6 +18,8 @@
   static const auth::Verifier verifier = auth::makeVerifier("pencil", "salt", 1);
   auth::ScramServer server(verifier, "servernonce");
   if (server.first(text, why) && server.final(text, why)) std::abort();
+  std::vector<auth::Users::Fault> faults;
+  auth::Users::parse(text, faults);
   if (const auto v = auth::parseVerifier(text); v && auth::parseVerifier(v->text())->text() != v->text())
     std::abort();
   if (const auto b = auth::fromBase64(text); b && auth::fromBase64(auth::toBase64(*b)) != *b) std::abort();
--- a/lab/audit.cpp
+++ b/lab/audit.cpp
@@ -151,6 +151,12 @@
     const auto it = count_.find(name);
     f[name] = it == count_.end() ? 0 : static_cast<double>(it->second);
   }
+  for (const auto& [name, n] : hits_) f[name] = static_cast<double>(n);
+  if (valuesRight_ + valuesWrong_ > 0) {
+    f["values_right"] = static_cast<double>(valuesRight_);
+    f["values_wrong"] = static_cast<double>(valuesWrong_);
+  }
+  f.emplace("replies_broken", 0);
   f["extra_answers"] = static_cast<double>(extraAnswers_);
   f["sends"] = static_cast<double>(sends_.size());
   f["sends_in_grace"] = static_cast<double>(inGrace_);
--- a/lab/audit.hpp
+++ b/lab/audit.hpp
@@ -57,6 +57,8 @@
   void request(Time at, const std::string& id);
   void answer(Time at, const std::string& id, Got, const std::string& value, Time latency, bool onTime,
               double worth, double earned);
+  void hit(const char* what) { ++hits_[what]; }  // something happened that an experiment wants to see
+  void value(bool right) { right ? ++valuesRight_ : ++valuesWrong_; }
   void extra(Time) { ++extraAnswers_; }  // an answer that nobody waited for
   void lost(const std::string& id, const char* why);
 
@@ -111,7 +113,8 @@
   std::vector<Broken> broken_;
   std::uint64_t tokens_ = 0, extraAnswers_ = 0, probes_ = 0, inGrace_ = 0;
   double worstCold_ = 0, worth_ = 0, earned_ = 0;
-  std::map<std::string, std::uint64_t> count_;
+  std::map<std::string, std::uint64_t> count_, hits_;
+  std::uint64_t valuesRight_ = 0, valuesWrong_ = 0;
 };
 
 }  // namespace sablespur::lab
--- a/lab/clients.cpp
+++ b/lab/clients.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstdlib>
 
+#include "translate/values.hpp"
 #include "wire/pg/pg.hpp"
 
 namespace sablespur::lab {
@@ -14,11 +15,51 @@
 constexpr Time kSlack = std::chrono::milliseconds(70);  // after the deadline an answer still counts as one
 constexpr std::size_t kMostIdle = 40;
 
+constexpr Time kCancelAfter = std::chrono::milliseconds(3);
+
+// A literal in the dialect of a version's time.
+std::string literalOf(const std::string& text, bool backslashes) {
+  std::string s = "'";
+  for (const char c : text) {
+    if (c == '\'' || (c == '\\' && backslashes)) s.push_back(c);
+    s.push_back(c);
+  }
+  return s + "'";
+}
+
 }  // namespace
 
+// A CancelRequest on a connection of its own, as a desk of its version sends it.
+struct Clients::Call {
+  Call(Clients& o, const std::string& request) : owner(o) {
+    bev.reset(bufferevent_socket_new(o.c_.loop.get(), -1, BEV_OPT_CLOSE_ON_FREE));
+    bufferevent_setcb(
+        bev.get(), nullptr, nullptr,
+        [](bufferevent*, short what, void* self) {
+          auto& c = *static_cast<Call*>(self);
+          if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+            c.owner.calls_.remove_if([&](const auto& x) { return x.get() == &c; });
+        },
+        this);
+    put(bev.get(), request);
+    bufferevent_enable(bev.get(), EV_READ | EV_WRITE);
+    bufferevent_socket_connect(bev.get(), reinterpret_cast<const sockaddr*>(&o.target_), sizeof o.target_);
+  }
+  Clients& owner;
+  BufferEventPtr bev;
+};
+
 class Clients::Connection {
  public:
-  Connection(Clients& o) : o_(o), late_(o.c_, [this] { late(); }) {
+  Connection(Clients& o)
+      : o_(o), late_(o.c_, [this] { late(); }), cancel_(o.c_, [this] { o_.callOff(*speaker_); }) {
+    if (o.s_.version) {
+      Identity who;
+      who.password = kDeskPassword;
+      who.settings = o.s_.startup;
+      if (o.s_.version == Version::V20) who.settings.clear();
+      speaker_ = std::make_unique<Speaker>(*o.s_.version, who);
+    }
     bev_.reset(bufferevent_socket_new(o.c_.loop.get(), -1, BEV_OPT_CLOSE_ON_FREE));
     bufferevent_setcb(
         bev_.get(), [](bufferevent*, void* self) { static_cast<Connection*>(self)->read(); }, nullptr,
@@ -31,7 +72,7 @@
           if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) c.ended();
         },
         this);
-    put(bev_.get(), pg::startup("api", "ledger"));
+    put(bev_.get(), speaker_ ? speaker_->hello() : pg::startup("api", "ledger"));
     bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
     bufferevent_socket_connect(bev_.get(), reinterpret_cast<const sockaddr*>(&o.target_), sizeof o.target_);
   }
@@ -41,14 +82,90 @@
     busy_ = true;
     served_ = refused_ = failed_ = false;
     value_.clear();
-    put(bev_.get(), pg::query(request_.statement));
+    if (speaker_ && greeted_) askAsDesk();
+    if (!speaker_) put(bev_.get(), pg::query(request_.statement));
     late_.in(request_.deadline + kSlack - o_.c_.now());
   }
   bool busy() const { return busy_; }
 
  private:
+  void askAsDesk() {
+    const bool simple = o_.s_.way == "simple";
+    put(bev_.get(), simple ? speaker_->query(request_.statement)
+                           : speaker_->extended(request_.statement, request_.bound, o_.s_.way == "binary"));
+    if (request_.cancel) cancel_.in(kCancelAfter);
+  }
+  // Until the proxy waits for the next request; this object may be no more then.
+  void readAsDesk(evbuffer* in) {
+    std::string bytes(evbuffer_get_length(in), '\0'), send;
+    if (!bytes.empty()) evbuffer_remove(in, bytes.data(), bytes.size());
+    in_ += bytes;
+    const Speaker::Got got = speaker_->take(in_, send);
+    if (!send.empty()) put(bev_.get(), send);
+    if (got == Speaker::Got::Broken) {
+      o_.audit_.hit("replies_broken");
+      return ended();
+    }
+    if (got == Speaker::Got::More) return;
+    const Reply r = speaker_->takeReply();
+    if (!greeted_) {
+      if (speaker_->version() == Version::V20) o_.audit_.hit("row_1");
+      if (r.seen[0] == 'v') o_.audit_.hit("row_11");
+      const std::size_t key = speaker_->secret().size();
+      if (key != (speaker_->version() == Version::V32 ? 32u : 4u)) o_.audit_.value(false);
+      greeted_ = true;
+      if (busy_) askAsDesk();
+      return;
+    }
+    if (busy_) judge(r);
+    ready();
+  }
+  // What the reply holds, against what the request's id makes of it.
+  void judge(const Reply& r) {
+    cancel_.stop();
+    const bool two = speaker_->version() == Version::V20;
+    served_ = !r.rows.empty();
+    refused_ = r.code == "53300" || r.error.find("no data server can take") != std::string::npos;
+    if (r.comeBackMs) retryAfter_ = std::chrono::milliseconds(*r.comeBackMs);
+    // What a server tells amid its answer is no business of the client's.
+    if (r.seen.find('N') != std::string::npos || r.seen.find('S') != std::string::npos)
+      o_.audit_.value(false);
+    if (two) o_.audit_.hit("row_2");
+    if (r.code == "57014" || (two && r.error.find("canceling") != std::string::npos)) o_.audit_.hit("row_12");
+    if (request_.missing) {
+      const bool told = r.error.find("column \"missing\" does not exist") != std::string::npos;
+      if (told && two && r.error.rfind("ERROR:  ", 0) == 0) o_.audit_.hit("row_6");
+      const bool later = r.fields.find_first_of("stn") != std::string::npos;
+      if (told && !two && later == (speaker_->version() == Version::V32)) o_.audit_.hit("row_7");
+      if (later && speaker_->version() == Version::V30) o_.audit_.value(false);
+      return;
+    }
+    if (!served_) return;
+    const auto& row = r.rows[0];
+    const std::string expected = bytesOf(request_.id, std::max<std::size_t>(o_.s_.valueBytes, 1));
+    const bool binary = o_.s_.way == "binary";
+    std::string size = std::to_string(expected.size()), got;
+    if (binary) {
+      size.clear();
+      for (int shift = 24; shift >= 0; shift -= 8)
+        size.push_back(static_cast<char>(expected.size() >> shift));
+    }
+    bool right = row.size() == 3 && row[0] == size && row[1] && !row[2];
+    if (right) got = binary ? *row[1] : translate::readBytea(*row[1]).value_or("");
+    right = right && got == expected && r.types == std::vector<std::uint32_t>{23, 17, 25};
+    o_.audit_.value(right);
+    value_ = right ? "v-" + request_.id : "something else";
+    if (!right) return;
+    if (binary) o_.audit_.hit("row_10");
+    if (!two) return;
+    o_.audit_.hit("row_3");
+    if (r.seen[0] == 'P') o_.audit_.hit("row_4");
+    if (r.tag == "SELECT") o_.audit_.hit("row_5");
+    if (row[1]->rfind("\\x", 0) != 0) o_.audit_.hit("row_8");
+  }
   void read() {
     evbuffer* const in = bufferevent_get_input(bev_.get());
+    if (speaker_) return readAsDesk(in);
     for (;;) {
       char bytes[pg::kHead];
       if (evbuffer_copyout(in, bytes, sizeof bytes) < static_cast<ev_ssize_t>(sizeof bytes)) return;
@@ -125,7 +242,9 @@
 
   Clients& o_;
   BufferEventPtr bev_;
-  Timer late_;
+  Timer late_, cancel_;
+  std::unique_ptr<Speaker> speaker_;  // of desks
+  std::string in_;
   bool greeted_ = false, busy_ = false, served_ = false, refused_ = false, failed_ = false;
   std::string value_;
   Time retryAfter_{};
@@ -143,6 +262,8 @@
       retry_(c, [this] { again(); }) {}
 Clients::~Clients() = default;
 
+void Clients::callOff(const Speaker& s) { calls_.push_back(std::make_unique<Call>(*this, s.cancel())); }
+
 void Clients::start() {
   running_ = true;
   next_.in(Time(0));
@@ -191,6 +312,27 @@
                               (r.key.empty() ? "" : ",k=" + r.key) + ",cluster=" + std::to_string(r.group) +
                               " */";
   const std::string handle = "'h" + std::to_string(ids_ % 1000) + "'";
+  if (s_.version) {
+    const bool two = s_.version == Version::V20;
+    const std::string version = two ? "2.0" : s_.version == Version::V30 ? "3.0" : "3.2";
+    r.missing = !r.cls->write && c_.uniform(0.0, 1.0) < s_.missing;
+    r.cancel = !r.missing && c_.uniform(0.0, 1.0) < s_.cancels;
+    const std::string what = r.missing      ? "SELECT missing FROM rows"
+                             : r.cls->write ? "UPDATE rows SET note = "
+                                            : "SELECT size, blob, note FROM rows WHERE note = ";
+    r.bound.clear();
+    if (s_.way == "simple") {
+      r.statement =
+          what + (r.missing ? "" : literalOf(textOf(r.id), two)) + " /* by " + version + " */" + comment;
+      return;
+    }
+    std::string named = comment;
+    named.replace(named.find("id=") + 3, r.id.size(), r.missing ? "$1" : "$2");
+    r.statement = what + (r.missing ? "" : "$1") + " /* by " + version + " */" + named;
+    if (!r.missing) r.bound.push_back({textOf(r.id), 25, s_.way == "binary"});
+    r.bound.push_back({r.id, 25, false});
+    return;
+  }
   if (r.cls->write)
     r.statement = "INSERT INTO rows (handle, blob) VALUES (" + handle + ", '" +
                   std::string(s_.valueBytes, 'x') + "') RETURNING blob" + comment;
@@ -231,7 +373,7 @@
   const double worth = again ? 0 : r.cls->worth;  // a request's worth counts once, with its last try
   const double earned = got != Got::Served ? 0 : inTime ? worth : worth * r.cls->lateWorth;
   std::string plain = value;
-  if (s_.valueBytes > 0) plain = plain.substr(0, plain.find('.'));
+  if (s_.valueBytes > 0 && !s_.version) plain = plain.substr(0, plain.find('.'));
   audit_.answer(now, r.id, got, plain, latency, inTime, worth, earned);
   if (got == Got::Served) latencies_.push_back(static_cast<double>((now - r.at).count()) / 1e3);
   if (again) {
--- a/lab/clients.hpp
+++ b/lab/clients.hpp
@@ -12,6 +12,7 @@
 #include "lab/audit.hpp"
 #include "lab/context.hpp"
 #include "lab/fleet.hpp"
+#include "lab/speaker.hpp"
 
 namespace sablespur::lab {
 
@@ -22,6 +23,11 @@
   std::size_t valueBytes = 0;
   int groups = 2;
   bool direct = false;  // to a data server, without a proxy
+  // Desks of a generation, whose values are checked byte by byte.
+  std::optional<Version> version;
+  std::string way = "simple";       // or extended, binary
+  double cancels = 0, missing = 0;  // shares: called off after a moment; of a column that is not there
+  std::vector<std::pair<std::string, std::string>> startup;  // more parameters of it
 };
 
 class Clients {
@@ -44,6 +50,8 @@
     Time at{}, deadline{}, first{};
     int retriesLeft = 0, group = 1;
     std::string key;
+    bool cancel = false, missing = false;  // of desks
+    std::vector<Bound> bound;
   };
   void arrive();
   void ask(Request);
@@ -65,7 +73,10 @@
   std::list<std::unique_ptr<Connection>> connections_;
   std::vector<Connection*> idle_;
   void again();
-  std::multimap<Time, Request> waiting_;  // for their next try
+  void callOff(const Speaker&);
+  struct Call;
+  std::list<std::unique_ptr<Call>> calls_;  // CancelRequests on their way
+  std::multimap<Time, Request> waiting_;    // for their next try
   Timer retry_;
   std::vector<double> latencies_;
 };
--- a/lab/experiment.cpp
+++ b/lab/experiment.cpp
@@ -25,7 +25,7 @@
       {"withdraw", 1}, {"publish", 1}, {"toggle", 1}, {"drain", 1},  {"rename", 2}, {"empty", 0},
       {"refill", 0},   {"kill", 1},    {"start", 1},  {"vanish", 1}, {"back", 1},   {"hang", 1},
       {"slow", 2},     {"errors", 2},  {"resets", 2}, {"lag", 2},    {"dns", 1},    {"registry", 1},
-      {"rate", 1},     {"proxy", 2},   {"primary", 2}};
+      {"rate", 1},     {"logins", 2},  {"proxy", 2},  {"primary", 2}};
   return all;
 }
 
@@ -47,6 +47,8 @@
         fleet(s);
       else if (s.type == "load")
         load(s);
+      else if (s.type == "desks")
+        desks(s);
       else if (s.type == "class")
         aClass(s);
       else if (s.type == "settings")
@@ -57,7 +59,7 @@
         claims(s);
       else
         fault(s.line, s.title(), "there is no such section",
-              "sections are experiment, fleet, load, class NAME, settings, script, claims");
+              "sections are experiment, fleet, load, desks NAME, class NAME, settings, script, claims");
     }
     if (e.classes.empty()) fault(0, "", "there is no [class NAME]", "add one");
     if (e.discovery != "dnssd" && e.discovery != "registry")
@@ -126,7 +128,9 @@
   }
   void fleet(const IniSection& s) {
     FleetSettings& f = e_.fleet;
-    apply(s, {{"groups", count(f.groups)},
+    std::string generations;
+    apply(s, {{"generations", text(generations)},
+              {"groups", count(f.groups)},
               {"members", count(f.members)},
               {"cores", count(f.machine.cores)},
               {"room", count(f.machine.room)},
@@ -142,17 +146,28 @@
               {"probe_work", time(f.probeWork)},
               {"value_bytes", count(f.valueBytes)},
               {"base_port", count(f.basePort)}});
+    for (const std::string& name : split(generations)) {
+      const auto g = generationOf(name);
+      if (g)
+        f.generations.push_back(*g);
+      else
+        fault(s.line, s.title() + " generations", "there is no generation '" + name + "'",
+              "write some of plain, old, modern");
+    }
   }
   void load(const IniSection& s) {
     ClientSettings c;
-    std::string server;
+    std::string server, version;
     bool loop = false;
     apply(s, {{"rate", number(c.rate)},
               {"retries", count(c.retries)},
               {"loop", put(loop, readFlag)},
               {"value_bytes", count(c.valueBytes)},
+              {"version", text(version)},
+              {"way", text(c.way)},
               {"server", text(server)}});
     c.loop = loop;
+    c.version = versionOf(version);
     if (s.name.empty()) {
       e_.load = c;
       return;
@@ -162,6 +177,29 @@
       fault(s.line, s.title() + " server", "it is missing", "name a data server, such as s-1");
     e_.direct.push_back({s.name, server, c});
   }
+  void desks(const IniSection& s) {
+    ClientSettings c;
+    std::string version, extension;
+    bool loop = false;
+    apply(s, {{"version", text(version)},
+              {"way", text(c.way)},
+              {"rate", number(c.rate)},
+              {"loop", put(loop, readFlag)},
+              {"retries", count(c.retries)},
+              {"cancels", share(c.cancels)},
+              {"missing", share(c.missing)},
+              {"extension", text(extension)},
+              {"value_bytes", count(c.valueBytes)}});
+    c.loop = loop;
+    c.version = versionOf(version);
+    if (!extension.empty()) c.startup.emplace_back("_pq_." + extension, "on");
+    if (!c.version)
+      fault(s.line, s.title() + " version", "'" + version + "' is no version", "write 2.0, 3.0 or 3.2");
+    if (c.way != "simple" && ((c.way != "extended" && c.way != "binary") || c.version == Version::V20))
+      fault(s.line, s.title() + " way", "'" + c.way + "' is no way of this version",
+            "write simple, and for 3.x extended or binary");
+    e_.desks.push_back({s.name, c});
+  }
   void aClass(const IniSection& s) {
     ClassModel m;
     m.name = s.name;
--- a/lab/experiment.hpp
+++ b/lab/experiment.hpp
@@ -1,5 +1,5 @@
 // An experiment as its file says it: INI with the sections [experiment], [fleet], [load] (and [load NAME] for
-// clients that go directly to a server), [class NAME], [settings], [script] and [claims].
+// clients that go directly to a server), [desks NAME], [class NAME], [settings], [script] and [claims].
 #pragma once
 
 #include <optional>
@@ -30,6 +30,11 @@
   ClientSettings settings;
 };
 
+struct Desks {
+  std::string name;
+  ClientSettings settings;
+};
+
 struct Experiment {
   std::string file, title;
   Time duration = std::chrono::seconds(30), warmup = std::chrono::seconds(1);
@@ -39,6 +44,7 @@
   FleetSettings fleet;
   ClientSettings load;
   std::vector<DirectLoad> direct;
+  std::vector<Desks> desks;  // before each proxy
   std::vector<ClassModel> classes;
   std::string settings;  // for the proxies, as INI
   std::vector<Step> script;
--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -63,7 +63,8 @@
 class DataServer::Connection {
  public:
   Connection(DataServer& s, int proxy, evutil_socket_t fd)
-      : s_(s), proxy_(proxy), done_(s.c_, [this] { finish(); }) {
+      : s_(s), proxy_(proxy), number_(++s.numbers_), done_(s.c_, [this] { finish(); }) {
+    if (s.generation_) speaker_ = std::make_unique<ServerSpeaker>(*s.generation_, number_);
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     bev_.reset(bufferevent_socket_new(s.c_.loop.get(), fd, BEV_OPT_CLOSE_ON_FREE));
@@ -89,6 +90,10 @@
     evbuffer* const in = bufferevent_get_input(bev_.get());
     while (!busy_ && !closing_) {
       const std::size_t have = evbuffer_get_length(in);
+      if (!greeted_ && speaker_) {
+        if (!startup(in)) return;
+        continue;
+      }
       if (!greeted_) {
         char length[4];
         if (have < 8 || evbuffer_copyout(in, length, 4) < 4 || have < pg::readInt32(length)) return;
@@ -111,7 +116,54 @@
     }
   }
 
+  // By a CancelRequest that came on another connection.
+  void callOff() {
+    if (!busy_) return;
+    s_.audit_.hit("cancels_reached_servers");
+    const Time now = s_.c_.now();
+    if (end_ > now) s_.machine_->stop(now, end_);
+    done_.stop();
+    error("57014", "canceling statement due to user request");
+  }
+  std::uint32_t number() const { return number_; }
+
  private:
+  // False: wait, or this object is no more.
+  bool startup(evbuffer* in) {
+    std::string bytes(evbuffer_get_length(in), '\0'), send;
+    if (bytes.empty()) return false;
+    evbuffer_remove(in, bytes.data(), bytes.size());
+    before_ += bytes;
+    ServerSpeaker::Got got;
+    do {
+      got = speaker_->take(before_, send);
+    } while (got == ServerSpeaker::Got::More && !send.empty() && !before_.empty());
+    if (!send.empty()) put(bev_.get(), send);
+    switch (got) {
+      case ServerSpeaker::Got::More:
+        return false;
+      case ServerSpeaker::Got::In:
+        greeted_ = true;
+        if (s_.generation_->login == "scram") s_.audit_.hit("scram_logins_at_servers");
+        if (speaker_->askedForMore()) s_.audit_.hit("row_16");
+        return true;
+      case ServerSpeaker::Got::Cancel: {
+        const std::set<Connection*> all = s_.connections_;
+        for (Connection* c : all)
+          if (c->number() == speaker_->cancelled()) {
+            c->callOff();
+            break;
+          }
+        gone();
+        return false;
+      }
+      case ServerSpeaker::Got::Out:
+        closing_ = true;
+        done_.in(Time(0));
+        return false;
+    }
+    return false;
+  }
   void gone() { delete this; }
   // The work of an attempt that is given up stops.
   void giveUp() {
@@ -138,6 +190,7 @@
     if (!cls) return error("08P01", "not in this form");
     const bool primary = s_.fleet_.primary(s_.group_) == &s_;
     id_ = std::string(comment.id);
+    if (speaker_ && !check(text)) return;
     key_ = std::string(field(text, "k"));
     cls_ = cls;
     const double work = static_cast<double>(cls->workLeast.count()) +
@@ -174,6 +227,21 @@
     end_ = *end;
     done_.in(end_ - now);
   }
+  // What a desk has written has to arrive as it meant it. False: it is answered already.
+  bool check(const std::string& text) {
+    if (text.rfind("SELECT missing", 0) == 0) {
+      put(bev_.get(), speaker_->problem("42703", "column \"missing\" does not exist") + pg::readyForQuery());
+      return false;
+    }
+    const std::size_t note = text.find("note = ");
+    if (note == std::string::npos) return true;
+    const auto literal = speaker_->literal(text, note + 7);
+    s_.audit_.value(literal == textOf(id_));
+    const bool two = text.find("/* by 2.0 */") != std::string::npos;
+    if (two && s_.generation_->login == "scram") s_.audit_.hit("row_13");
+    if (s_.generation_->backslashes != two) s_.audit_.hit("row_9");
+    return true;
+  }
   void error(const char* code, const char* text) {
     if (busy_) s_.audit_.ended(s_.c_.now(), token_, false);
     busy_ = false;
@@ -198,8 +266,13 @@
     }
     busy_ = false;
     s_.audit_.ended(now, token_, true);
+    if (speaker_) s_.audit_.hit(("served_by_" + s_.generation_->name).c_str());
+    const std::string between = speaker_ ? speaker_->between() : std::string();
+    if (!between.empty()) s_.audit_.hit("row_14"), s_.audit_.hit("row_15");
+    const std::size_t size = std::max<std::size_t>(s_.fleet_.s_.valueBytes, 1);
     put(bev_.get(),
-        row(value) + pg::message('C', std::string(cls_->write ? "INSERT 0 1" : "SELECT 1") + '\0') +
+        between + (speaker_ ? speaker_->row(bytesOf(id_, size)) : row(value)) +
+            pg::message('C', std::string(cls_->write ? "INSERT 0 1" : "SELECT 1") + '\0') +
             parameter("role", primary ? "primary" : "replica") +
             parameter("applied_ms", std::to_string(s_.c_.unixMs(position) + (cls_->write ? 1 : 0))) +
             pg::readyForQuery());
@@ -207,6 +280,9 @@
 
   DataServer& s_;
   const int proxy_;
+  const std::uint32_t number_;
+  std::unique_ptr<ServerSpeaker> speaker_;  // of a fleet with generations
+  std::string before_;                      // of the startup
   BufferEventPtr bev_;
   Timer done_;
   bool greeted_ = false, busy_ = false, closing_ = false;
@@ -227,6 +303,8 @@
       zone_(zone),
       speed_(speed),
       dying_(c, [this] { kill(); }) {
+  if (const auto& all = fleet.s_.generations; !all.empty())
+    generation_ = all[static_cast<std::size_t>(number - 1) % all.size()];
   MachineSettings m = fleet.s_.machine;
   m.speed = speed;
   machine_ = std::make_unique<Machine>(m, Time(0), true);
--- a/lab/fleet.hpp
+++ b/lab/fleet.hpp
@@ -13,6 +13,7 @@
 
 #include "lab/audit.hpp"
 #include "lab/context.hpp"
+#include "lab/generation.hpp"
 
 namespace sablespur::lab {
 
@@ -39,6 +40,8 @@
        takeoverMost = Time(3500000);
   std::vector<std::string> zones{"ruwi", "seeb"};
   std::size_t valueBytes = 0;  // 0: as long as the id
+  // Servers take them in turn. None: all are plain, and answer one column of text.
+  std::vector<Generation> generations;
 };
 
 class Fleet;
@@ -53,6 +56,7 @@
   int group() const { return group_; }
   const std::string& zone() const { return zone_; }
   bool runs() const { return runs_; }
+  const Generation* generation() const { return generation_ ? &*generation_ : nullptr; }
   double speed() const { return speed_; }
   Time startedAt() const { return startedAt_; }  // 0: before the run
   sockaddr_in address(int proxy) const;          // proxy 0: for those that come directly
@@ -85,6 +89,7 @@
   std::string name_;
   const std::string zone_;
   const double speed_;
+  std::optional<Generation> generation_;
   Time startedAt_{};
   Timer dying_;
   std::unique_ptr<Machine> machine_;
@@ -96,6 +101,7 @@
   std::vector<std::unique_ptr<Way>> ways_;
   std::vector<ListenerPtr> listeners_;
   std::set<Connection*> connections_;
+  std::uint32_t numbers_ = 0;  // of connections, for their keys
   bool runs_ = false, vanished_ = false, hangs_ = false, fallen_ = false;
   double errors_ = 0, resets_ = 0;
 };
--- a/lab/run.cpp
+++ b/lab/run.cpp
@@ -1,6 +1,7 @@
 #include "lab/run.hpp"
 
 #include <signal.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -8,6 +9,7 @@
 #include <fstream>
 #include <stdexcept>
 
+#include "auth/scram.hpp"
 #include "lab/quantiles.hpp"
 
 namespace sablespur::lab {
@@ -69,7 +71,19 @@
   return text;
 }
 
+namespace {
+// A file that nobody else may read.
+void secret(const std::string& path, const std::string& text) {
+  std::ofstream(path) << text;
+  chmod(path.c_str(), 0600);
+}
+}  // namespace
+
 void Run::open() {
+  secret(o_.directory + "/inner", std::string(kInnerPassword) + "\n");
+  secret(o_.directory + "/users",
+         "desk:" + auth::makeVerifier(kDeskPassword, "0123456789abcdef", 4096).text() +
+             "\ndesk:" + auth::md5Stored("desk", kDeskPassword) + "\n");
   if (e_.fleet.basePort == 0) e_.fleet.basePort = 10000 + getpid() * 8 % 20000;
   fleet_ = std::make_unique<Fleet>(c_, audit_, e_.fleet, e_.classes);
   proxies_.resize(static_cast<std::size_t>(e_.proxies));
@@ -105,7 +119,17 @@
     load.valueBytes = load.valueBytes > 0 ? load.valueBytes : e_.fleet.valueBytes;
     p.clients =
         std::make_unique<Clients>(c_, audit_, fleet_->classes(), load, "p" + std::to_string(k + 1) + "-");
+    for (const Desks& d : e_.desks) {
+      ClientSettings desk = d.settings;
+      desk.rate /= static_cast<double>(proxies_.size());
+      desk.groups = e_.fleet.groups;
+      desk.valueBytes = desk.valueBytes > 0 ? desk.valueBytes : e_.fleet.valueBytes;
+      p.desks.push_back(std::make_unique<Clients>(c_, audit_, fleet_->classes(), desk,
+                                                  d.name + std::to_string(k + 1) + "-"));
+    }
     p.process->start([this, k](int port) {
+      proxies_[k].address = loopbackAddress(0, 1, port);
+      for (const auto& d : proxies_[k].desks) d->target(proxies_[k].address);
       proxies_[k].clients->target(loopbackAddress(0, 1, port));
       proxies_[k].ready = true;
     });
@@ -228,6 +252,11 @@
   } else if (what == "registry") {
     for (Proxy& p : proxies_)
       if (p.registry) p.registry->down(w[1] == "down");
+  } else if (what == "logins") {  // "logins 200 3.0": so many at once, at the first proxy
+    const auto version = versionOf(w[2]);
+    if (!version) complain("there is no version " + w[2]);
+    bursts_.push_back(
+        std::make_unique<LoginBurst>(c_, proxies_[0].address, *version, std::atoi(w[1].c_str())));
   } else if (what == "rate") {
     for (Proxy& p : proxies_) p.clients->rate(value(1) / static_cast<double>(proxies_.size()));
   } else if (what == "proxy") {  // "proxy 2 kill"
@@ -293,19 +322,26 @@
   for (Proxy& p : proxies_) p.cpuAtStart = p.process->cpuSeconds();
   for (const Proxy& p : proxies_)
     if (p.names) dnsAtStart_ += static_cast<double>(p.names->counts().udp + p.names->counts().tcp);
-  for (Proxy& p : proxies_)
+  for (Proxy& p : proxies_) {
     if (e_.load.rate > 0 || e_.load.loop) p.clients->start();
+    for (const auto& d : p.desks) d->start();
+  }
   for (const auto& d : direct_) d->start();
   nextStep();
   seconds_.in(std::chrono::seconds(1));
   wait(o_.forEver ? std::chrono::hours(24 * 365) : e_.duration, [this] { return stopped_; });
   const Time loaded = c_.now() - started_;
   const double cpuUsed = cpu();
-  for (Proxy& p : proxies_) p.clients->stop();
+  for (Proxy& p : proxies_) {
+    p.clients->stop();
+    for (const auto& d : p.desks) d->stop();
+  }
   for (const auto& d : direct_) d->stop();
   wait(kFinish, [this] {
-    return std::all_of(proxies_.begin(), proxies_.end(),
-                       [](const Proxy& p) { return p.clients->open() == 0; });
+    return std::all_of(proxies_.begin(), proxies_.end(), [](const Proxy& p) {
+      return p.clients->open() == 0 &&
+             std::all_of(p.desks.begin(), p.desks.end(), [](const auto& d) { return d->open() == 0; });
+    });
   });
   seconds_.stop();
   steps_.stop();
@@ -340,10 +376,23 @@
   for (Proxy& p : proxies_) {
     through += p.clients->latencies().size();
     latencies.insert(latencies.end(), p.clients->latencies().begin(), p.clients->latencies().end());
+    for (const auto& d : p.desks) {
+      through += d->latencies().size();
+      latencies.insert(latencies.end(), d->latencies().begin(), d->latencies().end());
+    }
     crashed += !p.process->running() && p.process->exitStatus() != 0;
     if (p.names) dns += static_cast<double>(p.names->counts().udp + p.names->counts().tcp);
   }
   for (const Second& s : second_) peak = std::max(peak, s.residentMb);
+  for (const auto& b : bursts_) {
+    f["logins"] += static_cast<double>(b->in());
+    f["logins_failed"] += static_cast<double>(b->failed());
+    Quantiles q;
+    for (const double x : b->latencies()) q.add(x);
+    f["logins_p50_ms"] = q.at(0.5);
+    f["logins_most_ms"] = q.most();
+    if (q.most() > 0) f["logins_per_s"] = 1e3 * static_cast<double>(b->in()) / q.most();
+  }
   f["crashes"] = static_cast<double>(crashed);
   f["resident_mb"] = peak;
   f["proxy_cpu_share"] = f["proxy_cpu_s"] / seconds / static_cast<double>(proxies_.size());
--- a/lab/run.hpp
+++ b/lab/run.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "lab/experiment.hpp"
+#include "lab/logins.hpp"
 #include "lab/name_server.hpp"
 #include "lab/proxy_process.hpp"
 #include "lab/registry.hpp"
@@ -54,6 +55,8 @@
     std::unique_ptr<Registry> registry;
     std::unique_ptr<ProxyProcess> process;
     std::unique_ptr<Clients> clients;
+    std::vector<std::unique_ptr<Clients>> desks;
+    sockaddr_in address{};
     std::string settingsPath;
     bool ready = false;
     double cpuAtStart = 0, cpuGone = 0;
@@ -77,6 +80,7 @@
   std::unique_ptr<Fleet> fleet_;
   std::vector<Proxy> proxies_;
   std::vector<std::unique_ptr<Clients>> direct_;
+  std::vector<std::unique_ptr<LoginBurst>> bursts_;
   std::map<int, bool> listed_;  // by server: published now
   std::size_t step_ = 0;
   Time started_{};
--- a/lab/speaker.cpp
+++ b/lab/speaker.cpp
@@ -1,6 +1,7 @@
 #include "lab/speaker.hpp"
 
 #include <cstdlib>
+#include <map>
 
 #include "auth/scram.hpp"
 #include "wire/pg/extended.hpp"
@@ -96,7 +97,11 @@
     case 11: {
       const auto c = login_ ? login_->scram.challenged(body, why_) : std::nullopt;
       if (!c) return false;
-      send += withType('p', login_->scram.final(auth::saltPassword(who_.password, c->salt, c->iterations)));
+      // Salted once for all connections: a burst of logins must not measure the stand-in's own work.
+      static std::map<std::string, std::string> salted;
+      std::string& known = salted[who_.password + "/" + c->salt + "/" + std::to_string(c->iterations)];
+      if (known.empty()) known = auth::saltPassword(who_.password, c->salt, c->iterations);
+      send += withType('p', login_->scram.final(known));
       return true;
     }
     case 12:
@@ -209,6 +214,7 @@
           const char field = body[at];
           const std::string text = body.c_str() + at + 1;
           at += text.size() + 2;
+          reply_.fields += field;
           if (field == 'C') reply_.code = text;
           if (field == 'M') reply_.error = text;
           if (field == 'D' && !text.empty() && text.find_first_not_of("0123456789") == std::string::npos)
--- a/lab/speaker.hpp
+++ b/lab/speaker.hpp
@@ -20,7 +20,8 @@
   std::vector<std::uint32_t> types;
   std::string tag, code, error;  // of 2.0 there is no code
   std::optional<int> comeBackMs;
-  std::string seen;  // the messages' types, in order
+  std::string seen;    // the messages' types, in order
+  std::string fields;  // of an error, their letters
 };
 
 struct Identity {
@@ -29,6 +30,8 @@
   std::string options;
 };
 
+constexpr const char* kDeskPassword = "desk-word";  // of the user "desk", where a run lets clients log in
+
 // A parameter of an extended query; nothing: null.
 struct Bound {
   std::optional<std::string> value;
--- a/src/app/cli.cpp
+++ b/src/app/cli.cpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "app/members.hpp"
+#include "app/password.hpp"
 #include "app/serve.hpp"
 #include "config/config.hpp"
 
@@ -63,6 +64,15 @@
     listing->add_option("--wait", members.waitSeconds, "seconds to wait for discovery")
         ->check(CLI::Range(0.1, 300.0))
         ->capture_default_str();
+    PasswordOptions password;
+    CLI::App* const hashing = app.add_subcommand(
+        "password", "make a user's line for the file of users; the password is read from standard input");
+    hashing->add_option("NAME", password.user, "the user")->required();
+    hashing->add_flag("--md5", password.md5,
+                      "for clients that know no SCRAM, those of protocol 2.0 among them");
+    hashing->add_option("--iterations", password.iterations, "of SCRAM")
+        ->check(CLI::Range(4096, 1000000))
+        ->capture_default_str();
     try {
       app.parse(argc, argv);
       if (checking->parsed() && !keys && path.empty()) throw CLI::RequiredError("FILE");
@@ -71,6 +81,7 @@
     }
     if (checking->parsed() && keys) return std::fputs(settingsPage().c_str(), stdout) < 0;
     if (checking->parsed()) return check(path);
+    if (hashing->parsed()) return makePassword(password);
     const Config config = readSettings(path);
     if (listing->parsed()) return showMembers(config, members);
     return serve(config, [path] { return readSettings(path); });
--- /dev/null
+++ b/src/app/password.hpp
@@ -0,0 +1,19 @@
+// `sablespur password NAME`: a user's line for the file of users.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace sablespur {
+
+struct PasswordOptions {
+  std::string user;
+  bool md5 = false;
+  std::uint32_t iterations = 4096;
+};
+
+// Reads the password from standard input, without echo where that is a terminal; prints the line. Its exit
+// status.
+int makePassword(const PasswordOptions&);
+
+}  // namespace sablespur
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -8,19 +8,26 @@
 #include "core/engine.hpp"
 #include "core/event.hpp"
 #include "core/member_feed.hpp"
+#include "core/workers.hpp"
 #include "front/pg/clients.hpp"
 #include "log/log.hpp"
 
 namespace sablespur {
+namespace {
+
+constexpr std::size_t kWorkers = 2;  // passwords are salted there, a few milliseconds each
+
+}  // namespace
 
 int serve(const Config& config, const std::function<Config()>& reread) {
   setLog(config.logForm, config.logLevel);
   const EventBase base(event_base_new());
   Engine engine(base.get(), config);
-  Upstream upstream(base.get(), engine, config);
+  Workers workers(base.get(), kWorkers);
+  Upstream upstream(base.get(), engine, workers, config);
   MemberFeed feed(base.get(), engine.clock(), engine, sourcePolicy(config));
   const std::unique_ptr<ListSource> source = openSource(base.get(), engine.clock(), feed, config);
-  Clients clients(base.get(), engine, config);
+  Clients clients(base.get(), engine, workers, config);
   bool running = true;
 
   struct Stop {
@@ -37,16 +44,20 @@
   event_add(term.get(), nullptr);
   event_add(interrupt.get(), nullptr);
 
-  // SIGHUP: the file is read anew by the same checks; what may change while the program serves is discovery.
+  // SIGHUP: the file is read anew by the same checks; what may change while the program serves is discovery
+  // and the users.
   // A file that does not pass changes nothing. It is read within the loop: it is small and local.
   struct Reload {
     ListSource& source;
+    Clients& clients;
     const std::function<Config()>& reread;
-  } reload{*source, reread};
+  } reload{*source, clients, reread};
   const auto onReload = [](evutil_socket_t, short, void* p) {
     const auto& r = *static_cast<Reload*>(p);
     try {
-      r.source.move(r.reread());
+      const Config c = r.reread();
+      r.source.move(c);
+      r.clients.users(c.users);
       logEvent(LogLevel::Info, "settings_read_again");
     } catch (const std::exception& e) {
       logEvent(LogLevel::Error, "settings_unchanged", {{"why", e.what()}});
--- /dev/null
+++ b/src/auth/method.hpp
@@ -0,0 +1,8 @@
+// Ways to log in, those without a password included.
+#pragma once
+
+namespace sablespur::auth {
+
+enum class Method { Trust, Cleartext, Md5, Scram };
+
+}  // namespace sablespur::auth
--- /dev/null
+++ b/src/back/pg/cancel_call.hpp
@@ -0,0 +1,30 @@
+// A CancelRequest on its way to a data server, on a connection of its own.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "core/event.hpp"
+#include "knotstack/balancer.hpp"
+#include "membership/address.hpp"
+
+namespace sablespur {
+
+class CancelCall {
+ public:
+  // `done` comes once: true, the server has taken the request and closed; false, it could not be reached in
+  // time. It may end this object, and comes after the constructor.
+  CancelCall(event_base*, const Address&, const std::string& request, knotstack::Time within,
+             std::function<void(bool)> done);
+  ~CancelCall();
+  CancelCall(const CancelCall&) = delete;
+
+ private:
+  void end(bool taken);
+  BufferEvent bev_;
+  Event timer_;
+  bool up_ = false;
+  std::function<void(bool)> done_;
+};
+
+}  // namespace sablespur
--- /dev/null
+++ b/src/back/pg/login.cpp
@@ -0,0 +1,68 @@
+#include "back/pg/login.hpp"
+
+#ifdef SABLESPUR_AUTH
+#include <optional>
+
+#include "auth/login.hpp"
+#include "base/secret.hpp"
+#include "wire/pg/login.hpp"
+#endif
+
+namespace sablespur {
+
+#ifdef SABLESPUR_AUTH
+namespace {
+
+class ByPassword final : public ServerLogin {
+ public:
+  explicit ByPassword(const Config& c)
+      : guest_(c.serverUser, c.serverPassword, c.serverLogins, auth::toBase64(randomBytes(18))) {}
+
+  Said request(std::uint32_t code, std::string_view data) override {
+    std::string why;
+    switch (code) {
+      case pg::kAuthCleartext:
+        if (!guest_.allows(auth::Method::Cleartext))
+          return {Next::Out, {}, "it wants the password in cleartext"};
+        return {Next::Send, pg::passwordMessage(guest_.cleartext()), {}};
+      case pg::kAuthMd5:
+        if (!guest_.allows(auth::Method::Md5) || data.size() != 4) return {Next::Out, {}, "it wants MD5"};
+        return {Next::Send, pg::passwordMessage(guest_.md5(data)), {}};
+      case pg::kAuthSasl:
+        if (!guest_.allows(auth::Method::Scram) || !pg::offersScram(data))
+          return {Next::Out, {}, "it offers no SASL mechanism that is allowed here"};
+        return {Next::Send, pg::saslInitial(guest_.scramFirst()), {}};
+      case pg::kAuthSaslContinue:
+        challenge_ = guest_.challenged(data, why);
+        return challenge_ ? Said{Next::Salt, {}, {}} : Said{Next::Out, {}, why};
+      case pg::kAuthSaslFinal:
+        return guest_.verified(data, why) ? Said{Next::Wait, {}, {}} : Said{Next::Out, {}, why};
+      default:
+        return {Next::Out, {}, "it wants a login that is not spoken here: " + std::to_string(code)};
+    }
+  }
+  std::function<std::string()> slow() const override { return guest_.slow(*challenge_); }
+  std::string challenge() const override {
+    return challenge_ ? std::to_string(challenge_->iterations) + ":" + challenge_->salt : std::string();
+  }
+  Said salted(const std::string& result) override {
+    return {Next::Send, pg::saslResponse(guest_.scramFinal(result)), {}};
+  }
+  bool mayEnter() const override { return guest_.mayEnter(); }
+
+ private:
+  auth::Guest guest_;
+  std::optional<auth::ScramClient::Challenge> challenge_;
+};
+
+}  // namespace
+#endif
+
+std::unique_ptr<ServerLogin> openServerLogin([[maybe_unused]] const Config& c) {
+#ifdef SABLESPUR_AUTH
+  if (!c.serverPassword.empty()) return std::make_unique<ByPassword>(c);
+#endif
+  return nullptr;
+}
+
+}  // namespace sablespur
--- a/src/back/pg/upstream.cpp
+++ b/src/back/pg/upstream.cpp
@@ -9,10 +9,13 @@
 #include <cmath>
 #include <optional>
 
+#include "back/pg/cancel_call.hpp"
+#include "back/pg/login.hpp"
 #include "log/log.hpp"
 #include "translate/settings.hpp"
 #include "translate/values.hpp"
 #include "wire/pg/codec.hpp"
+#include "wire/pg/login.hpp"
 #include "wire/pg/startup.hpp"
 
 namespace sablespur {
@@ -31,6 +34,8 @@
 constexpr Time kWhole = std::chrono::milliseconds(250);
 // Guards the memory: answers of any number of rows are held whole until they are complete.
 constexpr std::size_t kLongestAnswer = 256 << 10;
+// Salted passwords that are kept: as many as there are data servers with a salt of their own, within reason.
+constexpr std::size_t kMostSalted = 256;
 constexpr int kProbeTries = 4;        // connections that a probe may lose
 constexpr double kMostHeld = 100000;  // requests that a data server may say it holds
 
@@ -58,9 +63,10 @@
   MemberId member = 0;
   Time until{};
   std::shared_ptr<const Message> message;
-  Connection* on = nullptr;  // null: it waits for a connection
-  bool written = false;      // a byte of it may have gone out
-  int broken = 0;            // probes: connections that ended under it
+  Connection* on = nullptr;       // null: it waits for a connection
+  bool written = false;           // a byte of it may have gone out
+  std::optional<Result> givenUp;  // a CancelRequest is out for it; how it ends unless it is answered
+  int broken = 0;                 // probes: connections that ended under it
   Upstream* owner = nullptr;
   Event timer;
   bool probe() const { return id == 0; }
@@ -71,8 +77,10 @@
  public:
   Connection(Upstream& owner, MemberId to, const Address& address, int minor)
       : owner_(owner),
+        address_(address),
         member(to),
         minor_(minor),
+        login_(openServerLogin(owner.config_)),
         timer(event_new(
             owner.base_, -1, 0,
             [](evutil_socket_t, short, void* self) { static_cast<Connection*>(self)->late(); }, this)) {
@@ -92,6 +100,7 @@
         [](bufferevent*, short what, void* self) { static_cast<Connection*>(self)->event(what); }, this);
   }
   ~Connection() {
+    if (call_) --owner_.calls_;
     // bufferevent_free closes the descriptor only in the loop's next pass; the end of an attempt has to show
     // before the next one goes out.
     const evutil_socket_t fd = bufferevent_getfd(bev_.get());
@@ -118,7 +127,7 @@
     answer_ = newBuffer();
     result_ = Result::Reset;
     stage_ = Stage::Start;
-    badStatement_ = false;
+    badStatement_ = cancelled_ = false;
     role_ = Role::Unknown;
     positionMs_ = 0;
     report_.reset();
@@ -126,6 +135,23 @@
   }
   bool backslashes() const { return backslashes_; }
   int minor() const { return minor_; }
+  // A CancelRequest for what runs here. False: the server has told no key.
+  bool callOff() {
+    if (!key_ || call_) return false;
+    ++owner_.calls_;
+    call_ = std::make_unique<CancelCall>(owner_.base_, address_, pg::cancel(*key_), owner_.config_.giveUpWait,
+                                         [this](bool taken) {
+                                           const auto ended = std::move(call_);
+                                           --owner_.calls_;
+                                           owner_.giveUpEnded(*this, taken);
+                                         });
+    return true;
+  }
+  // The password is salted for a challenge; if it is this one's, the login goes on.
+  void salted(const std::string& challenge, const std::string& result) {
+    if (login_ && dialing && login_->challenge() == challenge)
+      append(output(), login_->salted(result).messages);
+  }
 
  private:
   void event(short what) {
@@ -173,6 +199,7 @@
       else
         evbuffer_drain(in, whole);
       if (head->type != 'Z') continue;
+      if (call_ && !dialing) continue;  // until the server is done with the CancelRequest
       if (!clean() && !dialing)
         return owner_.drop(*this);  // the answer is good; its connection is of no more use
       if (!owner_.stands(*this)) return;
@@ -259,12 +286,13 @@
         if (e.code.empty()) return malformed("a malformed error");
         stage_ = Stage::Failed;
         // Syntax, data, protocol: the statement is at fault.
+        cancelled_ = e.code == "57014";
         badStatement_ = e.code.substr(0, 2) == "42" || e.code.substr(0, 2) == "22" || e.code == "08P01";
         result_ = e.code == "53300"                        ? Result::Full
                   : dialing                                ? Result::ConnectFailed
                   : e.code == "25006" || e.code == "72000" ? Result::Miss
                                                            : Result::Error;
-        if (result_ == Result::Error && e.code != "XX000")
+        if (result_ == Result::Error && e.code != "XX000" && !(job && job->givenUp))
           logEvent(LogLevel::Warning, "server_error", {{"code", e.code}, {"text", e.text}});
         failure_ = result_;
         // A server from before versions were negotiated: it is spoken to in 3.0 from now on.
@@ -294,10 +322,11 @@
         return true;
       }
       case 'R':
-        if (body.size() == 4 && pg::readInt32(body.data()) == 0) return true;
-        logEvent(LogLevel::Warning, "server_wants_password");
-        owner_.lost(*this, Result::ConnectFailed);
-        return false;
+        if (body.size() < 4) return malformed("a malformed request for a login");
+        return authenticate(pg::readInt32(body.data()), body.substr(4));
+      case 'K':
+        key_ = pg::parseKeyData(body);  // of another length: there is no cancelling then
+        return true;
       case 'T':
         if (strict() ? !pg::isRowDescription(body) : !described(body))
           return malformed("a malformed description");
@@ -328,6 +357,30 @@
     }
   }
 
+  // False: the connection has ended.
+  bool authenticate(std::uint32_t code, std::string_view data) {
+    const auto out = [&](const std::string& why) {
+      logEvent(LogLevel::Warning, "server_login_failed", {{"why", why}});
+      owner_.lost(*this, Result::ConnectFailed);
+      return false;
+    };
+    if (code == pg::kAuthOk) {
+      if (login_ && !login_->mayEnter()) return out("it lets us in without having proved itself");
+      login_.reset();
+      return true;
+    }
+    if (!login_) return out("it wants a password, and there is none in the settings");
+    const ServerLogin::Said s = login_->request(code, data);
+    if (s.next == ServerLogin::Next::Out) return out(s.why);
+    append(output(), s.messages);
+    if (s.next != ServerLogin::Next::Salt) return true;
+    // The same password with the same salt is the same at each dial.
+    if (const auto known = owner_.salted_.find(login_->challenge()); known != owner_.salted_.end()) {
+      append(output(), login_->salted(known->second).messages);
+      return true;
+    }
+    return owner_.salt(login_->challenge(), login_->slow()) ? true : out("too many logins at once");
+  }
   bool described(std::string_view body) {
     std::vector<translate::Column> columns;
     if (!pg::readColumns(body, columns)) return false;
@@ -343,6 +396,7 @@
     if (j.probe()) return owner_.finishProbe(j, report_.has_value(), report_.value_or(""));
     Ending e;
     e.result = stage_ == Stage::Failed ? result_ : Result::Ok;
+    if (j.givenUp && cancelled_) e.result = *j.givenUp;  // the answer that crossed the cancel counts as it is
     e.badStatement = badStatement_;
     e.role = role_;
     e.positionMs = positionMs_;
@@ -352,12 +406,13 @@
   }
 
   Upstream& owner_;
+  const Address address_;
   BufferEvent bev_;
   Result failure_ = Result::ConnectFailed;  // what its end means now
   Result result_ = Result::Reset;           // of the job, once told by an ErrorResponse
   Buffer answer_;
   enum class Stage { Start, Described, Row, Complete, Failed } stage_ = Stage::Start;  // of the answer
-  bool badStatement_ = false;
+  bool badStatement_ = false, cancelled_ = false;
   Role role_ = Role::Unknown;
   std::int64_t positionMs_ = 0;
   std::optional<std::string> report_;
@@ -368,7 +423,10 @@
   const MemberId member;
 
  private:
-  int minor_;  // of version 3, as asked for, then as agreed
+  int minor_;                           // of version 3, as asked for, then as agreed
+  std::unique_ptr<ServerLogin> login_;  // until it lets us in
+  std::optional<pg::Key> key_;
+  std::unique_ptr<CancelCall> call_;
 
  public:
   bool dialing = true;  // no ReadyForQuery has come yet
@@ -376,9 +434,10 @@
   Event timer;  // of the dial, then of idleness
 };
 
-Upstream::Upstream(event_base* base, Engine& engine, const Config& config)
+Upstream::Upstream(event_base* base, Engine& engine, Workers& workers, const Config& config)
     : base_(base),
       engine_(engine),
+      workers_(workers),
       config_(config),
       most_(config.serverConnections),
       upkeep_(event_new(
@@ -407,8 +466,23 @@
   }
 }
 
+// Once for all connections that get the same challenge, and to its end even if those that asked are gone: a
+// server may ask for more than there is time for at one dial.
+bool Upstream::salt(const std::string& challenge, std::function<std::string()> work) {
+  if (salting_.count(challenge) > 0) return true;
+  auto ticket = workers_.run(std::move(work), [this, challenge](const std::string& result) {
+    salting_.erase(challenge);
+    if (salted_.size() >= kMostSalted) salted_.clear();
+    salted_[challenge] = result;
+    for (const auto& [c, owned] : connections_) c->salted(challenge, result);
+  });
+  if (!ticket) return false;
+  salting_.emplace(challenge, std::move(ticket));
+  return true;
+}
+
 bool Upstream::makeRoom() {
-  if (connections_.size() < most_) return true;
+  if (connections_.size() + calls_ < most_) return true;
   for (auto& [id, e] : endpoints_)
     if (!e.idle.empty()) {
       drop(*e.idle.front());
@@ -575,6 +649,7 @@
   const auto it = attempts_.find({id, attempt});
   if (it == attempts_.end()) return;  // its end is on the way already
   Job& j = *it->second;
+  if (j.givenUp || giveUp(j, Result::Cancelled)) return;
   Ending e;
   e.result = j.written ? Result::Cancelled : Result::Moot;
   if (Connection* const c = j.on) {
@@ -588,9 +663,31 @@
   finish(j, std::move(e));
 }
 
+// The attempt is over once the server has answered, or not in time: no second one goes out before.
+bool Upstream::giveUp(Job& j, Result how) {
+  if (!config_.cancelServers || j.probe() || !j.written || !j.on || !j.on->flushed() || !makeRoom() ||
+      !j.on->callOff())
+    return false;
+  j.givenUp = how;
+  startTimer(j.timer.get(), config_.giveUpWait);
+  return true;
+}
+
+void Upstream::giveUpEnded(Connection& c, bool taken) {
+  if (c.job) {
+    if (!taken) timedOut(*c.job);  // it cannot be told, so its connection ends
+    return;
+  }
+  if (!taken || !c.clean()) return drop(c);
+  stands(c);
+}
+
 void Upstream::timedOut(Job& j) {
+  if (!j.givenUp && giveUp(j, Result::Timeout)) return;
   Ending e;
-  e.result = j.written ? Result::Timeout : Result::Moot;  // what never left did not run
+  e.result = j.givenUp   ? *j.givenUp
+             : j.written ? Result::Timeout
+                         : Result::Moot;  // what never left did not run
   if (Connection* const c = j.on) {
     j.on = nullptr;
     c->job = nullptr;
@@ -649,6 +746,7 @@
   const bool dialing = c.dialing, badStatement = c.badStatement();
   // Written to the last byte it may have run; before that it never has.
   if (j && how == Result::Reset && (!j->written || !c.flushed())) how = Result::ConnectFailed;
+  if (j && j->givenUp) how = *j->givenUp;
   if (j) {
     j->on = nullptr;
     c.job = nullptr;
@@ -687,7 +785,7 @@
   }
   if (j->probe()) return finishProbe(*j, true);
   Ending ending;
-  ending.result = ran ? Result::Error : Result::Moot;
+  ending.result = j->givenUp ? *j->givenUp : ran ? Result::Error : Result::Moot;
   finish(*j, std::move(ending));
 }
 
--- a/src/back/pg/upstream.hpp
+++ b/src/back/pg/upstream.hpp
@@ -11,13 +11,14 @@
 
 #include "core/engine.hpp"
 #include "core/event.hpp"
+#include "core/workers.hpp"
 #include "wire/pg/pg.hpp"
 
 namespace sablespur {
 
 class Upstream final : public Members {
  public:
-  Upstream(event_base*, Engine&, const Config&);
+  Upstream(event_base*, Engine&, Workers&, const Config&);
   ~Upstream() override;
 
   void listed(MemberId, const Address&, bool ready) override;
@@ -53,6 +54,8 @@
   void dialOlder(Connection&);                 // in place of one that was turned down for its version
   void dialFailed(Endpoint&, Result);
   void timedOut(Job&);
+  bool giveUp(Job&, Result how);  // by a CancelRequest; false: that is not how, or there is no way
+  void giveUpEnded(Connection&, bool taken);
   void finish(Job&, Ending);  // the end of a job, told once
   void finishProbe(Job&, bool ok, std::string_view report = {});
   std::vector<double> believed(std::string_view report) const;
@@ -63,8 +66,13 @@
 
   event_base* const base_;
   Engine& engine_;
+  Workers& workers_;
   const Config& config_;
-  const std::size_t most_;  // connections at once
+  bool salt(const std::string& challenge, std::function<std::string()> work);
+  std::map<std::string, std::string> salted_;       // by a server's challenge: the password, salted; bounded
+  std::map<std::string, Workers::Ticket> salting_;  // under way
+  std::size_t calls_ = 0;                           // CancelRequests on their way
+  const std::size_t most_;                          // connections at once
   std::unordered_map<MemberId, Endpoint> endpoints_;
   std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
   std::map<AttemptKey, std::unique_ptr<Job>> attempts_;
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -4,15 +4,20 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "auth/method.hpp"
 #include "base/fault.hpp"
 #include "knotstack/balancer.hpp"
 #include "log/log.hpp"
 #include "membership/list.hpp"
 
+namespace sablespur::auth {
+class Users;
+}
 namespace sablespur {
 
 using knotstack::Time;
@@ -65,7 +70,12 @@
   bool anyRows = false;              // answers may have any number of columns and rows; else one of each
   bool tellStatementErrors = false;  // a data server's word on a bad statement is passed on
   int serverMinor = 0;               // of version 3, asked of data servers
-  std::string serverUser = "api", serverDatabase = "ledger";
+  std::string serverUser = "api", serverDatabase = "ledger", serverPassword;  // no password: by trust alone
+  std::vector<auth::Method> serverLogins;    // that a data server may ask for
+  std::vector<auth::Method> logins;          // of clients, the best first; Trust or none: without a password
+  std::shared_ptr<const auth::Users> users;  // where logins want a password
+  bool cancelServers = false;                // give_up = cancel
+  Time giveUpWait{};                         // for a data server's answer to that
   LogForm logForm = LogForm::Logfmt;
   LogLevel logLevel = LogLevel::Info;
 };
@@ -87,6 +97,11 @@
 Config parseConfig(const std::string& json);
 Config readConfig(const char* path);  // the same for a file
 
+// Whether clients need a password.
+inline bool wantsPassword(const Config& c) {
+  return !c.logins.empty() && c.logins.front() != auth::Method::Trust;
+}
+
 // Our form. Throws BadSettings.
 Config parseSettings(const std::string& ini, const std::string& file);
 Config readSettings(const std::string& path);
--- a/src/config/ini_config.cpp
+++ b/src/config/ini_config.cpp
@@ -1,4 +1,6 @@
 // Our form of the settings: an INI file by the table of keys.
+#include <sys/stat.h>
+
 #include <algorithm>
 #include <fstream>
 #include <map>
@@ -6,6 +8,9 @@
 #include <set>
 #include <sstream>
 
+#ifdef SABLESPUR_AUTH
+#include "auth/users.hpp"
+#endif
 #include "base/ini.hpp"
 #include "config/config.hpp"
 #include "config/keys.hpp"
@@ -188,6 +193,7 @@
     if (config_.source == Source::Fixed && config_.known.instances.empty())
       fault(sectionLine("discovery"), "[discovery] source",
             {"source = fixed needs a [member NAME]", "add one for each data server"});
+    logins();
     if (!faults_.empty()) return;
     config_.settings.cancel = true;
     config_.settings.step = std::chrono::milliseconds(5);
@@ -207,6 +213,81 @@
     config_.known.reset = true;
     deriveBounds(config_, draft_.descriptors, draft_.memory);
   }
+  // A file of secrets, by its path or beside the settings; nothing, after a fault.
+  std::optional<std::string> secrets(const char* section, const char* key, const std::string& name) {
+    const std::size_t slash = path_.rfind('/');
+    const std::string path =
+        name[0] == '/' || slash == std::string::npos ? name : path_.substr(0, slash + 1) + name;
+    const auto wrong = [&](const char* problem, const std::string& fix) {
+      fault(keyLine(section, key), std::string("[") + section + "] " + key,
+            {"'" + name + "' " + problem, fix});
+      return std::nullopt;
+    };
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    struct stat s {};
+    if (!file || text.str().empty() || stat(path.c_str(), &s) != 0)
+      return wrong("cannot be read or is empty", "see that it exists and may be read");
+    if ((s.st_mode & 077) != 0) return wrong("may be read by others", "chmod 600 it");
+    if (text.str().size() > (4u << 20))
+      return wrong("is longer than 4 MiB", "give each proxy its users alone");
+    return text.str();
+  }
+  int keyLine(const std::string& section, const char* key) const {
+    for (const IniSection& s : file_.sections)
+      if (s.type == section) return lineOf(s, key);
+    return 0;
+  }
+  void words(const char* section, const char* key, std::size_t read, bool trust) {
+    for (const IniSection& s : file_.sections)
+      for (const IniEntry& e : s.entries)
+        if (s.type == section && e.key == key &&
+            static_cast<std::size_t>(std::count(e.value.begin(), e.value.end(), ',')) + 1 != read)
+          fault(e.line, s.title() + " " + key,
+                {"'" + e.value + "' names what is no way to log in",
+                 std::string("write ") + (trust ? "trust, or " : "") +
+                     "some of scram, md5, cleartext, with commas between"});
+  }
+  void logins() {
+    words("clients", "login", config_.logins.size(), true);
+    words("data_servers", "login", config_.serverLogins.size(), false);
+    const auto trust = [](const std::vector<auth::Method>& all) {
+      return std::count(all.begin(), all.end(), auth::Method::Trust) > 0;
+    };
+    if (trust(config_.logins) && config_.logins.size() > 1)
+      fault(keyLine("clients", "login"), "[clients] login",
+            {"trust stands beside ways with a password",
+             "with trust nobody needs one: write one or the other"});
+    if (trust(config_.serverLogins))
+      fault(keyLine("data_servers", "login"), "[data_servers] login",
+            {"trust needs no word", "leave it out: without a password_file no password is sent"});
+    const bool wanted = wantsPassword(config_);
+#ifdef SABLESPUR_AUTH
+    if (wanted && draft_.usersFile.empty())
+      fault(keyLine("clients", "login"), "[clients] users",
+            {"logins with a password need it", "name the file that `sablespur password` fills"});
+    if (wanted && !draft_.usersFile.empty()) {
+      if (const auto text = secrets("clients", "users", draft_.usersFile)) {
+        std::vector<auth::Users::Fault> wrong;
+        config_.users = std::make_shared<const auth::Users>(auth::Users::parse(*text, wrong));
+        for (const auto& w : wrong)
+          faults_.push_back(
+              {draft_.usersFile, w.line, "", w.problem, "make the line by sablespur password NAME"});
+      }
+    }
+    if (!draft_.passwordFile.empty())
+      if (const auto text = secrets("data_servers", "password_file", draft_.passwordFile))
+        config_.serverPassword = text->substr(0, text->find_first_of("\r\n"));
+#else
+    if (wanted)
+      fault(keyLine("clients", "login"), "[clients] login",
+            {"this build has no logins with passwords", "build with SABLESPUR_AUTH"});
+    if (!draft_.passwordFile.empty())
+      fault(keyLine("data_servers", "password_file"), "[data_servers] password_file",
+            {"this build has no logins with passwords", "build with SABLESPUR_AUTH"});
+#endif
+  }
   void dnssd() {
     DnsSdSettings& d = config_.dnssd;
     const IniSection* section = nullptr;
@@ -251,7 +332,7 @@
   IniFile file_;
   std::vector<Fault> faults_;
   Config config_;
-  Draft draft_{config_, 0, 0, {}, {}, {}, {}};
+  Draft draft_{config_, 0, 0, {}, {}, {}, {}, {}, {}};
 };
 
 }  // namespace
--- a/src/config/keys.cpp
+++ b/src/config/keys.cpp
@@ -23,6 +23,17 @@
 }
 const std::string& word(const KeyValue& v) { return as<std::string>(v); }
 Time time(const KeyValue& v) { return as<Time>(v); }
+// Words that are none are left out here; the reader says so (ini_config.cpp).
+std::vector<auth::Method> logins(const KeyValue& v) {
+  std::vector<auth::Method> all;
+  for (const std::string& w : as<std::vector<std::string>>(v))
+    if (w == "trust" || w == "scram" || w == "md5" || w == "cleartext")
+      all.push_back(w == "trust"   ? auth::Method::Trust
+                    : w == "scram" ? auth::Method::Scram
+                    : w == "md5"   ? auth::Method::Md5
+                                   : auth::Method::Cleartext);
+  return all;
+}
 
 }  // namespace
 
@@ -51,309 +62,354 @@
 }
 
 const std::vector<Key>& keyTable() {
-  static const std::vector<Key> table{
-      {"proxy", "name", Kind::Text, nullptr, 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.config.name = word(v); },
-       "Its name in the log, the same after a restart."},
-      {"proxy", "listen", Kind::Address, nullptr, 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.config.listen = as<Address>(v); },
-       "Where clients connect. Port 0 lets the system choose; the log tells which."},
-      {"proxy", "proxies", Kind::Count, "1", 1, 10000, "",
-       [](Draft& d, const KeyValue& v) {
-         d.config.settings.balancers = static_cast<int>(as<std::int64_t>(v));
-       },
-       "How many proxies stand before the same data servers, this one included. Each takes its part of what "
-       "a cold "
-       "server may be sent, so a number that is too small can fell one."},
-      {"proxy", "zones", Kind::Words, "", 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.config.zones = as<std::vector<std::string>>(v); },
-       "The buildings, with commas between. Data servers name theirs."},
-      {"proxy", "seed", Kind::Hex, "random", 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.config.seed = as<std::uint64_t>(v); },
-       "Of its random numbers; hexadecimal, or `random` for a new one at each start. Fix it only to repeat a "
-       "run."},
-
-      {"limits", "memory", Kind::Size, "64MB", double(kLeastMemory), double(kMostMemory), "",
-       [](Draft& d, const KeyValue& v) { d.memory = as<std::uint64_t>(v); },
-       "Resident memory that the process keeps to."},
-      {"limits", "descriptors", Kind::Count, "1024", kLeastDescriptors, kMostDescriptors, "",
-       [](Draft& d, const KeyValue& v) { d.descriptors = static_cast<std::size_t>(as<std::int64_t>(v)); },
-       "Descriptors that it may open. 45% go to clients, the rest to data servers, but for 24 of its own. "
-       "Not above "
-       "`ulimit -n`."},
-      {"limits", "attempts", Kind::Count, "8", 1, 255, "",
-       [](Draft& d, const KeyValue& v) {
-         d.config.settings.attemptsCap = static_cast<int>(as<std::int64_t>(v));
-       },
-       "The most attempts for one request, its first included."},
-      {"limits", "dial_timeout", Kind::Duration, "250ms", kMillisecond, 60 * kSecond, "",
-       [](Draft& d, const KeyValue& v) { d.config.dialTimeout = time(v); },
-       "A connection to a data server that is not up by then has failed; a probe not answered by then too."},
-      {"limits", "idle_close", Kind::Duration, "15s", kSecond, kHour / 2, "",
-       [](Draft& d, const KeyValue& v) { d.config.idleClose = time(v); },
-       "Data servers close what stands idle for so long. The proxy retires its connections at 0.7 of it; "
-       "with a "
-       "figure that is too high, requests run into connections that have just been closed."},
-
-      {"log", "form", Kind::Choice, "logfmt", 0, 0, "logfmt json",
-       [](Draft& d, const KeyValue& v) {
-         d.config.logForm = word(v) == "json" ? LogForm::Json : LogForm::Logfmt;
-       },
-       "A line an event, as `name=value` pairs or as a JSON object."},
-      {"log", "level", Kind::Choice, "info", 0, 0, "debug info warning error",
-       [](Draft& d, const KeyValue& v) {
-         d.config.logLevel = word(v) == "debug"     ? LogLevel::Debug
-                             : word(v) == "info"    ? LogLevel::Info
-                             : word(v) == "warning" ? LogLevel::Warning
-                                                    : LogLevel::Error;
-       },
-       "The least level that is written."},
-
-      {"discovery", "source", Kind::Choice, "registry", 0, 0, "registry dnssd fixed",
-       [](Draft& d, const KeyValue& v) {
-         d.config.source = word(v) == "registry" ? Source::Registry
-                           : word(v) == "dnssd"  ? Source::DnsSd
-                                                 : Source::Fixed;
-       },
-       "The HTTP registry, service records in the DNS, or the `[member]` sections alone."},
-      {"discovery", "registry", Kind::Address, "", 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.config.discovery = as<Address>(v); },
-       "Where the HTTP registry listens; wanted with `source = registry`. SIGHUP takes a new value while "
-       "serving."},
-      {"discovery", "ask_within", Kind::Duration, "10s", kSecond, kHour, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.mustAskIn = time(v); },
-       "A proxy that has neither watched nor asked for so long counts as told of what was listed then."},
-
-      {"dnssd", "domain", Kind::Domain, "", 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.config.dnssd.domain = word(v); },
-       "The domain whose zone holds the records, such as `ruwi.example.org`."},
-      {"dnssd", "service", Kind::Domain, "_postgresql._tcp", 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.config.dnssd.service = word(v); },
-       "The service's name in that domain."},
-      {"dnssd", "name_servers", Kind::Addresses, "", 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.config.dnssd.servers = as<std::vector<Address>>(v); },
-       "With commas between; the first is asked until it fails, then the next. All must serve the same "
-       "zone."},
-      {"dnssd", "refresh_least", Kind::Duration, "1s", 100 * kMillisecond, kHour, "",
-       [](Draft& d, const KeyValue& v) { d.config.dnssd.refreshLeast = time(v); },
-       "Records are asked for again after their TTL, but not sooner than this. The price is a query by each "
-       "proxy."},
-      {"dnssd", "refresh_most", Kind::Duration, "10s", 100 * kMillisecond, 24 * kHour, "",
-       [](Draft& d, const KeyValue& v) { d.config.dnssd.refreshMost = time(v); },
-       "And not later than this, whatever their TTL: so long a withdrawn server may go on getting work."},
-      {"dnssd", "jitter", Kind::Share, "10%", 0, 0.9, "",
-       [](Draft& d, const KeyValue& v) { d.config.dnssd.jitter = as<double>(v); },
-       "Each time is shortened by a random part of up to this, so that proxies started together drift "
-       "apart."},
-      {"dnssd", "try_timeout", Kind::Duration, "400ms", 10 * kMillisecond, 30 * kSecond, "",
-       [](Draft& d, const KeyValue& v) { d.config.dnssd.tryTimeout = time(v); },
-       "A name server that has not answered by then is left for the next one."},
-      {"dnssd", "queries_per_s", Kind::Number, "50", 1, 100000, "",
-       [](Draft& d, const KeyValue& v) { d.config.dnssd.queriesPerSecond = as<double>(v); },
-       "The budget for questions about single records, where a zone has more instances than an answer has "
-       "room for. "
-       "The list of instances is asked for on time whatever this is."},
-      {"dnssd", "udp_payload", Kind::Count, "1232", 512, 4096, "",
-       [](Draft& d, const KeyValue& v) { d.config.dnssd.udpPayload = static_cast<int>(as<std::int64_t>(v)); },
-       "The longest datagram that is taken (EDNS0). Above 1232 it may be fragmented and lost."},
-      {"dnssd", "group", Kind::Text, "", 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.config.dnssd.defaultGroupName = word(v); },
-       "The group, by name or number, of instances whose TXT record names none. Without it they are left "
-       "out."},
-      {"dnssd", "keep_for", Kind::Duration, "24h", 0, 8760 * kHour, "",
-       [](Draft& d, const KeyValue& v) { d.config.dnssd.keepFor = time(v); },
-       "How long the last list stands when no name server answers; 0 is for ever."},
-      {"dnssd", "flap_half_life", Kind::Duration, "15s", kSecond, kHour, "",
-       [](Draft& d, const KeyValue& v) { d.config.dnssd.flapHalfLife = time(v); },
-       "Each withdrawal of an instance counts 1, and the count halves in this time."},
-      {"dnssd", "flap_suppress", Kind::Number, "1.5", 0.5, 1000, "",
-       [](Draft& d, const KeyValue& v) { d.config.dnssd.flapSuppress = as<double>(v); },
-       "An instance that comes back at this count or above is left out,"},
-      {"dnssd", "flap_reuse", Kind::Number, "0.75", 0.1, 1000, "",
-       [](Draft& d, const KeyValue& v) { d.config.dnssd.flapReuse = as<double>(v); },
-       "until the count has fallen to this,"},
-      {"dnssd", "flap_most", Kind::Duration, "60s", 0, 24 * kHour, "",
-       [](Draft& d, const KeyValue& v) { d.config.dnssd.flapMost = time(v); },
-       "and no longer than this after it came back."},
-
-      {"data_servers", "reports", Kind::Choice, "probes", 0, 0, "none answers probes",
-       [](Draft& d, const KeyValue& v) {
-         d.config.settings.reports = word(v) == "none"      ? Reports::Silent
-                                     : word(v) == "answers" ? Reports::Piggyback
-                                                            : Reports::Pull;
-       },
-       "Where load reports travel: with answers (the parameter `load`), on being asked (`SHOW load`), or "
-       "nowhere."},
-      {"data_servers", "report_values", Kind::Words, "x0, x1, inflight", 0, 0, "",
-       [](Draft& d, const KeyValue& v) {
-         d.config.reportNames = as<std::vector<std::string>>(v);
-         d.config.settings.figures.clear();
-         for (const std::string& name : d.config.reportNames)
-           d.config.settings.figures.push_back(name == "x0"         ? Figure::Position
-                                               : name == "x1"       ? Figure::Primary
-                                               : name == "inflight" ? Figure::Inflight
-                                               : name == "queue"    ? Figure::Queue
-                                                                    : Figure::Other);
-       },
-       "The values of a report: x0 (position in the log, Unix seconds), x1 (1 from a primary), inflight, "
-       "queue; "
-       "others are read and not used."},
-      {"data_servers", "probes", Kind::Flag, "yes", 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.probing = as<bool>(v); },
-       "Whether they may be probed. Each probe costs a data server a little work."},
-      {"data_servers", "positions", Kind::Flag, "yes", 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.positionsInAnswers = as<bool>(v); },
-       "Whether answers tell how far the log is applied (the parameter `applied_ms`)."},
-      {"data_servers", "stale_reads", Kind::Choice, "served", 0, 0, "served refused held",
-       [](Draft& d, const KeyValue& v) {
-         d.config.settings.checks = word(v) == "served"    ? Checks::Silent
-                                    : word(v) == "refused" ? Checks::Refuse
-                                                           : Checks::Wait;
-       },
-       "What a data server does with a read that it lags for: serves what it has (the proxy alone then keeps "
-       "the "
-       "bound), refuses it (72000), or holds it for a while to catch up."},
-      {"data_servers", "held_for", Kind::Duration, "0", 0, 60 * kSecond, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.holdsFor = time(v); },
-       "With `stale_reads = held`: how long."},
-      {"data_servers", "role_listed", Kind::Choice, "never", 0, 0, "never start late",
-       [](Draft& d, const KeyValue& v) {
-         d.config.settings.roleListed = word(v) == "never"   ? RoleListed::Silent
-                                        : word(v) == "start" ? RoleListed::Start
-                                                             : RoleListed::Late;
-       },
-       "Whether the list names the primary: never, as it was at its start, or some seconds late."},
-      {"data_servers", "synchronous", Kind::Flag, "no", 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.synchronous = as<bool>(v); },
-       "Whether a write is answered only once a replica has it."},
-      {"data_servers", "gone_still_serves", Kind::Flag, "no", 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.droppedStayOpen = as<bool>(v); },
-       "Whether a server that is gone from the list may still be sent work, so that only draining binds. "
-       "Leave it at "
-       "no unless the list is known to lose servers that run."},
-
-      {"data_servers", "protocol", Kind::Choice, "3.0", 0, 0, "3.0 3.2",
-       [](Draft& d, const KeyValue& v) { d.config.serverMinor = word(v) == "3.2" ? 2 : 0; },
-       "The version that is asked of data servers. One that knows only 3.0 is spoken to in 3.0."},
-      {"data_servers", "user", Kind::Text, "api", 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.config.serverUser = word(v); },
-       "As whom the proxy logs in there."},
-      {"data_servers", "database", Kind::Text, "ledger", 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.config.serverDatabase = word(v); }, "And to which database."},
-      {"data_servers", "answers", Kind::Choice, "rows", 0, 0, "value rows",
-       [](Draft& d, const KeyValue& v) { d.config.anyRows = word(v) == "rows"; },
-       "Any number of columns and rows, 256 KiB at most; or always one row of one column, so that anything "
-       "else is "
-       "taken for a spoilt answer."},
-
-      {"clients", "come_again", Kind::Flag, "yes", 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.retryAfter = as<bool>(v); },
-       "Whether refusals tell when to come back (field D, in ms)."},
-      {"clients", "come_again_most", Kind::Duration, "1s", 0, kHour, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.maxRetryAfter = time(v); },
-       "The longest wait that clients keep to."},
-      {"clients", "session_positions", Kind::Choice, "carried", 0, 0, "carried remembered",
-       [](Draft& d, const KeyValue& v) { d.config.settings.tokensCarried = word(v) == "carried"; },
-       "Whether session reads bring the position that they have to see (`after=`), or the proxy remembers "
-       "what it "
-       "served each session."},
-
-      {"clients", "extended_queries", Kind::Flag, "yes", 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.config.extended = as<bool>(v); },
-       "Whether Parse, Bind, Execute and the like are taken. Each execution goes on as one simple query."},
-      {"clients", "version_2", Kind::Flag, "yes", 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.config.version2 = as<bool>(v); },
-       "Whether clients that speak protocol 2.0 are taken. They can't be told a SQLSTATE, nor what else 2.0 "
-       "has no "
-       "place for."},
-      {"clients", "statement_errors", Kind::Choice, "told", 0, 0, "told hidden",
-       [](Draft& d, const KeyValue& v) { d.config.tellStatementErrors = word(v) == "told"; },
-       "A statement that a data server turns away for what it says (classes 22 and 42): its error is passed "
-       "on in the "
-       "client's form, or the client gets 40003."},
-
-      {"rules", "drain_grace", Kind::Duration, "1s", 0, kHour, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.drainGrace = time(v); },
-       "Nothing new to a data server later than this after it was told that it drains or is gone."},
-      {"rules", "cold_for", Kind::Duration, "18s", 0, kHour, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.coldFor = time(v); },
-       "After its start a data server is warm no later than this."},
-      {"rules", "cold_capacity", Kind::Share, "21%", 0.0001, 1, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.startCapacity = as<double>(v); },
-       "The share of its capacity that it starts with, at least."},
-      {"rules", "fall_multiple", Kind::Number, "2.5", 1, 1000, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.fallMultiple = as<double>(v); },
-       "A cold data server that is sent more than this multiple of what it can do falls over,"},
-      {"rules", "fall_for", Kind::Duration, "1500ms", kMillisecond, kHour, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.fallFor = time(v); },
-       "when it is sent that for so long."},
-
-      {"goal", "whole", Kind::Share, "55%", 0, 1, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.goalWhole = as<double>(v); },
-       "The weight of all that is served."},
-      {"goal", "worst_class", Kind::Share, "30%", 0, 1, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.goalWorstClass = as<double>(v); },
-       "The weight of the class that is served worst."},
-
-      {"class", "data", Kind::Choice, nullptr, 0, 0, "any bounded session fresh write",
-       [](Draft& d, const KeyValue& v) {
-         d.cls.need = word(v) == "any"       ? Need::Any
-                      : word(v) == "bounded" ? Need::Bounded
-                      : word(v) == "session" ? Need::Session
-                      : word(v) == "fresh"   ? Need::Fresh
-                                             : Need::Write;
-       },
-       "What data a request needs: any; no older than max_age; all that its session wrote; all that was "
-       "written "
-       "before it came; or the primary, to write."},
-      {"class", "max_age", Kind::Duration, "0", 0, 24 * kHour, "",
-       [](Draft& d, const KeyValue& v) { d.cls.bound = time(v); },
-       "With `data = bounded`: the greatest age of the data when the request is sent."},
-      {"class", "repeats", Kind::Choice, nullptr, 0, 0, "safe keyed unsafe",
-       [](Draft& d, const KeyValue& v) {
-         d.cls.effect = word(v) == "safe"    ? Effect::Safe
-                        : word(v) == "keyed" ? Effect::Keyed
-                                             : Effect::Unsafe;
-       },
-       "Whether a request may run twice: always, within what drops repeats of its key (`k=`), or never."},
-      {"class", "repeats_dropped_by", Kind::Choice, "group", 0, 0, "all zone group",
-       [](Draft& d, const KeyValue& v) {
-         d.cls.scope = word(v) == "all"    ? KeyScope::All
-                       : word(v) == "zone" ? KeyScope::Zone
-                                           : KeyScope::Group;
-       },
-       "With `repeats = keyed`: which data servers know a key that one of them has seen."},
-      {"class", "repeats_dropped_for", Kind::Duration, "0", 0, 24 * kHour, "",
-       [](Draft& d, const KeyValue& v) { d.cls.memory = time(v); },
-       "With `repeats = keyed`: how long they know it, from the first send."},
-      {"class", "aim", Kind::Duration, nullptr, kMillisecond, kHour, "",
-       [](Draft& d, const KeyValue& v) { d.cls.aim = time(v); },
-       "An answer within this earns its full worth."},
-      {"class", "give_up", Kind::Duration, nullptr, kMillisecond, kHour, "",
-       [](Draft& d, const KeyValue& v) { d.cls.deadline = time(v); },
-       "How long a client waits that does not say so itself (`d=`)."},
-      {"class", "worth", Kind::Number, "1", 0, 1e6, "",
-       [](Draft& d, const KeyValue& v) { d.cls.worth = as<double>(v); }, "Against other classes."},
-      {"class", "late_worth", Kind::Share, "0", 0, 1, "",
-       [](Draft& d, const KeyValue& v) { d.cls.lateWorth = as<double>(v); },
-       "The share of the worth that an answer after the aim still earns."},
-
-      {"group", "number", Kind::Count, nullptr, 0, 65535, "",
-       [](Draft& d, const KeyValue& v) { d.group.id = static_cast<knotstack::GroupId>(as<std::int64_t>(v)); },
-       "The number that statements carry (`cluster=`)."},
-
-      {"member", "address", Kind::Address, nullptr, 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.member.address = as<Address>(v); }, "Where it listens."},
-      {"member", "group", Kind::Text, nullptr, 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.memberGroup = word(v); }, "Its group, by name or number."},
-      {"member", "zone", Kind::Text, "", 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.member.zone = word(v); }, "Its building."},
-      {"member", "kind", Kind::Text, "", 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.member.kind = word(v); }, "Its kind of machine, for staff."},
-      {"member", "weight", Kind::Number, "1", 0.001, 1e6, "",
-       [](Draft& d, const KeyValue& v) { d.member.weight = as<double>(v); },
-       "Its size, comparable among members."},
-  };
+  static const std::vector<Key>
+      table{
+          {"proxy", "name", Kind::Text, nullptr, 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.name = word(v); },
+           "Its name in the log, the same after a restart."},
+          {"proxy", "listen", Kind::Address, nullptr, 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.listen = as<Address>(v); },
+           "Where clients connect. Port 0 lets the system choose; the log tells which."},
+          {"proxy", "proxies", Kind::Count, "1", 1, 10000, "",
+           [](Draft& d, const KeyValue& v) {
+             d.config.settings.balancers = static_cast<int>(as<std::int64_t>(v));
+           },
+           "How many proxies stand before the same data servers, this one included. Each takes its part of "
+           "what "
+           "a cold "
+           "server may be sent, so a number that is too small can fell one."},
+          {"proxy", "zones", Kind::Words, "", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.zones = as<std::vector<std::string>>(v); },
+           "The buildings, with commas between. Data servers name theirs."},
+          {"proxy", "seed", Kind::Hex, "random", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.seed = as<std::uint64_t>(v); },
+           "Of its random numbers; hexadecimal, or `random` for a new one at each start. Fix it only to "
+           "repeat a "
+           "run."},
+
+          {"limits", "memory", Kind::Size, "64MB", double(kLeastMemory), double(kMostMemory), "",
+           [](Draft& d, const KeyValue& v) { d.memory = as<std::uint64_t>(v); },
+           "Resident memory that the process keeps to."},
+          {"limits", "descriptors", Kind::Count, "1024", kLeastDescriptors, kMostDescriptors, "",
+           [](Draft& d, const KeyValue& v) { d.descriptors = static_cast<std::size_t>(as<std::int64_t>(v)); },
+           "Descriptors that it may open. 45% go to clients, the rest to data servers, but for 24 of its "
+           "own. "
+           "Not above "
+           "`ulimit -n`."},
+          {"limits", "attempts", Kind::Count, "8", 1, 255, "",
+           [](Draft& d, const KeyValue& v) {
+             d.config.settings.attemptsCap = static_cast<int>(as<std::int64_t>(v));
+           },
+           "The most attempts for one request, its first included."},
+          {"limits", "dial_timeout", Kind::Duration, "250ms", kMillisecond, 60 * kSecond, "",
+           [](Draft& d, const KeyValue& v) { d.config.dialTimeout = time(v); },
+           "A connection to a data server that is not up by then has failed; a probe not answered by then "
+           "too."},
+          {"limits", "idle_close", Kind::Duration, "15s", kSecond, kHour / 2, "",
+           [](Draft& d, const KeyValue& v) { d.config.idleClose = time(v); },
+           "Data servers close what stands idle for so long. The proxy retires its connections at 0.7 of it; "
+           "with a "
+           "figure that is too high, requests run into connections that have just been closed."},
+
+          {"log", "form", Kind::Choice, "logfmt", 0, 0, "logfmt json",
+           [](Draft& d, const KeyValue& v) {
+             d.config.logForm = word(v) == "json" ? LogForm::Json : LogForm::Logfmt;
+           },
+           "A line an event, as `name=value` pairs or as a JSON object."},
+          {"log", "level", Kind::Choice, "info", 0, 0, "debug info warning error",
+           [](Draft& d, const KeyValue& v) {
+             d.config.logLevel = word(v) == "debug"     ? LogLevel::Debug
+                                 : word(v) == "info"    ? LogLevel::Info
+                                 : word(v) == "warning" ? LogLevel::Warning
+                                                        : LogLevel::Error;
+           },
+           "The least level that is written."},
+
+          {"discovery", "source", Kind::Choice, "registry", 0, 0, "registry dnssd fixed",
+           [](Draft& d, const KeyValue& v) {
+             d.config.source = word(v) == "registry" ? Source::Registry
+                               : word(v) == "dnssd"  ? Source::DnsSd
+                                                     : Source::Fixed;
+           },
+           "The HTTP registry, service records in the DNS, or the `[member]` sections alone."},
+          {"discovery", "registry", Kind::Address, "", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.discovery = as<Address>(v); },
+           "Where the HTTP registry listens; wanted with `source = registry`. SIGHUP takes a new value while "
+           "serving."},
+          {"discovery", "ask_within", Kind::Duration, "10s", kSecond, kHour, "",
+           [](Draft& d, const KeyValue& v) { d.config.settings.mustAskIn = time(v); },
+           "A proxy that has neither watched nor asked for so long counts as told of what was listed then."},
+
+          {"dnssd", "domain", Kind::Domain, "", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.dnssd.domain = word(v); },
+           "The domain whose zone holds the records, such as `ruwi.example.org`."},
+          {"dnssd", "service", Kind::Domain, "_postgresql._tcp", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.dnssd.service = word(v); },
+           "The service's name in that domain."},
+          {"dnssd", "name_servers", Kind::Addresses, "", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.dnssd.servers = as<std::vector<Address>>(v); },
+           "With commas between; the first is asked until it fails, then the next. All must serve the same "
+           "zone."},
+          {"dnssd", "refresh_least", Kind::Duration, "1s", 100 * kMillisecond, kHour, "",
+           [](Draft& d, const KeyValue& v) { d.config.dnssd.refreshLeast = time(v); },
+           "Records are asked for again after their TTL, but not sooner than this. The price is a query by "
+           "each "
+           "proxy."},
+          {"dnssd", "refresh_most", Kind::Duration, "10s", 100 * kMillisecond, 24 * kHour, "",
+           [](Draft& d, const KeyValue& v) { d.config.dnssd.refreshMost = time(v); },
+           "And not later than this, whatever their TTL: so long a withdrawn server may go on getting work."},
+          {"dnssd", "jitter", Kind::Share, "10%", 0, 0.9, "",
+           [](Draft& d, const KeyValue& v) { d.config.dnssd.jitter = as<double>(v); },
+           "Each time is shortened by a random part of up to this, so that proxies started together drift "
+           "apart."},
+          {"dnssd", "try_timeout", Kind::Duration, "400ms", 10 * kMillisecond, 30 * kSecond, "",
+           [](Draft& d, const KeyValue& v) { d.config.dnssd.tryTimeout = time(v); },
+           "A name server that has not answered by then is left for the next one."},
+          {"dnssd", "queries_per_s", Kind::Number, "50", 1, 100000, "",
+           [](Draft& d, const KeyValue& v) { d.config.dnssd.queriesPerSecond = as<double>(v); },
+           "The budget for questions about single records, where a zone has more instances than an answer "
+           "has "
+           "room for. "
+           "The list of instances is asked for on time whatever this is."},
+          {"dnssd", "udp_payload", Kind::Count, "1232", 512, 4096, "",
+           [](Draft& d, const KeyValue& v) {
+             d.config.dnssd.udpPayload = static_cast<int>(as<std::int64_t>(v));
+           },
+           "The longest datagram that is taken (EDNS0). Above 1232 it may be fragmented and lost."},
+          {"dnssd", "group", Kind::Text, "", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.dnssd.defaultGroupName = word(v); },
+           "The group, by name or number, of instances whose TXT record names none. Without it they are left "
+           "out."},
+          {"dnssd", "keep_for", Kind::Duration, "24h", 0, 8760 * kHour, "",
+           [](Draft& d, const KeyValue& v) { d.config.dnssd.keepFor = time(v); },
+           "How long the last list stands when no name server answers; 0 is for ever."},
+          {"dnssd", "flap_half_life", Kind::Duration, "15s", kSecond, kHour, "",
+           [](Draft& d, const KeyValue& v) { d.config.dnssd.flapHalfLife = time(v); },
+           "Each withdrawal of an instance counts 1, and the count halves in this time."},
+          {"dnssd", "flap_suppress", Kind::Number, "1.5", 0.5, 1000, "",
+           [](Draft& d, const KeyValue& v) { d.config.dnssd.flapSuppress = as<double>(v); },
+           "An instance that comes back at this count or above is left out,"},
+          {"dnssd", "flap_reuse", Kind::Number, "0.75", 0.1, 1000, "",
+           [](Draft& d, const KeyValue& v) { d.config.dnssd.flapReuse = as<double>(v); },
+           "until the count has fallen to this,"},
+          {"dnssd", "flap_most", Kind::Duration, "60s", 0, 24 * kHour, "",
+           [](Draft& d, const KeyValue& v) { d.config.dnssd.flapMost = time(v); },
+           "and no longer than this after it came back."},
+
+          {"data_servers", "reports", Kind::Choice, "probes", 0, 0, "none answers probes",
+           [](Draft& d, const KeyValue& v) {
+             d.config.settings.reports = word(v) == "none"      ? Reports::Silent
+                                         : word(v) == "answers" ? Reports::Piggyback
+                                                                : Reports::Pull;
+           },
+           "Where load reports travel: with answers (the parameter `load`), on being asked (`SHOW load`), or "
+           "nowhere."},
+          {"data_servers", "report_values", Kind::Words, "x0, x1, inflight", 0, 0, "",
+           [](Draft& d, const KeyValue& v) {
+             d.config.reportNames = as<std::vector<std::string>>(v);
+             d.config.settings.figures.clear();
+             for (const std::string& name : d.config.reportNames)
+               d.config.settings.figures.push_back(name == "x0"         ? Figure::Position
+                                                   : name == "x1"       ? Figure::Primary
+                                                   : name == "inflight" ? Figure::Inflight
+                                                   : name == "queue"    ? Figure::Queue
+                                                                        : Figure::Other);
+           },
+           "The values of a report: x0 (position in the log, Unix seconds), x1 (1 from a primary), inflight, "
+           "queue; "
+           "others are read and not used."},
+          {"data_servers", "probes", Kind::Flag, "yes", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.settings.probing = as<bool>(v); },
+           "Whether they may be probed. Each probe costs a data server a little work."},
+          {"data_servers", "positions", Kind::Flag, "yes", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.settings.positionsInAnswers = as<bool>(v); },
+           "Whether answers tell how far the log is applied (the parameter `applied_ms`)."},
+          {"data_servers", "stale_reads", Kind::Choice, "served", 0, 0, "served refused held",
+           [](Draft& d, const KeyValue& v) {
+             d.config.settings.checks = word(v) == "served"    ? Checks::Silent
+                                        : word(v) == "refused" ? Checks::Refuse
+                                                               : Checks::Wait;
+           },
+           "What a data server does with a read that it lags for: serves what it has (the proxy alone then "
+           "keeps "
+           "the "
+           "bound), refuses it (72000), or holds it for a while to catch up."},
+          {"data_servers", "held_for", Kind::Duration, "0", 0, 60 * kSecond, "",
+           [](Draft& d, const KeyValue& v) { d.config.settings.holdsFor = time(v); },
+           "With `stale_reads = held`: how long."},
+          {"data_servers", "role_listed", Kind::Choice, "never", 0, 0, "never start late",
+           [](Draft& d, const KeyValue& v) {
+             d.config.settings.roleListed = word(v) == "never"   ? RoleListed::Silent
+                                            : word(v) == "start" ? RoleListed::Start
+                                                                 : RoleListed::Late;
+           },
+           "Whether the list names the primary: never, as it was at its start, or some seconds late."},
+          {"data_servers", "synchronous", Kind::Flag, "no", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.settings.synchronous = as<bool>(v); },
+           "Whether a write is answered only once a replica has it."},
+          {"data_servers", "gone_still_serves", Kind::Flag, "no", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.settings.droppedStayOpen = as<bool>(v); },
+           "Whether a server that is gone from the list may still be sent work, so that only draining binds. "
+           "Leave it at "
+           "no unless the list is known to lose servers that run."},
+
+          {"data_servers", "protocol", Kind::Choice, "3.0", 0, 0, "3.0 3.2",
+           [](Draft& d, const KeyValue& v) { d.config.serverMinor = word(v) == "3.2" ? 2 : 0; },
+           "The version that is asked of data servers. One that knows only 3.0 is spoken to in 3.0."},
+          {"data_servers", "user", Kind::Text, "api", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.serverUser = word(v); },
+           "As whom the proxy logs in there."},
+          {"data_servers", "password_file", Kind::Text, "", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.passwordFile = word(v); },
+           "A file whose first line is that user's password; nobody but the proxy's user may read it. "
+           "Without it data "
+           "servers are reached by trust alone."},
+          {"data_servers", "login", Kind::Words, "scram, md5", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.serverLogins = logins(v); },
+           "What a data server may ask for: `scram`, `md5`, `cleartext`. With scram it has to prove that it "
+           "knows the "
+           "password, too."},
+          {"data_servers", "give_up", Kind::Choice, "close", 0, 0, "close cancel",
+           [](Draft& d, const KeyValue& v) { d.config.cancelServers = word(v) == "cancel"; },
+           "What ends an attempt that is given up: its connection is closed, or the data server gets a "
+           "CancelRequest and "
+           "the connection is used again once it is in step."},
+          {"data_servers", "give_up_wait", Kind::Duration, "200ms", kMillisecond, 10 * kSecond, "",
+           [](Draft& d, const KeyValue& v) { d.config.giveUpWait = time(v); },
+           "With `give_up = cancel`: a data server that has not answered by then has its connection closed. "
+           "No second "
+           "attempt goes out before."},
+          {"data_servers", "database", Kind::Text, "ledger", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.serverDatabase = word(v); }, "And to which database."},
+          {"data_servers", "answers", Kind::Choice, "rows", 0, 0, "value rows",
+           [](Draft& d, const KeyValue& v) { d.config.anyRows = word(v) == "rows"; },
+           "Any number of columns and rows, 256 KiB at most; or always one row of one column, so that "
+           "anything "
+           "else is "
+           "taken for a spoilt answer."},
+
+          {"clients", "come_again", Kind::Flag, "yes", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.settings.retryAfter = as<bool>(v); },
+           "Whether refusals tell when to come back (field D, in ms)."},
+          {"clients", "come_again_most", Kind::Duration, "1s", 0, kHour, "",
+           [](Draft& d, const KeyValue& v) { d.config.settings.maxRetryAfter = time(v); },
+           "The longest wait that clients keep to."},
+          {"clients", "session_positions", Kind::Choice, "carried", 0, 0, "carried remembered",
+           [](Draft& d, const KeyValue& v) { d.config.settings.tokensCarried = word(v) == "carried"; },
+           "Whether session reads bring the position that they have to see (`after=`), or the proxy "
+           "remembers "
+           "what it "
+           "served each session."},
+
+          {"clients", "login", Kind::Words, "trust", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.logins = logins(v); },
+           "How clients log in, the best way first: `scram`, `md5`, `cleartext`; the first that the client's "
+           "version and "
+           "the user's line in the file have. Or `trust`, without a password."},
+          {"clients", "users", Kind::Text, "", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.usersFile = word(v); },
+           "The file of users, a line `NAME:SECRET` each; `sablespur password NAME` makes one. SIGHUP reads "
+           "it again."},
+          {"clients", "extended_queries", Kind::Flag, "yes", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.extended = as<bool>(v); },
+           "Whether Parse, Bind, Execute and the like are taken. Each execution goes on as one simple "
+           "query."},
+          {"clients", "version_2", Kind::Flag, "yes", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.version2 = as<bool>(v); },
+           "Whether clients that speak protocol 2.0 are taken. They can't be told a SQLSTATE, nor what else "
+           "2.0 "
+           "has no "
+           "place for."},
+          {"clients", "statement_errors", Kind::Choice, "told", 0, 0, "told hidden",
+           [](Draft& d, const KeyValue& v) { d.config.tellStatementErrors = word(v) == "told"; },
+           "A statement that a data server turns away for what it says (classes 22 and 42): its error is "
+           "passed "
+           "on in the "
+           "client's form, or the client gets 40003."},
+
+          {"rules", "drain_grace", Kind::Duration, "1s", 0, kHour, "",
+           [](Draft& d, const KeyValue& v) { d.config.settings.drainGrace = time(v); },
+           "Nothing new to a data server later than this after it was told that it drains or is gone."},
+          {"rules", "cold_for", Kind::Duration, "18s", 0, kHour, "",
+           [](Draft& d, const KeyValue& v) { d.config.settings.coldFor = time(v); },
+           "After its start a data server is warm no later than this."},
+          {"rules", "cold_capacity", Kind::Share, "21%", 0.0001, 1, "",
+           [](Draft& d, const KeyValue& v) { d.config.settings.startCapacity = as<double>(v); },
+           "The share of its capacity that it starts with, at least."},
+          {"rules", "fall_multiple", Kind::Number, "2.5", 1, 1000,
+           "", [](Draft& d, const KeyValue& v) { d.config.settings.fallMultiple = as<double>(v); },
+           "A cold data server that is sent more than this multiple of what it can do falls over,"},
+          {"rules", "fall_for", Kind::Duration, "1500ms", kMillisecond, kHour,
+           "", [](Draft& d, const KeyValue& v) { d.config.settings.fallFor = time(v); },
+           "when it is sent that for so long."},
+
+          {"goal", "whole", Kind::Share, "55%", 0, 1,
+           "", [](Draft& d, const KeyValue& v) { d.config.settings.goalWhole = as<double>(v); },
+           "The weight of all that is served."},
+          {"goal", "worst_class", Kind::Share, "30%", 0, 1,
+           "", [](Draft& d, const KeyValue& v) { d.config.settings.goalWorstClass = as<double>(v); },
+           "The weight of the class that is served worst."},
+
+          {"class", "data", Kind::Choice, nullptr, 0, 0, "any bounded session fresh write",
+           [](Draft& d, const KeyValue& v) {
+             d.cls.need = word(v) == "any"       ? Need::Any
+                          : word(v) == "bounded" ? Need::Bounded
+                          : word(v) == "session" ? Need::Session
+                          : word(v) == "fresh"   ? Need::Fresh
+                                                 : Need::Write;
+           },
+           "What data a request needs: any; no older than max_age; all that its session wrote; all that was "
+           "written "
+           "before it came; or the primary, to write."},
+          {"class", "max_age", Kind::Duration, "0", 0, 24 * kHour,
+           "", [](Draft& d, const KeyValue& v) { d.cls.bound = time(v); },
+           "With `data = bounded`: the greatest age of the data when the request is sent."},
+          {"class", "repeats", Kind::Choice, nullptr, 0, 0, "safe keyed unsafe",
+           [](Draft& d, const KeyValue& v) {
+             d.cls.effect = word(v) == "safe"    ? Effect::Safe
+                            : word(v) == "keyed" ? Effect::Keyed
+                                                 : Effect::Unsafe;
+           },
+           "Whether a request may run twice: always, within what drops repeats of its key (`k=`), or never."},
+          {"class", "repeats_dropped_by", Kind::Choice, "group", 0, 0, "all zone group",
+           [](Draft& d, const KeyValue& v) {
+             d.cls.scope = word(v) == "all"    ? KeyScope::All
+                           : word(v) == "zone" ? KeyScope::Zone
+                                               : KeyScope::Group;
+           },
+           "With `repeats = keyed`: which data servers know a key that one of them has seen."},
+          {"class", "repeats_dropped_for", Kind::Duration, "0", 0, 24 * kHour, "",
+           [](Draft& d, const KeyValue& v) { d.cls.memory = time(v); },
+           "With `repeats = keyed`: how long they know it, from the first send."},
+          {"class", "aim", Kind::Duration, nullptr, kMillisecond, kHour, "",
+           [](Draft& d, const KeyValue& v) { d.cls.aim = time(v); },
+           "An answer within this earns its full worth."},
+          {"class", "give_up", Kind::Duration, nullptr, kMillisecond, kHour, "",
+           [](Draft& d, const KeyValue& v) { d.cls.deadline = time(v); },
+           "How long a client waits that does not say so itself (`d=`)."},
+          {"class", "worth", Kind::Number, "1", 0, 1e6, "",
+           [](Draft& d, const KeyValue& v) { d.cls.worth = as<double>(v); }, "Against other classes."},
+          {"class", "late_worth", Kind::Share, "0", 0, 1, "",
+           [](Draft& d, const KeyValue& v) { d.cls.lateWorth = as<double>(v); },
+           "The share of the worth that an answer after the aim still earns."},
+
+          {"group", "number", Kind::Count, nullptr, 0, 65535, "",
+           [](Draft& d,
+              const KeyValue& v) { d.group.id = static_cast<knotstack::GroupId>(as<std::int64_t>(v)); },
+           "The number that statements carry (`cluster=`)."},
+
+          {"member", "address", Kind::Address, nullptr, 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.member.address = as<Address>(v); }, "Where it listens."},
+          {"member", "group", Kind::Text, nullptr, 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.memberGroup = word(v); }, "Its group, by name or number."},
+          {"member", "zone", Kind::Text, "", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.member.zone = word(v); }, "Its building."},
+          {"member", "kind", Kind::Text, "", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.member.kind = word(v); }, "Its kind of machine, for staff."},
+          {"member", "weight", Kind::Number, "1", 0.001, 1e6, "",
+           [](Draft& d, const KeyValue& v) { d.member.weight = as<double>(v); },
+           "Its size, comparable among members."},
+      };
   return table;
 }
 
--- a/src/config/keys.hpp
+++ b/src/config/keys.hpp
@@ -39,6 +39,7 @@
   Instance member;               // of the [member] at hand
   std::string memberGroup;       // a name or a number
   GroupName group;               // of the [group] at hand
+  std::string usersFile, passwordFile;
 };
 
 struct Key {
--- /dev/null
+++ b/src/core/workers.hpp
@@ -0,0 +1,52 @@
+// Work that would hold up the loop, such as salting passwords, on threads of its own. The threads start with
+// the first piece of work, so that who has none pays nothing.
+#pragma once
+
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "core/event.hpp"
+
+namespace sablespur {
+
+class Workers {
+ public:
+  Workers(event_base*, std::size_t threads);
+  ~Workers();  // what has not begun is dropped, what runs is waited for
+  Workers(const Workers&) = delete;
+
+  // Whoever holds this still wants the result; once it is gone `done` is not called.
+  struct Wanted {};
+  using Ticket = std::shared_ptr<Wanted>;
+  // `work` runs on a thread and touches nothing but what it was given; `done` gets its result in the loop.
+  // Null: there is too much waiting already.
+  [[nodiscard]] Ticket run(std::function<std::string()> work, std::function<void(std::string)> done);
+
+ private:
+  struct Piece {
+    std::function<std::string()> work;
+    std::function<void(std::string)> done;
+    std::weak_ptr<Wanted> wanted;
+    std::string result;
+  };
+  void serve();
+  void finished();
+
+  const std::size_t most_;
+  std::mutex mutex_;
+  std::condition_variable more_;
+  std::deque<Piece> waiting_, done_;
+  bool stop_ = false;
+  int wake_ = -1;  // eventfd
+  Event woken_;
+  std::vector<std::thread> threads_;
+};
+
+}  // namespace sablespur
--- a/src/front/pg/clients.cpp
+++ b/src/front/pg/clients.cpp
@@ -25,8 +25,13 @@
 
 }  // namespace
 
-Clients::Clients(event_base* base, Engine& engine, const Config& config)
-    : base_(base), engine_(engine), config_(config), most_(config.clientConnections) {
+Clients::Clients(event_base* base, Engine& engine, Workers& workers, const Config& config)
+    : base_(base),
+      engine_(engine),
+      workers_(workers),
+      config_(config),
+      users_(config.users),
+      most_(config.clientConnections) {
   const auto accept = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
     static_cast<Clients*>(self)->accepted(fd);
   };
@@ -48,6 +53,10 @@
 }
 Clients::~Clients() = default;
 
+void Clients::users(std::shared_ptr<const auth::Users> u) {
+  if (u && users_) users_ = std::move(u);
+}
+
 int Clients::port() const {
   sockaddr_storage a{};
   socklen_t length = sizeof a;
--- a/src/front/pg/clients.hpp
+++ b/src/front/pg/clients.hpp
@@ -8,6 +8,7 @@
 
 #include "core/engine.hpp"
 #include "core/event.hpp"
+#include "core/workers.hpp"
 #include "wire/pg/startup.hpp"
 
 namespace sablespur {
@@ -16,12 +17,13 @@
 
 class Clients {
  public:
-  Clients(event_base*, Engine&, const Config&);  // throws std::runtime_error where it cannot listen
+  Clients(event_base*, Engine&, Workers&, const Config&);  // throws std::runtime_error where it cannot listen
   ~Clients();
   // Serves on while new connections still come, then closes connections between requests and finishes what is
   // taken. `done` follows when no connection is left.
   void drain(std::function<void()> done);
   int port() const;
+  void users(std::shared_ptr<const auth::Users>);  // of logins from now on
 
  private:
   friend class Session;
@@ -38,7 +40,9 @@
 
   event_base* const base_;
   Engine& engine_;
+  Workers& workers_;
   const Config& config_;
+  std::shared_ptr<const auth::Users> users_;
   const std::size_t most_;    // connections at once
   std::size_t asking_ = 0;    // sessions that have asked something
   std::size_t reserved_ = 0;  // bytes of long statements on their way, of Config::largeStatements
--- /dev/null
+++ b/src/front/pg/login.cpp
@@ -0,0 +1,78 @@
+#include "front/pg/login.hpp"
+
+#ifdef SABLESPUR_AUTH
+#include <optional>
+
+#include "auth/login.hpp"
+#include "base/secret.hpp"
+#include "wire/pg/login.hpp"
+#include "wire/pg2/pg2.hpp"
+#endif
+
+namespace sablespur {
+
+#ifdef SABLESPUR_AUTH
+namespace {
+
+class ByPassword final : public Login {
+ public:
+  ByPassword(auth::Host host, bool version2) : host_(std::move(host)), version2_(version2) {}
+
+  std::string ask() override {
+    switch (*host_.method()) {
+      case auth::Method::Cleartext:
+        return version2_ ? pg2::askCleartext() : pg::authentication(pg::kAuthCleartext);
+      case auth::Method::Md5:
+        return version2_ ? pg2::askMd5(host_.salt()) : pg::authentication(pg::kAuthMd5, host_.salt());
+      default:
+        break;
+    }
+    return pg::saslMechanisms();
+  }
+  Said take(std::string_view message) override {
+    std::optional<std::string_view> word = message;
+    if (host_.method() == auth::Method::Scram) {
+      if (!begun_) word = pg::parseSaslInitial(message);
+    } else if (!version2_) {
+      word = pg::parsePassword(message);
+    }
+    if (!word) return {Next::Out, {}};
+    begun_ = true;
+    return said(host_.take(*word));
+  }
+  std::function<std::string()> slow() const override { return host_.slow(); }
+  Said salted(const std::string& result) override { return said(host_.salted(result)); }
+
+ private:
+  Said said(auth::Next n) {
+    const std::string& word = host_.say();
+    if (n == auth::Next::Ask) return {Next::Ask, pg::authentication(pg::kAuthSaslContinue, word)};
+    if (n == auth::Next::In)
+      return {Next::In, word.empty() ? "" : pg::authentication(pg::kAuthSaslFinal, word)};
+    return {n == auth::Next::Salt ? Next::Salt : Next::Out, {}};
+  }
+  auth::Host host_;
+  const bool version2_;
+  bool begun_ = false;
+};
+
+// Printable, without a comma (RFC 5802 section 5.1).
+std::string nonce() { return auth::toBase64(randomBytes(18)); }
+
+}  // namespace
+#endif
+
+std::unique_ptr<Login> openLogin([[maybe_unused]] const Config& config,
+                                 [[maybe_unused]] const auth::Users& users,
+                                 [[maybe_unused]] const std::string& user, [[maybe_unused]] bool version2,
+                                 std::string& why) {
+#ifdef SABLESPUR_AUTH
+  static const std::string secret = randomBytes(32);  // of this process
+  auth::Host host(users, user, config.logins, !version2, secret, nonce(), randomBytes(4));
+  if (host.method()) return std::make_unique<ByPassword>(std::move(host), version2);
+#endif
+  why = "no way to log in that this client and this user have in common";
+  return nullptr;
+}
+
+}  // namespace sablespur
--- a/src/front/pg/session.cpp
+++ b/src/front/pg/session.cpp
@@ -249,6 +249,7 @@
   if (lingering_) return discard();
   while (request_ == 0 && !ending_ && !paused_ && evbuffer_get_length(output()) < kUnread) {
     const bool took = speaks_ == Speaks::Nothing    ? takeStartup()
+                      : login_                      ? takeLogin()
                       : speaks_ == Speaks::Version3 ? takeMessage()
                                                     : takeMessage2();
     if (!took) break;
@@ -322,11 +323,8 @@
   if (minor != s->minor || !s->extensions.empty()) append(output(), pg::negotiate(minor, s->extensions));
   speaks_ = Speaks::Version3;
   if (minor > 0) codec_ = &kVersion32;
-  key_ = owner_.newKey(*this, minor > 0 ? pg::kLongKey : pg::kShortKey);
-  append(output(), pg::welcome(key_, side_.backslashes));
-  welcomed();
-  settle();
-  return true;
+  enter(s->user);
+  return !ending_;
 }
 
 bool Session::takeVersion2(std::string_view packet) {
@@ -340,15 +338,86 @@
     return false;
   }
   speaks_ = Speaks::Version2;
-  key_ = owner_.newKey(*this, pg::kShortKey);
-  append(output(), pg2::authenticationOk() + pg2::keyData({key_.process, pg::readInt32(key_.secret.data())}) +
-                       pg2::ready());
-  welcomed();
+  enter(s->user);
+  return !ending_;
+}
+
+void Session::enter(const std::string& user) {
+  if (!wantsPassword(owner_.config_)) return welcome();
+  user_ = user;
+  std::string why;
+  login_ = openLogin(owner_.config_, *owner_.users_, user, speaks_ == Speaks::Version2, why);
+  if (!login_) return reject("28000", why, true);
+  append(output(), login_->ask());
+}
+
+// A password, or a word of SCRAM.
+bool Session::takeLogin() {
+  if (salting_) return false;
+  std::size_t whole = 0;
+  std::string_view body;
+  if (speaks_ == Speaks::Version2) {
+    const std::size_t have = std::min(evbuffer_get_length(input()), pg2::kLongestPassword);
+    bool bad = false;
+    const auto password = pg2::parsePassword(pull(have), whole, bad);
+    if (bad) {
+      reject("08P01", "malformed password packet", true);
+      return false;
+    }
+    if (!password) return false;
+    body = *password;
+  } else {
+    char bytes[pg::kHead];
+    if (evbuffer_copyout(input(), bytes, sizeof bytes) < static_cast<ev_ssize_t>(sizeof bytes)) return false;
+    const auto head = pg::parseHead(bytes);
+    if (!head || head->type != 'p' || head->body > kLongestLogin) {
+      reject("08P01", "expected a password", true);
+      return false;
+    }
+    whole = sizeof bytes + head->body;
+    if (evbuffer_get_length(input()) < whole) return false;
+    body = pull(whole).substr(sizeof bytes);
+  }
+  const Login::Said s = login_->take(body);
+  evbuffer_drain(input(), whole);
+  said(s);
+  return !ending_;
+}
+
+void Session::said(const Login::Said& s) {
+  append(output(), s.messages);
+  switch (s.next) {
+    case Login::Next::Ask:
+      return;
+    case Login::Next::In:
+      login_.reset();
+      return welcome();
+    case Login::Next::Salt:
+      salting_ = owner_.workers_.run(login_->slow(), [this](const std::string& result) {
+        salting_.reset();
+        said(login_->salted(result));
+        if (!ending_) readSoon();
+      });
+      if (salting_) return;
+      return reject("53300", "too many logins at once", true);
+    case Login::Next::Out:
+      logEvent(LogLevel::Warning, "login_failed", {{"user", user_}});
+      return reject("28P01", "password authentication failed for user \"" + user_ + "\"", true);
+  }
+}
+
+void Session::welcome() {
+  key_ = owner_.newKey(*this, codec_ == &kVersion32 ? pg::kLongKey : pg::kShortKey);
+  append(output(), speaks_ == Speaks::Version3
+                       ? pg::welcome(key_, side_.backslashes)
+                       : pg2::authenticationOk() +
+                             pg2::keyData({key_.process, pg::readInt32(key_.secret.data())}) + pg2::ready());
+  lastActive_ = owner_.engine_.now();
+  sideTold();
   settle();
-  return true;
 }
 
-void Session::welcomed() {
+void Session::sideTold() {
   told_ = side_.backslashes ? std::make_shared<const translate::Side>(side_) : nullptr;
   wanted_.bytea = side_.bytea;
 }
@@ -508,7 +577,7 @@
     reject("22023", *why, false);
     return true;
   }
-  welcomed();
+  sideTold();
   if (extended_ && described_) append(output(), pg::noData());
   append(output(), codec_->completed("SET"));
   if (set->first == "standard_conforming_strings" && speaks_ == Speaks::Version3)
--- a/src/front/pg/session.hpp
+++ b/src/front/pg/session.hpp
@@ -9,6 +9,8 @@
 
 #include "core/engine.hpp"
 #include "core/event.hpp"
+#include "core/workers.hpp"
+#include "front/pg/login.hpp"
 #include "front/pg/prepared.hpp"
 #include "translate/settings.hpp"
 #include "translate/terms.hpp"
@@ -43,7 +45,7 @@
   bool looksAlive(Time now);
 
  private:
-  enum class Speaks { Nothing, Version2, Version3 };
+  enum class Speaks { Nothing, Version2, Version3 };  // Nothing: its startup has not come
 
   evbuffer* input() { return bufferevent_get_input(bev_.get()); }
   evbuffer* output() { return bufferevent_get_output(bev_.get()); }
@@ -69,9 +71,15 @@
   bool takeStartup();
   bool takeVersion3(std::string_view packet);
   bool takeVersion2(std::string_view packet);
-  void welcomed();      // its side is known
+  void enter(const std::string& user);  // by a login, or at once
+  bool takeLogin();
+  void said(const Login::Said&);
+  void welcome();
+  void sideTold();
+
   bool takeMessage();   // of version 3
   bool takeMessage2();  // of version 2
+
   void takeExtended(char type, std::string_view body);
   void asked();                             // for the first time
   bool takeSetting(std::string_view text);  // a SET, which is answered here
@@ -85,6 +93,9 @@
   Speaks speaks_ = Speaks::Nothing;
   const translate::ClientCodec* codec_;
   pg::Key key_;
+  std::string user_;
+  std::unique_ptr<Login> login_;  // until it is let in
+  Workers::Ticket salting_;
   translate::Side side_;
   std::shared_ptr<const translate::Side> told_;  // side_, where it is not what data servers take for granted
   std::unique_ptr<Prepared> prepared_;           // once it sends something of the extended sub-protocol
--- /dev/null
+++ b/src/wire/pg/login.cpp
@@ -0,0 +1,52 @@
+#include "wire/pg/login.hpp"
+
+#include "wire/pg/pg.hpp"
+
+namespace sablespur::pg {
+namespace {
+
+using namespace std::string_view_literals;
+constexpr std::string_view kMechanism = "SCRAM-SHA-256\0"sv;
+
+void put32(std::string& to, std::uint32_t v) {
+  for (int shift = 24; shift >= 0; shift -= 8) to.push_back(static_cast<char>(v >> shift));
+}
+
+}  // namespace
+
+std::string authentication(std::uint32_t request, std::string_view data) {
+  std::string body;
+  put32(body, request);
+  return message('R', body.append(data));
+}
+std::string saslMechanisms() { return authentication(kAuthSasl, std::string(kMechanism) + '\0'); }
+bool offersScram(std::string_view mechanisms) {
+  while (!mechanisms.empty() && mechanisms[0] != '\0') {
+    const std::size_t end = mechanisms.find('\0');
+    if (end == std::string_view::npos) return false;
+    if (mechanisms.substr(0, end + 1) == kMechanism) return true;
+    mechanisms.remove_prefix(end + 1);
+  }
+  return false;
+}
+
+std::string passwordMessage(std::string_view text) { return message('p', std::string(text) + '\0'); }
+std::string saslInitial(std::string_view first) {
+  std::string body(kMechanism);
+  put32(body, static_cast<std::uint32_t>(first.size()));
+  return message('p', body.append(first));
+}
+std::string saslResponse(std::string_view word) { return message('p', word); }
+
+std::optional<std::string_view> parsePassword(std::string_view body) {
+  if (body.empty() || body.find('\0') != body.size() - 1) return std::nullopt;
+  return body.substr(0, body.size() - 1);
+}
+std::optional<std::string_view> parseSaslInitial(std::string_view body) {
+  if (body.substr(0, kMechanism.size()) != kMechanism) return std::nullopt;
+  body.remove_prefix(kMechanism.size());
+  if (body.size() < 4 || readInt32(body.data()) != body.size() - 4) return std::nullopt;
+  return body.substr(4);
+}
+
+}  // namespace sablespur::pg
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -10,6 +10,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <fstream>
@@ -17,6 +18,7 @@
 
 #include "lab/name_server.hpp"
 #include "wire/pg/codec.hpp"
+#include "wire/pg/login.hpp"
 #include "wire/pg/pg.hpp"
 #include "wire/pg/startup.hpp"
 
@@ -415,14 +417,23 @@
     s.dropProbes = std::stoi(rest);
     return;
   }
+  if (verb == "serves") {
+    s.serves = rest.empty() ? what : what + " " + rest;
+    return;
+  }
   if (verb == "says") {
     s.says += what + "\n";
     return;
   }
-  if (verb == "speaks") {
-    s.speaks = what;
+  if (verb == "speaks" || verb == "asks") {
+    (verb == "speaks" ? s.speaks : s.asks) = what;
     return;
   }
+  if (verb == "expect" && what == "cancel") {
+    ASSERT_NE(s.current, nullptr) << at_;
+    return until([&] { return std::count(s.cancels.begin(), s.cancels.end(), s.current->number) > 0; },
+                 "a CancelRequest");
+  }
   if (verb == "report") {
     s.report = what;
     return;
@@ -456,8 +467,11 @@
     return s.all.clear();
   }
   if (what == "idle") {  // closes what stands idle
-    for (Connection& c : s.all)
-      if (!c.busy) shutdown(c.fd, SHUT_RDWR);
+    for (Connection& c : s.all) {
+      if (c.busy) continue;
+      shutdown(c.fd, SHUT_RDWR);
+      c.ended = true;
+    }
     return;
   }
   if (what == "drained") return until([&] { return s.all.empty(); }, "the end of all connections");
@@ -587,6 +601,8 @@
   names_->publish(i);
 }
 
+void Scenario::serveUntil(const std::function<bool()>& done) { until(done, "the end of a client"); }
+
 void Scenario::proxy(const std::string& verb, const std::string& rest) {
   if (verb == "send") {
     kill(pid_, SIGTERM);
@@ -598,7 +614,7 @@
       close(listListener_);
       listListener_ = listenOn(port);
       configure(port);
-    } else {
+    } else if (rest != "same") {
       std::ofstream(configPath_) << "{\"name\":";
     }
     kill(pid_, SIGHUP);
@@ -674,6 +690,7 @@
     for (Connection& c : s.all) {
       if (ready(c.fd)) read(c);
       greet(s, c);
+      if (!s.serves.empty()) serve(s, c);
     }
     s.all.remove_if([&](Connection& c) {
       const bool gone = c.ended && !c.busy && &c != s.current;
@@ -693,7 +710,15 @@
 
 void Scenario::greet(Server& s, Connection& c) {
   if (s.silent) return;
-  if (!c.greeted && c.in.size() >= 4 && c.in.size() >= pg::readInt32(c.in.data())) {
+  if (!c.method.empty() && login(s, c)) let(s, c, "");
+  if (!c.greeted && c.method.empty() && c.in.size() >= 8 &&
+      pg::readInt32(c.in.data() + 4) == pg::kCancelRequest) {
+    if (const auto key = pg::parseCancel(c.in)) s.cancels.push_back(key->process);
+    c.in.clear();
+    shutdown(c.fd, SHUT_RDWR);
+    return;
+  }
+  if (!c.greeted && c.method.empty() && c.in.size() >= 4 && c.in.size() >= pg::readInt32(c.in.data())) {
     const auto hello = pg::parseStartup(std::string_view(c.in).substr(0, pg::readInt32(c.in.data())));
     c.in.erase(0, pg::readInt32(c.in.data()));
     if (hello && hello->minor > 0 && s.speaks == "fatal") {
@@ -708,8 +733,19 @@
       says += parameter(line.substr(0, line.find('=')), line.substr(line.find('=') + 1));
     const int minor = hello && s.speaks == "3.2" ? hello->minor : 0;
     if (hello && hello->minor > minor) says += pg::negotiate(minor, {});
-    const std::string greeting = pg::greeting();  // its own word after what it takes for granted
-    put(c.fd, greeting.substr(0, greeting.size() - 6) + says + pg::readyForQuery());
+    c.number = ++numbers_;
+    if (s.asks.empty() || s.asks == "trust") return let(s, c, says);
+    c.greeted = false;
+    c.method = s.asks;
+    if (c.method == "cleartext") put(c.fd, pg::authentication(pg::kAuthCleartext));
+    if (c.method == "md5") put(c.fd, pg::authentication(pg::kAuthMd5, "salt"));
+    if (c.method == "kerberos") put(c.fd, pg::authentication(7));
+    if ((c.method != "cleartext" && c.method != "md5" && c.method != "kerberos")) {
+      c.scram = std::make_unique<auth::ScramServer>(auth::makeVerifier("inner", "0123456789abcdef", 4096),
+                                                    "servernonce");
+      put(c.fd, pg::authentication(pg::kAuthSasl, std::string("SCRAM-SHA-256-PLUS\0SCRAM-SHA-256\0\0", 34)));
+    }
+    return;
   }
   const std::string show = pg::query("SHOW load");
   if (!c.greeted || c.in.compare(0, show.size(), show) != 0) return;
@@ -729,6 +765,65 @@
   put(c.fd, row(report.str()) + pg::message('C', std::string("SHOW\0", 5)) + pg::readyForQuery());
 }
 
+// A server's side of a login, and its ways of cheating. True: it is let in.
+bool Scenario::login(Server&, Connection& c) {
+  char type = 0;
+  std::string body;
+  if (!message(c, type, body)) return false;
+  EXPECT_EQ(type, 'p');
+  const auto out = [&] {
+    put(c.fd, pg::error("FATAL", "28P01", "password authentication failed"));
+    shutdown(c.fd, SHUT_RDWR);
+    c.method.clear();
+    return false;
+  };
+  const auto in = [&] {
+    c.method.clear();
+    return true;
+  };
+  if (c.method == "cleartext") return body == std::string("inner\0", 6) ? in() : out();
+  if (c.method == "md5")
+    return body == auth::md5Answer(auth::md5Stored("api", "inner"), "salt") + '\0' ? in() : out();
+  std::string why;
+  if (const auto initial = pg::parseSaslInitial(body)) {
+    std::string first = c.scram->first(*initial, why).value_or("");
+    if (c.method == "nonce") first[2] = first[2] == 'x' ? 'y' : 'x';
+    if (c.method == "iterations") first = first.substr(0, first.rfind('=') + 1) + "2000000000";
+    put(c.fd, pg::authentication(pg::kAuthSaslContinue, first));
+    return false;
+  }
+  auto last = c.scram->final(body, why);
+  if (!last) return out();
+  if (c.method == "signature") (*last)[3] = (*last)[3] == 'A' ? 'B' : 'A';
+  if (c.method != "skip") put(c.fd, pg::authentication(pg::kAuthSaslFinal, *last));
+  return in();
+}
+void Scenario::let(Server& s, Connection& c, const std::string& before) {
+  std::string says = before;
+  std::istringstream lines(s.says);
+  for (std::string line; before.empty() && std::getline(lines, line);)
+    says += parameter(line.substr(0, line.find('=')), line.substr(line.find('=') + 1));
+  c.greeted = true;
+  const std::string greeting =
+      pg::welcome({c.number, "abcd"}, false);  // its own word after what it takes for granted
+  put(c.fd, greeting.substr(0, greeting.size() - 6) + says + pg::readyForQuery());
+}
+
+// By itself: "fail" for a statement that says so, nothing for one that is to hang.
+void Scenario::serve(Server& s, Connection& c) {
+  char type = 0;
+  std::string statement;
+  while (c.greeted && message(c, type, statement)) {
+    if (type != 'Q' || statement.find("hang") != std::string::npos) continue;
+    const std::string role = parameter("role", s.primary ? "primary" : "replica") +
+                             parameter("applied_ms", std::to_string(unixMs())) + pg::readyForQuery();
+    if (statement.find("fail") != std::string::npos)
+      put(c.fd, pg::error("ERROR", "42703", "column does not exist") + role);
+    else
+      put(c.fd, row(s.serves) + pg::message('C', std::string("SELECT 1\0", 9)) + role);
+  }
+}
+
 bool Scenario::message(Connection& c, char& type, std::string& body) {
   if (c.in.size() < 5) return false;
   const std::size_t n = pg::readInt32(c.in.data() + 1);
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -8,6 +8,9 @@
 //   proxy expect quiet       s2 send spoilt KIND      s2 report TEXT
 //   s2 drop probes N
 //   s2 send cells TYPE=VALUE ...   a row of columns by their types' ids     s2 send done TAG
+//   s2 serves TEXT           to every query, by itself
+//   s2 asks trust|cleartext|md5|scram|signature|nonce|iterations|skip|kerberos   of a login, from then on;
+//   password "inner" s2 expect cancel         for the query that it holds                  proxy reload same
 //   s2 says NAME=VALUE       of connections that it greets from then on      s2 speaks 3.2|old|fatal
 //   o1 speaks 2.0|3.0|3.2 [NAME=VALUE ...]   o1 asks TEXT   o1 runs TEXT | VALUE | TYPE:HEX ...   o1 cancels
 //   [wrong|long] o1 gets row A | B        o1 gets error WORD   o1 gets seen TYPES   o1 gets closed   o1 sends
@@ -22,12 +25,14 @@
 #include <event2/event.h>
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "auth/scram.hpp"
 #include "lab/speaker.hpp"
 
 namespace sablespur::lab {
@@ -60,6 +65,10 @@
   ~Scenario();
   Scenario(const Scenario&) = delete;
   void run(const std::string& text);
+  // Serves on until `done`: data servers told to by "s2 serves TEXT" answer each query with that text. For
+  // clients that run beside, as threads or processes.
+  void serveUntil(const std::function<bool()>& done);
+  int port() const { return port_; }
   std::string list(int server, const std::string& lifecycle, int generation) const;  // a change, in one line
 
  private:
@@ -67,14 +76,20 @@
     int fd = -1;
     std::string in;
     bool ended = false, greeted = false, busy = false, fresh = true;
+    std::uint32_t number = 0;  // as a server tells it in its key
+    std::string method;        // of a login under way
+    std::unique_ptr<auth::ScramServer> scram;
   };
   struct Server {
     int listener = -1, port = 0;
     bool primary = false, silent = false;
-    std::string report;  // in place of its own
-    int dropProbes = 0;  // so many are answered by the end of their connection
-    std::string says;    // parameters of its greeting
-    std::string speaks;  // to those that ask for more than 3.0
+    std::string report;                  // in place of its own
+    int dropProbes = 0;                  // so many are answered by the end of their connection
+    std::string says;                    // parameters of its greeting
+    std::string speaks;                  // to those that ask for more than 3.0
+    std::string asks;                    // of those that log in
+    std::string serves;                  // to every query
+    std::vector<std::uint32_t> cancels;  // numbers of the connections that were called off
     std::list<Connection> all;
     Connection* current = nullptr;
   };
@@ -94,6 +109,9 @@
   void pump();
   void read(Connection&);
   void greet(Server&, Connection&);
+  bool login(Server&, Connection&);
+  void serve(Server&, Connection&);
+  void let(Server&, Connection&, const std::string& before);
   template <typename Done>
   void until(Done done, const std::string& what);
   bool message(Connection&, char& type, std::string& body);
@@ -104,6 +122,7 @@
   std::string configPath_, log_;
   int pid_ = -1, err_ = -1, port_ = 0, status_ = -1;
   bool exited_ = false;
+  std::uint32_t numbers_ = 0;
   std::map<std::string, Connection> clients_;
   std::map<std::string, Desk> desks_;
   std::vector<Server> servers_;
