--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -202,8 +202,7 @@
   return it->second;
 }
 
-// ---- actions: recorded here, carried out at the end of the turn
-// ---------------------------------------------
+// ---- actions: recorded here, carried out at the end of the turn ---------------------------------------
 void Engine::send(RequestId id, MemberId member, Time until) {
   const auto it = held_.find(id);
   if (it == held_.end()) return;  // no send is decided for what has been answered
--- a/src/core/event.hpp
+++ b/src/core/event.hpp
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <memory>
+#include <string>
 #include <string_view>
 
 namespace sablespur {
@@ -28,6 +29,13 @@
 inline Buffer newBuffer() { return Buffer(evbuffer_new()); }
 inline void append(evbuffer* to, std::string_view bytes) { evbuffer_add(to, bytes.data(), bytes.size()); }
 
+// The same without a copy, for what is long.
+inline void appendLong(evbuffer* to, std::string&& bytes) {
+  auto kept = std::make_unique<std::string>(std::move(bytes));
+  const auto release = [](const void*, std::size_t, void* p) { delete static_cast<std::string*>(p); };
+  if (evbuffer_add_reference(to, kept->data(), kept->size(), release, kept.get()) == 0) kept.release();
+}
+
 // (Re)starts a timer; what is due already fires in the next pass of the loop.
 inline void startTimer(event* timer, std::chrono::microseconds in) {
   const auto us = in.count() > 0 ? in.count() : 0;
--- a/src/front/pg/session.cpp
+++ b/src/front/pg/session.cpp
@@ -31,7 +31,7 @@
 constexpr std::uint32_t kLongestWaitMs = 3600 * 1000;
 constexpr std::size_t kGrowth =
     64 << 10;  // of small answers, when their form changes; long ones at most double
-constexpr std::size_t kLongestSet = 1024;
+constexpr std::size_t kLongestSet = 1024, kLongestName = 63;
 
 const pg::Codec kVersion30(0), kVersion32(2);
 const pg2::Codec kVersion20;
@@ -75,8 +75,7 @@
   release();
 }
 
-// ---- answers
-// -------------------------------------------------------------------------------------------------
+// ---- answers ------------------------------------------------------------------------------------------
 void Session::served(Answer answer) {
   request_ = 0;
   write(std::move(answer));
@@ -144,7 +143,8 @@
     logEvent(LogLevel::Warning, "not_translated", {{"why", why}});
     return tell(problem("ERROR", "22P03", "the answer cannot be told: " + why));
   }
-  append(output(), conversion.take());
+  std::string told = conversion.take();
+  told.size() > kReadAhead ? appendLong(output(), std::move(told)) : append(output(), told);
   if (!extended_) return;
   if (conversion.suspended()) append(output(), pg::portalSuspended());
   prepared_->executed(columns, conversion.suspended());
@@ -164,8 +164,7 @@
   settle();
 }
 
-// ---- the connection
-// ------------------------------------------------------------------------------------------
+// ---- the connection -----------------------------------------------------------------------------------
 int Session::spare(Time now) {
   if (lingering_) return 3;
   if (request_ != 0 || ending_) return 0;
@@ -269,8 +268,7 @@
   return {reinterpret_cast<const char*>(evbuffer_pullup(input(), static_cast<ev_ssize_t>(n))), n};
 }
 
-// ---- the startup
-// ---------------------------------------------------------------------------------------------
+// ---- the startup --------------------------------------------------------------------------------------
 bool Session::takeStartup() {
   char head[8];
   if (evbuffer_copyout(input(), head, sizeof head) < static_cast<ev_ssize_t>(sizeof head)) return false;
@@ -401,8 +399,9 @@
       if (salting_) return;
       return reject("53300", "too many logins at once", true);
     case Login::Next::Out:
-      logEvent(LogLevel::Warning, "login_failed", {{"user", user_}});
-      return reject("28P01", "password authentication failed for user \"" + user_ + "\"", true);
+      logEvent(LogLevel::Warning, "login_failed", {{"user", user_.substr(0, kLongestName)}});
+      return reject(
+          "28P01", "password authentication failed for user \"" + user_.substr(0, kLongestName) + "\"", true);
   }
 }
 
@@ -422,8 +421,7 @@
   wanted_.bytea = side_.bytea;
 }
 
-// ---- messages
-// ------------------------------------------------------------------------------------------------
+// ---- messages -----------------------------------------------------------------------------------------
 void Session::asked() {
   if (!asked_) owner_.firstAsked(*this);
   asked_ = true;
@@ -495,7 +493,7 @@
   }
   const auto end = evbuffer_search(input(), "", 1, nullptr);  // the first NUL
   if (end.pos < 0) {
-    if (have > pg2::kLongestQuery)
+    if (have >= pg2::kLongestQuery)
       reject("08P01", "a query that does not end", true);
     else if (have >= kReadAhead && !reserve(pg2::kLongestQuery))
       reject("53200", "too many long statements at once", true);
--- a/src/translate/answer.hpp
+++ b/src/translate/answer.hpp
@@ -1,6 +1,7 @@
 // An answer on its way from one side to the other: values brought into the form that the asker reads. Pure.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -16,7 +17,7 @@
 struct Wanted {
   std::optional<ByteaForm> bytea;     // nothing: as they come
   std::vector<std::int16_t> results;  // 1 binary, 0 text: none all text, one of all, else one a column
-  bool plain() const { return !bytea && results.empty(); }
+  bool plain() const { return !bytea && std::find(results.begin(), results.end(), 1) == results.end(); }
 };
 
 // The binary form of a value that came as text. Nothing: the type's binary form is not known here, or the
--- a/src/translate/terms.hpp
+++ b/src/translate/terms.hpp
@@ -56,7 +56,13 @@
  public:
   virtual ~ClientCodec() = default;
   virtual std::string columns(const std::vector<Column>&) const = 0;
-  virtual std::string row(const std::vector<Value>&, bool binary) const = 0;  // binary: all of them are
+  // Behind what stands there: rows may be long, and each copy of one shows. binary: all values are.
+  virtual void addRow(std::string& to, const std::vector<Value>&, bool binary) const = 0;
+  std::string row(const std::vector<Value>& values, bool binary) const {
+    std::string one;
+    addRow(one, values, binary);
+    return one;
+  }
   virtual std::string completed(std::string_view tag) const = 0;
   virtual std::string emptyStatement() const = 0;
   virtual std::string problem(const Problem&) const = 0;
--- a/src/translate/values.cpp
+++ b/src/translate/values.cpp
@@ -1,32 +1,63 @@
 #include "translate/values.hpp"
 
+#include <algorithm>
+#include <cstring>
+
 #include "translate/scanner.hpp"
 
 namespace sablespur::translate {
 namespace {
 
-int hexDigit(char c) {
-  if (c >= '0' && c <= '9') return c - '0';
-  if (c >= 'a' && c <= 'f') return c - 'a' + 10;
-  if (c >= 'A' && c <= 'F') return c - 'A' + 10;
-  return -1;
-}
+// By byte: what it is worth as a hexadecimal digit, or -1.
+struct HexDigits {
+  signed char worth[256];
+  constexpr HexDigits() : worth() {
+    for (int k = 0; k < 256; ++k) worth[k] = -1;
+    for (int k = 0; k < 10; ++k) worth['0' + k] = static_cast<signed char>(k);
+    for (int k = 0; k < 6; ++k) worth['a' + k] = worth['A' + k] = static_cast<signed char>(10 + k);
+  }
+};
+constexpr HexDigits kHexDigits;
+int hexDigit(char c) { return kHexDigits.worth[static_cast<unsigned char>(c)]; }
 bool octal(char c) { return c >= '0' && c <= '7'; }
 bool word(char c) {
   return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '_' || c == '$' ||
          static_cast<unsigned char>(c) >= 0x80;
 }
-bool printable(unsigned char c) { return c >= 0x20 && c < 0x7f; }
+
+// By byte: how it stands in escape form.
+struct Escaped {
+  char text[4];
+  unsigned char length;
+};
+struct Escapes {
+  Escaped of[256];
+  constexpr Escapes() : of() {
+    for (int k = 0; k < 256; ++k) {
+      const char c = static_cast<char>(k);
+      if (c == '\\')
+        of[k] = {{c, c, 0, 0}, 2};
+      else if (k >= 0x20 && k < 0x7f)
+        of[k] = {{c, 0, 0, 0}, 1};
+      else
+        of[k] = {{'\\', static_cast<char>('0' + (k >> 6)), static_cast<char>('0' + (k >> 3 & 7)),
+                  static_cast<char>('0' + (k & 7))},
+                 4};
+    }
+  }
+};
+constexpr Escapes kEscapes;
 
 std::optional<std::string> readHex(std::string_view text) {
-  std::string bytes;
-  bytes.reserve(text.size() / 2);
-  for (std::size_t k = 0; k < text.size(); k += 2) {
-    const int high = hexDigit(text[k]), low = k + 1 < text.size() ? hexDigit(text[k + 1]) : -1;
-    if (high < 0 || low < 0) return std::nullopt;
-    bytes.push_back(static_cast<char>(high << 4 | low));
+  if (text.size() % 2 != 0) return std::nullopt;
+  std::string bytes(text.size() / 2, '\0');
+  int wrong = 0;  // negative once a digit was none
+  for (std::size_t k = 0; k < bytes.size(); ++k) {
+    const int high = hexDigit(text[2 * k]), low = hexDigit(text[2 * k + 1]);
+    wrong |= high | low;
+    bytes[k] = static_cast<char>(static_cast<unsigned>(high) << 4 | static_cast<unsigned>(low));
   }
-  return bytes;
+  return wrong < 0 ? std::nullopt : std::make_optional(std::move(bytes));
 }
 
 }  // namespace
@@ -35,17 +66,17 @@
   if (text.size() >= 2 && text[0] == '\\' && text[1] == 'x') return readHex(text.substr(2));
   std::string bytes;
   bytes.reserve(text.size());
-  for (std::size_t k = 0; k < text.size(); ++k) {
-    if (text[k] != '\\') {
-      bytes.push_back(text[k]);
-    } else if (k + 1 < text.size() && text[k + 1] == '\\') {
+  while (!text.empty()) {
+    const std::size_t plain = std::min(text.find('\\'), text.size());
+    bytes.append(text.substr(0, plain));
+    text.remove_prefix(plain);
+    if (text.empty()) break;
+    if (text.size() >= 2 && text[1] == '\\') {
       bytes.push_back('\\');
-      ++k;
-    } else if (k + 3 < text.size() && text[k + 1] <= '3' && octal(text[k + 1]) && octal(text[k + 2]) &&
-               octal(text[k + 3])) {
-      bytes.push_back(
-          static_cast<char>((text[k + 1] - '0') << 6 | (text[k + 2] - '0') << 3 | (text[k + 3] - '0')));
-      k += 3;
+      text.remove_prefix(2);
+    } else if (text.size() >= 4 && text[1] <= '3' && octal(text[1]) && octal(text[2]) && octal(text[3])) {
+      bytes.push_back(static_cast<char>((text[1] - '0') << 6 | (text[2] - '0') << 3 | (text[3] - '0')));
+      text.remove_prefix(4);
     } else {
       return std::nullopt;
     }
@@ -56,33 +87,34 @@
 std::size_t byteaLength(ByteaForm form, std::string_view bytes) {
   if (form == ByteaForm::Hex) return 2 + 2 * bytes.size();
   std::size_t n = 0;
-  for (const char c : bytes) n += c == '\\' ? 2 : printable(static_cast<unsigned char>(c)) ? 1 : 4;
+  for (const char c : bytes) n += kEscapes.of[static_cast<unsigned char>(c)].length;
   return n;
 }
 
 std::string writeBytea(ByteaForm form, std::string_view bytes) {
-  std::string text;
-  text.reserve(byteaLength(form, bytes));
+  std::string text(byteaLength(form, bytes), '\0');
+  char* to = text.data();
   constexpr char kDigits[] = "0123456789abcdef";
   if (form == ByteaForm::Hex) {
-    text = "\\x";
+    *to++ = '\\';
+    *to++ = 'x';
     for (const char c : bytes) {
-      text.push_back(kDigits[static_cast<unsigned char>(c) >> 4]);
-      text.push_back(kDigits[static_cast<unsigned char>(c) & 15]);
+      *to++ = kDigits[static_cast<unsigned char>(c) >> 4];
+      *to++ = kDigits[static_cast<unsigned char>(c) & 15];
     }
     return text;
   }
+  // Four bytes are written for each, of which as many count as it has: random bytes would mislead every
+  // branch.
+  const std::size_t length = text.size();
+  text.resize(length + 4);
+  to = text.data();
   for (const char c : bytes) {
-    const auto b = static_cast<unsigned char>(c);
-    if (c == '\\') {
-      text += "\\\\";
-    } else if (printable(b)) {
-      text.push_back(c);
-    } else {
-      text.push_back('\\');
-      for (const int shift : {6, 3, 0}) text.push_back(static_cast<char>('0' + (b >> shift & 7)));
-    }
+    const Escaped& e = kEscapes.of[static_cast<unsigned char>(c)];
+    std::memcpy(to, e.text, sizeof e.text);
+    to += e.length;
   }
+  text.resize(length);
   return text;
 }
 
--- a/src/wire/pg/codec.cpp
+++ b/src/wire/pg/codec.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "wire/pg/bytes.hpp"
 #include "wire/pg/pg.hpp"
 
 namespace sablespur::pg {
@@ -13,13 +14,6 @@
 
 constexpr std::size_t kColumnTail = 18;  // table, column, type, size, modifier, format
 
-void put16(std::string& to, std::size_t v) {
-  to.push_back(static_cast<char>(v >> 8));
-  to.push_back(static_cast<char>(v));
-}
-void put32(std::string& to, std::uint32_t v) {
-  for (int shift = 24; shift >= 0; shift -= 8) to.push_back(static_cast<char>(v >> shift));
-}
 std::uint16_t read16(std::string_view from, std::size_t at) {
   return static_cast<std::uint16_t>(static_cast<unsigned char>(from[at]) << 8 |
                                     static_cast<unsigned char>(from[at + 1]));
@@ -76,17 +70,17 @@
   return message('T', body);
 }
 
-std::string Codec::row(const std::vector<Value>& values, bool) const {
-  std::string body;
+void Codec::addRow(std::string& to, const std::vector<Value>& values, bool) const {
   std::size_t size = 2;
   for (const Value& v : values) size += 4 + (v ? v->size() : 0);
-  body.reserve(size);
-  put16(body, values.size());
+  to.reserve(to.size() + kHead + size);
+  to.push_back('D');
+  put32(to, static_cast<std::uint32_t>(size + 4));
+  put16(to, values.size());
   for (const Value& v : values) {
-    put32(body, v ? static_cast<std::uint32_t>(v->size()) : 0xffffffff);
-    if (v) body.append(*v);
+    put32(to, v ? static_cast<std::uint32_t>(v->size()) : 0xffffffff);
+    if (v) to.append(*v);
   }
-  return message('D', body);
 }
 
 std::string Codec::completed(std::string_view tag) const { return message('C', std::string(tag) + '\0'); }
--- a/src/wire/pg/codec.hpp
+++ b/src/wire/pg/codec.hpp
@@ -14,7 +14,7 @@
  public:
   explicit Codec(int minor) : minor_(minor) {}
   std::string columns(const std::vector<translate::Column>&) const override;
-  std::string row(const std::vector<translate::Value>&, bool binary) const override;
+  void addRow(std::string& to, const std::vector<translate::Value>&, bool binary) const override;
   std::string completed(std::string_view tag) const override;
   std::string emptyStatement() const override;
   std::string problem(const translate::Problem&) const override;
--- a/src/wire/pg/extended.cpp
+++ b/src/wire/pg/extended.cpp
@@ -1,19 +1,11 @@
 #include "wire/pg/extended.hpp"
 
+#include "wire/pg/bytes.hpp"
 #include "wire/pg/pg.hpp"
 
 namespace sablespur::pg {
 namespace {
 
-void put16(std::string& to, std::uint16_t v) {
-  to.push_back(static_cast<char>(v >> 8));
-  to.push_back(static_cast<char>(v));
-}
-void put32(std::string& to, std::uint32_t v) {
-  for (int shift = 24; shift >= 0; shift -= 8) to.push_back(static_cast<char>(v >> shift));
-}
-void putText(std::string& to, std::string_view text) { to.append(text).push_back('\0'); }
-
 // Reads a body from its start; after a fault everything it gives is empty, and done() is false.
 class Body {
  public:
--- a/src/wire/pg/login.cpp
+++ b/src/wire/pg/login.cpp
@@ -1,5 +1,6 @@
 #include "wire/pg/login.hpp"
 
+#include "wire/pg/bytes.hpp"
 #include "wire/pg/pg.hpp"
 
 namespace sablespur::pg {
@@ -8,10 +9,6 @@
 using namespace std::string_view_literals;
 constexpr std::string_view kMechanism = "SCRAM-SHA-256\0"sv;
 
-void put32(std::string& to, std::uint32_t v) {
-  for (int shift = 24; shift >= 0; shift -= 8) to.push_back(static_cast<char>(v >> shift));
-}
-
 }  // namespace
 
 std::string authentication(std::uint32_t request, std::string_view data) {
--- a/src/wire/pg/pg.cpp
+++ b/src/wire/pg/pg.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "wire/pg/bytes.hpp"
+
 namespace sablespur::pg {
 namespace {
 
@@ -10,10 +12,6 @@
 // number.
 constexpr std::uint32_t kLargestCluster = 65535;
 
-void putInt32(std::string& to, std::uint32_t v) {
-  for (int shift = 24; shift >= 0; shift -= 8) to.push_back(static_cast<char>(v >> shift));
-}
-
 template <typename T>
 bool toNumber(std::string_view text, T& value) {
   const char* const end = text.data() + text.size();
@@ -21,15 +19,6 @@
   return error == std::errc() && stop == end && !text.empty();
 }
 
-// Takes the text up to the next NUL; nothing where there is none.
-std::optional<std::string_view> takeString(std::string_view& from) {
-  const std::size_t end = from.find('\0');
-  if (end == std::string_view::npos) return std::nullopt;
-  const std::string_view text = from.substr(0, end);
-  from.remove_prefix(end + 1);
-  return text;
-}
-
 }  // namespace
 
 std::uint32_t readInt32(const char* p) {
@@ -46,25 +35,25 @@
 
 std::string queryHead(std::size_t length) {
   std::string head(1, 'Q');
-  putInt32(head, static_cast<std::uint32_t>(length + 4));
+  put32(head, static_cast<std::uint32_t>(length + 4));
   return head;
 }
 
 std::string message(char type, std::string_view body) {
   std::string m(1, type);
-  putInt32(m, static_cast<std::uint32_t>(body.size() + 4));
+  put32(m, static_cast<std::uint32_t>(body.size() + 4));
   m.append(body);
   return m;
 }
 
 std::string startup(std::string_view user, std::string_view database) {
   std::string body;
-  putInt32(body, kVersion3);
+  put32(body, kVersion3);
   for (const std::string_view text : {std::string_view("user"), user, std::string_view("database"), database})
     body.append(text).push_back('\0');
   body.push_back('\0');
   std::string m;
-  putInt32(m, static_cast<std::uint32_t>(body.size() + 4));
+  put32(m, static_cast<std::uint32_t>(body.size() + 4));
   return m + body;
 }
 
@@ -107,7 +96,7 @@
   while (!body.empty() && body[0] != '\0') {
     const char type = body[0];
     body.remove_prefix(1);
-    const auto value = takeString(body);
+    const auto value = takeText(body);
     if (!value) return {};
     if (type == 'S') fields.severity = *value;
     if (type == 'C') fields.code = *value;
@@ -121,7 +110,7 @@
   constexpr std::size_t kColumnTail = 18;  // table, column, type, size, modifier, format
   if (body.size() < 2 || body[0] != 0 || body[1] != 1) return false;
   body.remove_prefix(2);
-  return takeString(body) && body.size() == kColumnTail;
+  return takeText(body) && body.size() == kColumnTail;
 }
 bool isRowHead(const char (&bytes)[kRowHead], std::size_t body) {
   return bytes[0] == 0 && bytes[1] == 1 && body >= kRowHead && body - kRowHead <= kLongestValue &&
@@ -134,8 +123,8 @@
 }
 
 std::pair<std::string_view, std::string_view> parseParameter(std::string_view body) {
-  const auto name = takeString(body);
-  const auto value = name ? takeString(body) : std::nullopt;
+  const auto name = takeText(body);
+  const auto value = name ? takeText(body) : std::nullopt;
   if (!value || !body.empty()) return {};
   return {*name, *value};
 }
--- a/src/wire/pg/startup.cpp
+++ b/src/wire/pg/startup.cpp
@@ -1,21 +1,11 @@
 #include "wire/pg/startup.hpp"
 
+#include "wire/pg/bytes.hpp"
 #include "wire/pg/pg.hpp"
 
 namespace sablespur::pg {
 namespace {
 
-void put32(std::string& to, std::uint32_t v) {
-  for (int shift = 24; shift >= 0; shift -= 8) to.push_back(static_cast<char>(v >> shift));
-}
-void putText(std::string& to, std::string_view text) { to.append(text).push_back('\0'); }
-std::optional<std::string_view> takeText(std::string_view& from) {
-  const std::size_t end = from.find('\0');
-  if (end == std::string_view::npos) return std::nullopt;
-  const std::string_view text = from.substr(0, end);
-  from.remove_prefix(end + 1);
-  return text;
-}
 std::string withLength(const std::string& body) {
   std::string m;
   put32(m, static_cast<std::uint32_t>(body.size() + 4));
--- a/src/wire/pg2/codec.cpp
+++ b/src/wire/pg2/codec.cpp
@@ -10,8 +10,8 @@
   return cursor() + rowDescription(own);
 }
 
-std::string Codec::row(const std::vector<translate::Value>& values, bool binary) const {
-  return pg2::row(values, binary);
+void Codec::addRow(std::string& to, const std::vector<translate::Value>& values, bool binary) const {
+  pg2::addRow(to, values, binary);
 }
 
 // "SELECT 3" counts since 9.0; programs of 2.0's time compare with "SELECT".
--- a/src/wire/pg2/codec.hpp
+++ b/src/wire/pg2/codec.hpp
@@ -12,7 +12,7 @@
 class Codec final : public translate::ClientCodec {
  public:
   std::string columns(const std::vector<translate::Column>&) const override;
-  std::string row(const std::vector<translate::Value>&, bool binary) const override;
+  void addRow(std::string& to, const std::vector<translate::Value>&, bool binary) const override;
   std::string completed(std::string_view tag) const override;
   std::string emptyStatement() const override;
   // One string, without a code: what programs of that time look for stands at its beginning ("ERROR:  ..."),
--- a/src/wire/pg2/pg2.cpp
+++ b/src/wire/pg2/pg2.cpp
@@ -148,19 +148,26 @@
 
 // A bit a column, from the highest of the first byte on: 1 is a value, 0 is null. A text's length counts
 // itself, a binary one's does not.
-std::string row(const std::vector<Value>& values, bool binary) {
-  std::string m(1, binary ? 'B' : 'D');
-  std::string bitmap((values.size() + 7) / 8, '\0');
+void addRow(std::string& to, const std::vector<Value>& values, bool binary) {
+  std::size_t size = 1 + (values.size() + 7) / 8;
+  for (const Value& v : values) size += v ? 4 + v->size() : 0;
+  to.reserve(to.size() + size);
+  to.push_back(binary ? 'B' : 'D');
+  const std::size_t bitmap = to.size();
+  to.resize(bitmap + (values.size() + 7) / 8, '\0');
   for (std::size_t k = 0; k < values.size(); ++k)
     if (values[k])
-      bitmap[k / 8] = static_cast<char>(static_cast<unsigned char>(bitmap[k / 8]) | 0x80u >> k % 8);
-  m += bitmap;
+      to[bitmap + k / 8] = static_cast<char>(static_cast<unsigned char>(to[bitmap + k / 8]) | 0x80u >> k % 8);
   for (const Value& v : values) {
     if (!v) continue;
-    put32(m, static_cast<std::uint32_t>(v->size() + (binary ? 0 : 4)));
-    m.append(*v);
+    put32(to, static_cast<std::uint32_t>(v->size() + (binary ? 0 : 4)));
+    to.append(*v);
   }
-  return m;
+}
+std::string row(const std::vector<Value>& values, bool binary) {
+  std::string one;
+  addRow(one, values, binary);
+  return one;
 }
 
 std::optional<Reader::Message> Reader::take(std::string_view in, std::size_t& size, bool& bad) {
--- a/src/wire/pg2/pg2.hpp
+++ b/src/wire/pg2/pg2.hpp
@@ -62,6 +62,7 @@
 std::string error(std::string_view text);  // one string; a line feed ends it by custom
 std::string notice(std::string_view text);
 std::string rowDescription(const std::vector<Column>&);
+void addRow(std::string& to, const std::vector<Value>&, bool binary);  // behind what stands there
 std::string row(const std::vector<Value>&, bool binary);
 
 // Reads a server's messages, one at a time; rows need the columns that were described before. For stand-in
--- a/tests/dnssd_test.cpp
+++ b/tests/dnssd_test.cpp
@@ -28,8 +28,7 @@
   return {bytes, 4};
 }
 
-// ---- messages
-// ----------------------------------------------------------------------------------------------
+// ---- messages -----------------------------------------------------------------------------------------
 dns::Message sample() {
   dns::Message m;
   m.id = 0x1234;
@@ -124,8 +123,7 @@
   EXPECT_LT(parsed, 20000);
 }
 
-// ---- TXT
-// ---------------------------------------------------------------------------------------------------
+// ---- TXT ----------------------------------------------------------------------------------------------
 TEST(DnsSdRecords, TxtSaysWhatAnInstanceIsAndFaultsNameTheKey) {
   const std::vector<GroupName> groups{{"rentals", 3}};
   Instance i;
@@ -154,8 +152,7 @@
   EXPECT_TRUE(readTxt({"zone=" + std::string(64, 'z')}, groups, 7, i));
 }
 
-// ---- name servers
-// ------------------------------------------------------------------------------------------
+// ---- name servers -------------------------------------------------------------------------------------
 TEST(NameServersOrder, StaysWithTheOneThatAnswersAndLetsFailuresRest) {
   NameServers s(3);
   Time now = seconds(100);
@@ -170,8 +167,7 @@
   EXPECT_EQ(s.pick(now, {true, true, true}), std::nullopt);
 }
 
-// ---- the directory
-// -----------------------------------------------------------------------------------------
+// ---- the directory ------------------------------------------------------------------------------------
 struct DirectoryTest : testing::Test {
   DnsSdSettings settings;
   std::optional<Directory> d;
@@ -378,8 +374,7 @@
   EXPECT_EQ(asked(), "");
 }
 
-// ---- the source, over sockets
-// ------------------------------------------------------------------------------
+// ---- the source, over sockets -------------------------------------------------------------------------
 struct SourceTest : testing::Test, ListTaker {
   EventBase base{event_base_new()};
   Clock clock;
--- a/tests/generations_test.cpp
+++ b/tests/generations_test.cpp
@@ -117,8 +117,7 @@
   )");
 }
 
-// ---- extended queries
-// ------------------------------------------------------------------------------------------
+// ---- extended queries ---------------------------------------------------------------------------------
 TEST(Generations, ExtendedQueriesBecomeSimpleOnes) {
   Scenario t(ini());
   t.run(R"(
@@ -206,8 +205,7 @@
   )");
 }
 
-// ---- values and literals
-// ---------------------------------------------------------------------------------------
+// ---- values and literals ------------------------------------------------------------------------------
 TEST(Generations, LiteralsAreRewrittenForAServerThatReadsThemOtherwise) {
   Scenario t(ini());
   t.run(R"(
@@ -312,8 +310,7 @@
   )");
 }
 
-// ---- servers of another minor version
-// ----------------------------------------------------------------------------
+// ---- servers of another minor version -----------------------------------------------------------------
 TEST(Generations, AskedFor32AnOlderServerIsSpokenToIn30) {
   for (const std::string speaks : {"3.2", "old", "fatal"}) {
     SCOPED_TRACE(speaks);
@@ -331,8 +328,7 @@
   }
 }
 
-// ---- cancels
-// -----------------------------------------------------------------------------------------------------
+// ---- cancels ------------------------------------------------------------------------------------------
 TEST(Generations, ACancelGivesTheRequestUpWithOneAnswer) {
   for (const std::string version : {"2.0", "3.0", "3.2"}) {
     SCOPED_TRACE(version);
--- a/tests/logins_test.cpp
+++ b/tests/logins_test.cpp
@@ -52,8 +52,7 @@
     o1 gets row v
 )";
 
-// ---- clients
-// ---------------------------------------------------------------------------------------------------
+// ---- clients ------------------------------------------------------------------------------------------
 TEST(Logins, EachVersionLogsInByWhatItKnows) {
   const Secret users(line("desk", "pencil") + line("desk", "pencil", true) + line("till", "pencil"));
   Scenario t(ini("", "login = scram, md5, cleartext\nusers = " + users.path() + "\n"));
@@ -141,8 +140,7 @@
   EXPECT_NE(first("nobody"), first("noone"));
 }
 
-// ---- settings
-// --------------------------------------------------------------------------------------------------
+// ---- settings -----------------------------------------------------------------------------------------
 TEST(Logins, SettingsThatCannotBeAreFaults) {
   const auto fault = [](const std::string& dataServers, const std::string& clients) {
     try {
@@ -168,8 +166,7 @@
   has(fault("password_file = " + open.path() + "\n", ""), "[data_servers] password_file: ");
 }
 
-// ---- data servers
-// ------------------------------------------------------------------------------------------------
+// ---- data servers -------------------------------------------------------------------------------------
 TEST(Logins, TheProxyLogsInWhereTheDeskCouldNot) {
   const Secret password("inner\n");
   for (const std::string asks : {"trust", "cleartext", "md5", "scram"}) {
@@ -231,8 +228,7 @@
   )");
 }
 
-// ---- cancels that reach the server
-// -------------------------------------------------------------------------------
+// ---- cancels that reach the server --------------------------------------------------------------------
 Setting cancelling(const std::string& more = "") { return ini("give_up = cancel\n" + more, ""); }
 
 TEST(Cancels, ReachTheServerAndTheConnectionIsUsedAgain) {
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -522,8 +522,7 @@
     proxy expect exit 0
   )");
 }
-// ---- DNS-SD
-// --------------------------------------------------------------------------------------------------
+// ---- DNS-SD -------------------------------------------------------------------------------------------
 Setting byRecords(int servers = 2) {
   Setting s;
   s.dnssd = true;
--- a/tests/translate_test.cpp
+++ b/tests/translate_test.cpp
@@ -24,8 +24,7 @@
 using namespace std::literals;
 namespace tr = translate;
 
-// ---- statements
-// --------------------------------------------------------------------------------------------
+// ---- statements ---------------------------------------------------------------------------------------
 std::string tokens(std::string_view statement, bool backslashes = false) {
   static const char names[] = "plsondcP";
   std::string all;
@@ -126,8 +125,7 @@
   EXPECT_EQ(literal("x", 1700, true), "none");
 }
 
-// ---- protocol 2.0
-// ------------------------------------------------------------------------------------------
+// ---- protocol 2.0 -------------------------------------------------------------------------------------
 TEST(Pg2, StartupAndCancelHaveTheirFixedForm) {
   pg2::Startup s;
   s.database = "ledger";
@@ -205,8 +203,7 @@
   }
 }
 
-// ---- the extended sub-protocol
-// -------------------------------------------------------------------------------
+// ---- the extended sub-protocol ------------------------------------------------------------------------
 TEST(Extended, MessagesReadBackAndLyingCountsAreNone) {
   const std::string p = pg::parseMessage("s1", "SELECT $1", {23, 0});
   const auto parse = pg::parseParse(std::string_view(p).substr(pg::kHead));
@@ -237,8 +234,7 @@
   EXPECT_FALSE(pg::parseTarget("Xp\0"sv));
 }
 
-// ---- answers between forms
-// ---------------------------------------------------------------------------------
+// ---- answers between forms ----------------------------------------------------------------------------
 using Row = std::vector<std::optional<std::string>>;
 // An answer as a data server of version 3 tells it.
 std::string serverAnswer(const std::vector<std::uint32_t>& types, const std::vector<Row>& rows,
@@ -360,8 +356,7 @@
   EXPECT_EQ(pg::readProblem("SERROR\0C23505\0Mtwice"sv).code, "");
 }
 
-// ---- prepared statements and portals
-// -------------------------------------------------------------------------
+// ---- prepared statements and portals ------------------------------------------------------------------
 std::string_view bodyOf(const std::string& message) { return std::string_view(message).substr(pg::kHead); }
 Prepared::Said bindTo(Prepared& p, std::string_view statement, std::string_view portal,
                       std::vector<std::optional<std::string_view>> values) {
@@ -438,8 +433,7 @@
   EXPECT_EQ(p.bytes(), 256u * 8);
 }
 
-// ---- settings that a side tells
-// --------------------------------------------------------------------------------
+// ---- settings that a side tells -----------------------------------------------------------------------
 TEST(Sides, TellTheirSettingsBySetOrAtTheStart) {
   tr::Side side;
   EXPECT_EQ(tr::parseSet("SET Bytea_Output TO 'escape';"), std::make_pair("bytea_output"s, "escape"s));
@@ -460,8 +454,7 @@
   EXPECT_TRUE(tr::applyOptions(side, "-c geqo"));
 }
 
-// ---- startups and keys
-// -------------------------------------------------------------------------------------------
+// ---- startups and keys --------------------------------------------------------------------------------
 TEST(Startups, OfVersion3ReadBack) {
   pg::Startup s;
   s.minor = 2;
@@ -498,8 +491,7 @@
   EXPECT_NE(randomBytes(32), randomBytes(32));
 }
 
-// ---- logins
-// ------------------------------------------------------------------------------------------------
+// ---- logins -------------------------------------------------------------------------------------------
 constexpr const char* kClientNonce = "rOprNGfwEbeRWgbNEkqO";
 const std::string kServerFirst =
     "r=rOprNGfwEbeRWgbNEkqO%hvYDpWUa2RaTCAfuxFIlj)hNlF$k0,s=W22ZaJ0SNY7soEsUEjb6gQ==,i=4096";
