Decide admission: networks, caps, reserves, rates, an adaptive limit, a fair queue

Need: when a ship docks hundreds of apps reconnect together, and the desks must still get in; today's proxy knows no addresses, no rates and no reserve.

Change: src/admission, free of I/O and clocks: longest match of networks on asio's types; the door with caps by group, address and network, token buckets, reserves that nobody else may take, and the idle connection that makes way by weight; who has been served before, bounded against abusers; a limit learned from latency; requests shared by weight before a short queue that drops what can no longer be on time. Those refused get a time of their own to come back. The fronts do not ask it yet; the platform's build leaves it out.

Measured: 25 tests, with seeded properties against simple models.

--- /dev/null
+++ b/src/admission/door.hpp
@@ -0,0 +1,117 @@
+// The door: which new connections are let in, which are told to come back and when, and which idle one makes
+// way. Free of I/O and clocks: it is told what happened and when, and says what to do.
+//
+// Groups have caps in all, by address and by network; a rate of new connections; a reserve that nobody else
+// may take; a weight. What a group holds beyond its reserve can be asked back while it is idle, for a group
+// that has less by weight.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "admission/networks.hpp"
+
+namespace sablespur::admission {
+
+using Time = std::chrono::microseconds;  // an instant on the caller's clock, or an interval
+using ConnectionId = std::uint64_t;      // never 0
+
+struct GroupLimits {
+  std::string name;
+  std::size_t most = 0;           // connections; 0: no cap of its own
+  std::size_t mostByAddress = 0;  // the same
+  std::size_t mostByPrefix = 0;   // by a network of prefix4 or prefix6 bits
+  double perSecond = 0;           // new connections; 0: no bound
+  double burst = 1;               // that may come at once
+  std::size_t reserve = 0;        // connections that are kept free for it
+  double weight = 1;
+};
+
+struct DoorSettings {
+  std::size_t most = 1;             // connections of all groups together
+  std::vector<GroupLimits> groups;  // the last one is everyone else
+  int prefix4 = 24, prefix6 = 64;
+  Time comeBackLeast = std::chrono::milliseconds(100), comeBackMost = std::chrono::seconds(10);
+  Time idleLeast = std::chrono::milliseconds(500);  // a connection that was used later is not asked back
+};
+
+enum class Why { None, Full, GroupFull, AddressFull, PrefixFull, Rate };
+const char* whyName(Why);
+
+struct Welcome {
+  bool admitted = false;
+  ConnectionId close = 0;  // an idle one that has to go first; 0: none
+  Why why = Why::None;     // not admitted
+  Time comeBack{};  // not admitted: after so long. Spread, so that those refused do not return together
+};
+
+class Door {
+ public:
+  Door(DoorSettings, std::shared_ptr<const Networks>);
+
+  Welcome arrived(Time now, ConnectionId, const IpAddress&);  // ids of those refused are not kept
+  void left(ConnectionId);
+  void busy(ConnectionId);            // it has asked
+  void idle(Time now, ConnectionId);  // it is answered
+  // A client that has said who it is may belong to another group; nothing is taken from it for that.
+  void belongs(ConnectionId, std::size_t group);
+
+  // New settings while it runs. Groups keep what they hold by their names; who moves, moves. Nobody is closed
+  // for a cap that has become lower: see surplus.
+  void reload(DoorSettings, std::shared_ptr<const Networks>);
+  // Idle connections beyond the caps, longest idle first, `most` at once.
+  std::vector<ConnectionId> surplus(Time now, std::size_t most);
+
+  struct Count {
+    std::size_t held = 0, idle = 0, reserveLeft = 0;
+    std::uint64_t admitted = 0, asked = 0;  // asked: of its own that were asked back for others
+    std::map<Why, std::uint64_t> refused;
+    bool refusing = false;  // since the last one that was admitted
+  };
+  const Count& count(std::size_t group) const { return groups_[group].count; }
+  std::size_t held() const { return connections_.size(); }
+  std::size_t groups() const { return groups_.size(); }
+  const GroupLimits& limits(std::size_t group) const { return groups_[group].limits; }
+  std::size_t groupOf(ConnectionId) const;  // groups(): it is not known
+
+ private:
+  struct Group {
+    GroupLimits limits;
+    Count count;
+    double tokens = 0;
+    Time filled{};
+    Time nextSlot{};               // when the next one refused is asked to come back
+    std::list<ConnectionId> idle;  // longest idle first
+    std::unordered_map<IpAddress, std::size_t> byAddress, byPrefix;
+  };
+  struct Connection {
+    std::size_t group = 0;
+    IpAddress address;
+    bool idle = false, named = false;  // named: its group was told by belongs
+    Time since{};
+    std::list<ConnectionId>::iterator place;
+  };
+  void enter(ConnectionId, Connection&);
+  void leave(Connection&);
+  void count(Group&);
+  Welcome refuse(Group&, Time now, Why);
+  bool rate(Group&, Time now);
+  std::size_t keptForOthers(std::size_t group) const;
+  ConnectionId victim(Time now, std::size_t group) const;
+  std::size_t& slot(std::unordered_map<IpAddress, std::size_t>&, const IpAddress&);
+  IpAddress prefix(const IpAddress& a) const { return prefixOf(a, settings_.prefix4, settings_.prefix6); }
+
+  DoorSettings settings_;
+  std::shared_ptr<const Networks> networks_;
+  std::vector<Group> groups_;
+  std::unordered_map<ConnectionId, Connection> connections_;
+};
+
+}  // namespace sablespur::admission
--- /dev/null
+++ b/src/admission/known.hpp
@@ -0,0 +1,52 @@
+// Who has been served before, by address: a bounded record that forgets. Free of I/O and clocks.
+//
+// An address is known once it was served several times over some while. Guards against an abuser that fills
+// the record: a network has room for a few only and pushes out its own; who is not known yet is forgotten
+// before anyone who is.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <list>
+#include <unordered_map>
+
+#include "admission/networks.hpp"
+
+namespace sablespur::admission {
+
+using Time = std::chrono::microseconds;
+
+struct KnownSettings {
+  std::size_t most = 4096, mostByPrefix = 32;
+  int prefix4 = 24, prefix6 = 64;
+  std::size_t times = 3;                // served so often
+  Time over = std::chrono::seconds(2);  // over so long, at least
+  Time keep = std::chrono::hours(24);   // after the last time
+};
+
+class Known {
+ public:
+  explicit Known(KnownSettings s) : s_(s) {}
+  void served(Time now, const IpAddress&);
+  bool is(Time now, const IpAddress&) const;
+  std::size_t size() const { return records_.size(); }
+
+ private:
+  struct Record {
+    IpAddress address;
+    Time first{}, last{};
+    std::size_t times = 0;
+    bool known = false;
+  };
+  using List = std::list<Record>;  // the one served last comes last
+  void forget(List&, List::iterator);
+  void makeRoom(const IpAddress& prefix);
+  IpAddress prefix(const IpAddress& a) const { return prefixOf(a, s_.prefix4, s_.prefix6); }
+
+  const KnownSettings s_;
+  List fresh_, known_;
+  std::unordered_map<IpAddress, List::iterator> records_;
+  std::unordered_map<IpAddress, std::size_t> byPrefix_;
+};
+
+}  // namespace sablespur::admission
--- /dev/null
+++ b/src/admission/limit.cpp
@@ -0,0 +1,66 @@
+#include "admission/limit.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sablespur::admission {
+namespace {
+
+constexpr double kSmooth = 0.2;  // how far one window moves the limit, and what is usual
+
+}  // namespace
+
+Limit::Limit(const LimitSettings& s) : s_(s), limit_(std::clamp(s.first, s.least, s.most)) {}
+
+void Limit::ended(Time now, Time latency, std::size_t out, bool dropped) {
+  if (s_.kind == LimitKind::Fixed) return;
+  if (!open_) {
+    open_ = true;
+    opened_ = now;
+  }
+  mostOut_ = std::max(mostOut_, out);
+  dropped_ = dropped_ || dropped;
+  // While half the limit is tried, what began before tells of the whole one.
+  if (!dropped && !(probing_ && now - latency < opened_)) {
+    sum_ += static_cast<double>(latency.count());
+    ++samples_;
+  }
+  if (now - opened_ >= s_.window && (samples_ >= s_.samplesLeast || dropped_)) close(now);
+}
+
+void Limit::close(Time now) {
+  const double mean = samples_ > 0 ? sum_ / static_cast<double>(samples_) : 0;
+  // Guards against growing where nothing pushes: a limit that was not reached has not been tried.
+  const bool pushed = 2 * static_cast<double>(mostOut_) >= limit_;
+  if (mean > 0) usual_ = usual_ > 0 ? usual_ + (mean - usual_) * kSmooth : mean;
+  double next = limit_;
+  if (s_.kind == LimitKind::Aimd) {
+    if (dropped_ || mean > static_cast<double>(s_.bound.count()))
+      next = limit_ * s_.backoff;
+    else if (pushed)
+      next = limit_ + 1;
+  } else {
+    if (mean > 0) least_ = least_ > 0 ? std::min(least_, mean) : mean;
+    const double base =
+        leastBefore_ > 0 && least_ > 0 ? std::min(leastBefore_, least_) : std::max(leastBefore_, least_);
+    if (dropped_) {
+      next = limit_ * s_.backoff;
+    } else if (mean > 0) {
+      const double gradient = std::clamp(s_.tolerance * base / mean, 0.5, 1.0);
+      const double wanted = limit_ * gradient + std::sqrt(limit_);
+      if (!probing_ && (pushed || wanted < limit_)) next = limit_ * (1 - kSmooth) + wanted * kSmooth;
+    }
+    probing_ = ++windows_ % s_.epoch == 0;
+    if (probing_) {
+      leastBefore_ = least_;
+      least_ = 0;
+    }
+  }
+  limit_ = std::clamp(next, s_.least, s_.most);
+  opened_ = now;
+  sum_ = 0;
+  samples_ = mostOut_ = 0;
+  dropped_ = false;
+}
+
+}  // namespace sablespur::admission
--- /dev/null
+++ b/src/admission/requests.cpp
@@ -0,0 +1,161 @@
+#include "admission/requests.hpp"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace sablespur::admission {
+
+Requests::Requests(RequestSettings s) : s_(std::move(s)), limit_(s_.limit) {
+  if (s_.groups.empty()) throw std::invalid_argument("requests without a group");
+  for (const ShareSettings& g : s_.groups) groups_.push_back({g, 0, {}});
+}
+
+// What a group has of the whole by its weight; the smallest is served next.
+double Requests::share(const Group& g, std::size_t extra) const {
+  return static_cast<double>(g.out + extra) / std::max(g.settings.weight, 1e-9);
+}
+
+// Spread: as many as wait and are out need so long; those refused come back one after another, not together.
+Time Requests::comeBack() {
+  const Time each = std::max(limit_.usual(), Time(1000));
+  const auto ahead = static_cast<double>(waiting_ + refused_++) /
+                     static_cast<double>(std::max<std::size_t>(limit_.value(), 1));
+  const Time t =
+      s_.comeBackLeast + Time(static_cast<std::int64_t>(ahead * static_cast<double>(each.count())));
+  if (t <= s_.comeBackMost) return t;
+  refused_ = 0;
+  return s_.comeBackMost;
+}
+Answered Requests::refuse(RequestKey key) {
+  open_.erase(key);
+  return {key, Turn::Refuse, comeBack()};
+}
+
+void Requests::go(RequestKey key, std::size_t group) {
+  open_[key] = {group, true};
+  ++groups_[group].out;
+  ++out_;
+  last_ = group;
+}
+
+void Requests::drop(Time now, std::vector<Answered>& all) {
+  for (Group& g : groups_)
+    for (auto it = g.waiting.begin(); it != g.waiting.end();) {
+      if (it->deadline - now > limit_.usual()) {
+        ++it;
+        continue;
+      }
+      --waiting_;
+      const RequestKey key = it->key;
+      it = g.waiting.erase(it);
+      all.push_back(refuse(key));
+    }
+}
+
+void Requests::take(std::vector<Answered>& all) {
+  while (waiting_ > 0 && out_ < limit_.value()) {
+    Group* next = nullptr;
+    for (std::size_t k = 1; k <= groups_.size(); ++k) {
+      Group& g = groups_[(last_ + k) % groups_.size()];
+      if (!g.waiting.empty() && (!next || share(g, 1) < share(*next, 1))) next = &g;
+    }
+    const RequestKey key = next->waiting.front().key;
+    next->waiting.pop_front();
+    --waiting_;
+    go(key, static_cast<std::size_t>(next - groups_.data()));
+    all.push_back({key, Turn::Go, Time(0)});
+  }
+  if (waiting_ == 0) refused_ = 0;
+}
+
+Requests::Asked Requests::ask(Time now, RequestKey key, std::size_t group, Time deadline) {
+  Asked a;
+  group = std::min(group, groups_.size() - 1);
+  Group& g = groups_[group];
+  if (g.settings.mostOpen > 0 && g.out + g.waiting.size() >= g.settings.mostOpen) {
+    a.comeBack = comeBack();
+    return a;
+  }
+  if (waiting_ == 0 && out_ < limit_.value()) {
+    go(key, group);
+    a.turn = Turn::Go;
+    return a;
+  }
+  if (deadline - now <= limit_.usual()) {  // it could not be on time
+    a.comeBack = comeBack();
+    return a;
+  }
+  if (waiting_ >= s_.mostWaiting) drop(now, a.others);
+  if (waiting_ >= s_.mostWaiting) {
+    // Whoever has most waiting by weight gives way, with its newest: it has waited least.
+    Group* widest = &g;
+    const auto width = [](const Group& x, std::size_t extra) {
+      return static_cast<double>(x.waiting.size() + extra) / std::max(x.settings.weight, 1e-9);
+    };
+    for (Group& x : groups_)
+      if (!x.waiting.empty() && width(x, 0) > width(*widest, widest == &g ? 1 : 0)) widest = &x;
+    if (widest == &g) {
+      a.comeBack = comeBack();
+      return a;
+    }
+    const RequestKey gives = widest->waiting.back().key;
+    widest->waiting.pop_back();
+    --waiting_;
+    a.others.push_back(refuse(gives));
+  }
+  g.waiting.push_back({key, deadline});
+  open_[key] = {group, false};
+  ++waiting_;
+  a.turn = Turn::Wait;
+  // A slot may be free: what stood before it has just been dropped.
+  std::vector<Answered> went;
+  take(went);
+  for (const Answered& w : went) {
+    if (w.key == key)
+      a.turn = Turn::Go;
+    else
+      a.others.push_back(w);
+  }
+  return a;
+}
+
+std::vector<Answered> Requests::ended(Time now, RequestKey key, Time latency, bool dropped) {
+  std::vector<Answered> all;
+  const auto it = open_.find(key);
+  if (it == open_.end() || !it->second.out) return all;
+  limit_.ended(now, latency, out_, dropped);
+  --groups_[it->second.group].out;
+  --out_;
+  open_.erase(it);
+  drop(now, all);
+  take(all);
+  return all;
+}
+
+std::vector<Answered> Requests::left(Time now, RequestKey key) {
+  std::vector<Answered> all;
+  const auto it = open_.find(key);
+  if (it == open_.end()) return all;
+  Group& g = groups_[it->second.group];
+  if (it->second.out) {
+    --g.out;
+    --out_;
+  } else {
+    const auto at =
+        std::find_if(g.waiting.begin(), g.waiting.end(), [&](const Waiting& w) { return w.key == key; });
+    g.waiting.erase(at);
+    --waiting_;
+  }
+  open_.erase(it);
+  drop(now, all);
+  take(all);
+  return all;
+}
+
+std::vector<Answered> Requests::overdue(Time now) {
+  std::vector<Answered> all;
+  drop(now, all);
+  return all;
+}
+
+}  // namespace sablespur::admission
--- /dev/null
+++ b/src/admission/requests.hpp
@@ -0,0 +1,90 @@
+// Which requests go on, which wait for a moment, and which are told to come back: one limit for all, shared
+// by weight among groups, before a short queue. Free of I/O and clocks.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "admission/limit.hpp"
+
+namespace sablespur::admission {
+
+using RequestKey = std::uint64_t;  // never 0
+
+struct ShareSettings {
+  double weight = 1;
+  std::size_t mostOpen = 0;  // requests, waiting ones included; 0: no bound of its own
+};
+
+struct RequestSettings {
+  LimitSettings limit;
+  std::size_t mostWaiting = 64;
+  std::vector<ShareSettings> groups;
+  Time comeBackLeast = std::chrono::milliseconds(50), comeBackMost = std::chrono::seconds(2);
+};
+
+enum class Turn { Go, Wait, Refuse };
+
+struct Answered {
+  RequestKey key = 0;
+  Turn turn = Turn::Refuse;  // Go or Refuse
+  Time comeBack{};           // of Refuse
+};
+
+class Requests {
+ public:
+  explicit Requests(RequestSettings);
+
+  // What becomes of a request. Others that have to give way to it are in `others`.
+  struct Asked {
+    Turn turn = Turn::Refuse;
+    Time comeBack{};
+    std::vector<Answered> others;
+  };
+  Asked ask(Time now, RequestKey, std::size_t group, Time deadline);
+  // One that went on has ended, or its client has left. Those that may go now, and those that can no longer
+  // be on time.
+  std::vector<Answered> ended(Time now, RequestKey, Time latency, bool dropped);
+  std::vector<Answered> left(Time now, RequestKey);
+  // Those waiting that can no longer be on time; to be asked now and then.
+  std::vector<Answered> overdue(Time now);
+
+  std::size_t out() const { return out_; }
+  std::size_t waiting() const { return waiting_; }
+  std::size_t limit() const { return limit_.value(); }
+
+ private:
+  struct Waiting {
+    RequestKey key;
+    Time deadline;
+  };
+  struct Group {
+    ShareSettings settings;
+    std::size_t out = 0;
+    std::deque<Waiting> waiting;
+  };
+  struct Open {
+    std::size_t group;
+    bool out;
+  };
+  void go(RequestKey, std::size_t group);
+  void take(std::vector<Answered>&);            // as many as there is room for
+  void drop(Time now, std::vector<Answered>&);  // what can no longer be on time
+  Answered refuse(RequestKey);
+  Time comeBack();
+  double share(const Group& g, std::size_t extra) const;
+
+  const RequestSettings s_;
+  Limit limit_;
+  std::vector<Group> groups_;
+  std::unordered_map<RequestKey, Open> open_;
+  std::size_t out_ = 0, waiting_ = 0;
+  std::size_t last_ = 0;       // the group that went last: the next one goes first among equals
+  std::uint64_t refused_ = 0;  // in a row, for when to come back
+};
+
+}  // namespace sablespur::admission
--- /dev/null
+++ b/tests/admission_test.cpp
@@ -0,0 +1,598 @@
+// The door and the requests behind it: decisions alone, on a clock of the test's own.
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+
+#include <pcg_random.hpp>
+#include <set>
+
+#include "admission/door.hpp"
+#include "admission/known.hpp"
+#include "admission/limit.hpp"
+#include "admission/requests.hpp"
+
+namespace sablespur::admission {
+namespace {
+
+using namespace std::chrono_literals;
+
+IpAddress ip(const std::string& text) { return asio::ip::make_address(text); }
+std::shared_ptr<const Networks> networks(const std::vector<std::pair<std::string, std::size_t>>& all) {
+  auto n = std::make_shared<Networks>();
+  std::string why;
+  for (const auto& [text, group] : all) EXPECT_TRUE(n->add(text, group, why)) << why;
+  return n;
+}
+
+// ---- networks
+// ----------------------------------------------------------------------------------------------------
+TEST(Networks, TheLongestThatHoldsAnAddressCounts) {
+  const auto n = networks({{"10.0.0.0/8", 1},
+                           {"10.1.0.0/16", 2},
+                           {"10.1.2.3", 3},
+                           {"fd00::/8", 4},
+                           {"fd00:1::/32", 5},
+                           {"0.0.0.0/0", 6}});
+  EXPECT_EQ(n->find(ip("10.2.0.1"), 9), 1u);
+  EXPECT_EQ(n->find(ip("10.1.9.9"), 9), 2u);
+  EXPECT_EQ(n->find(ip("10.1.2.3"), 9), 3u);
+  EXPECT_EQ(n->find(ip("192.168.0.1"), 9), 6u);
+  EXPECT_EQ(n->find(ip("fd00:1::7"), 9), 5u);
+  EXPECT_EQ(n->find(ip("fd07::7"), 9), 4u);
+  EXPECT_EQ(n->find(ip("2001:db8::1"), 9), 9u);
+  EXPECT_EQ(n->size(), 6u);
+}
+TEST(Networks, WhatIsNoneIsNamed) {
+  Networks n;
+  std::string why;
+  EXPECT_TRUE(n.add("10.1.0.0/16", 1, why));
+  EXPECT_TRUE(n.add("10.1.0.0/16", 1, why));  // twice is once
+  EXPECT_EQ(n.size(), 1u);
+  EXPECT_FALSE(n.add("10.1.0.0/16", 2, why));
+  EXPECT_EQ(why, "'10.1.0.0/16' belongs to another group already");
+  EXPECT_FALSE(n.add("10.1.0.7/16", 1, why));
+  EXPECT_EQ(why, "'10.1.0.7/16' has bits beyond its prefix");
+  for (const char* bad : {"", "10.1/16", "10.1.0.0/33", "fd00::/129", "desk", "10.1.0.0/", "fd00::1::2"}) {
+    EXPECT_FALSE(n.add(bad, 1, why)) << bad;
+    EXPECT_EQ(why, "'" + std::string(bad) + "' is no network");
+  }
+}
+TEST(Networks, MappedAddressesAreThoseOfIpv4) {
+  sockaddr_in6 a{};
+  a.sin6_family = AF_INET6;
+  inet_pton(AF_INET6, "::ffff:10.1.0.7", &a.sin6_addr);
+  EXPECT_EQ(addressOf(reinterpret_cast<sockaddr*>(&a)), ip("10.1.0.7"));
+  sockaddr_in b{};
+  b.sin_family = AF_INET;
+  inet_pton(AF_INET, "127.3.2.1", &b.sin_addr);
+  EXPECT_EQ(prefixOf(addressOf(reinterpret_cast<sockaddr*>(&b)), 24, 64), ip("127.3.2.0"));
+  EXPECT_EQ(prefixOf(ip("2001:db8:1:2:3::4"), 24, 60), ip("2001:db8:1::"));
+}
+// Thousands of nested networks, against a search through all of them.
+TEST(Networks, FindWhatASearchFinds) {
+  pcg32 random(11);
+  Networks n;
+  std::vector<std::pair<IpAddress, int>> all;
+  std::map<std::string, std::size_t> groups;
+  for (int k = 0; k < 3000; ++k) {
+    const int bits = 4 + static_cast<int>(random(29));
+    const IpAddress first = prefixOf(asio::ip::address_v4(random() & 0x0fffffff), bits, 64);
+    const std::string text = first.to_string() + "/" + std::to_string(bits);
+    std::string why;
+    const std::size_t group = k % 7;
+    if (!groups.emplace(text, group).second) continue;
+    ASSERT_TRUE(n.add(text, group, why)) << why;
+    all.emplace_back(first, bits);
+  }
+  for (int k = 0; k < 2000; ++k) {
+    const IpAddress a = asio::ip::address_v4(random() & 0x0fffffff);
+    std::size_t expected = 99;
+    int longest = -1;
+    for (const auto& [first, bits] : all)
+      if (bits > longest && prefixOf(a, bits, 64) == first) {
+        longest = bits;
+        expected = groups.at(first.to_string() + "/" + std::to_string(bits));
+      }
+    ASSERT_EQ(n.find(a, 99), expected) << a.to_string();
+  }
+}
+
+// ---- the door
+// ----------------------------------------------------------------------------------------------------
+constexpr std::size_t kDesks = 0, kApps = 1, kElse = 2;
+DoorSettings settings(std::size_t most) {
+  DoorSettings s;
+  s.most = most;
+  s.groups.resize(3);
+  s.groups[kDesks].name = "desks";
+  s.groups[kDesks].weight = 4;
+  s.groups[kApps].name = "apps";
+  s.groups[kElse].name = "else";
+  return s;
+}
+std::shared_ptr<const Networks> museum() {
+  return networks({{"10.1.0.0/16", kDesks}, {"10.2.0.0/16", kApps}});
+}
+std::string host(const std::string& net, std::size_t k) {
+  return net + "." + std::to_string(k / 250) + "." + std::to_string(k % 250 + 1);
+}
+
+TEST(Door, AnAddressThatConnectsInALoopTakesItsOwnShare) {
+  DoorSettings s = settings(100);
+  s.groups[kApps].mostByAddress = 5;
+  Door door(s, museum());
+  ConnectionId id = 0;
+  int let = 0;
+  for (int k = 0; k < 1000; ++k) {
+    const Welcome w = door.arrived(Time(k), ++id, ip("10.2.0.7"));
+    let += w.admitted;
+    if (!w.admitted) {
+      EXPECT_EQ(w.why, Why::AddressFull);
+    }
+  }
+  EXPECT_EQ(let, 5);
+  EXPECT_TRUE(door.arrived(Time(1000), ++id, ip("10.2.0.8")).admitted);
+  EXPECT_TRUE(door.arrived(Time(1000), ++id, ip("10.1.0.8")).admitted);
+}
+TEST(Door, TheSameFromFiveHundredAddressesOfOneNetwork) {
+  DoorSettings s = settings(400);
+  s.groups[kElse].mostByAddress = 2;
+  s.groups[kElse].mostByPrefix = 50;
+  s.prefix4 = 8;
+  s.groups[kDesks].reserve = 20;
+  Door door(s, museum());
+  ConnectionId id = 0;
+  std::size_t let = 0;
+  for (std::size_t k = 0; k < 500; ++k)
+    for (int j = 0; j < 4; ++j) let += door.arrived(Time(k), ++id, ip(host("127.0", k))).admitted;
+  EXPECT_EQ(let, 50u);
+  for (std::size_t k = 0; k < 20; ++k) EXPECT_TRUE(door.arrived(1s, ++id, ip(host("10.1", k))).admitted);
+}
+TEST(Door, AReserveIsTakenByNobodyElse) {
+  DoorSettings s = settings(100);
+  s.groups[kDesks].reserve = 30;
+  Door door(s, museum());
+  ConnectionId id = 0;
+  std::size_t let = 0;
+  for (std::size_t k = 0; k < 200; ++k) {
+    const Welcome w = door.arrived(Time(k), ++id, ip(host("10.2", k)));
+    let += w.admitted;
+    if (!w.admitted) {
+      EXPECT_EQ(w.why, Why::Full);
+    }
+  }
+  EXPECT_EQ(let, 70u);
+  for (std::size_t k = 0; k < 30; ++k) EXPECT_TRUE(door.arrived(1s, ++id, ip(host("10.1", k))).admitted);
+  EXPECT_EQ(door.count(kDesks).reserveLeft, 0u);
+  // All is taken now, and nobody is idle: the next desk waits like anyone.
+  EXPECT_EQ(door.arrived(1s, ++id, ip("10.1.9.9")).why, Why::Full);
+}
+// Beyond its reserve a desk gets the place of an app that has been idle, since apps hold more by weight; an
+// app that is at work keeps its place, and so does one that has just been answered.
+TEST(Door, AnIdleOneOfWhoHoldsMostMakesWay) {
+  Door door(settings(10), museum());
+  for (ConnectionId id = 1; id <= 10; ++id)
+    ASSERT_TRUE(door.arrived(Time(id), id, ip(host("10.2", id))).admitted);
+  EXPECT_EQ(door.arrived(1s, 11, ip("10.1.0.1")).why, Why::Full);
+  door.idle(1s, 4);
+  door.idle(1200ms, 3);
+  EXPECT_EQ(door.arrived(1400ms, 11, ip("10.1.0.1")).why, Why::Full);  // not yet idle for half a second
+  const Welcome w = door.arrived(2s, 11, ip("10.1.0.1"));
+  EXPECT_TRUE(w.admitted);
+  EXPECT_EQ(w.close, 4u);
+  door.busy(3);
+  EXPECT_EQ(door.arrived(3s, 12, ip("10.1.0.2")).why, Why::Full);
+  EXPECT_EQ(door.held(), 10u);
+  EXPECT_EQ(door.count(kApps).asked, 1u);
+}
+TEST(Door, AnAppTakesNoDesksPlace) {
+  Door door(settings(4), museum());
+  for (ConnectionId id = 1; id <= 4; ++id) {
+    ASSERT_TRUE(door.arrived(Time(id), id, ip(host("10.1", id))).admitted);
+    door.idle(Time(id), id);
+  }
+  // Four desks weigh one, an app would weigh one as well: it has to wait.
+  EXPECT_EQ(door.arrived(10s, 5, ip("10.2.0.1")).why, Why::Full);
+  const Welcome own = door.arrived(10s, 6, ip("10.1.0.9"));  // among themselves the longest idle one goes
+  EXPECT_TRUE(own.admitted);
+  EXPECT_EQ(own.close, 1u);
+}
+// After a restart all come at once: as many as the burst, the others one by one, each at a time of its own.
+TEST(Door, ThoseRefusedForTheRateComeBackSpread) {
+  DoorSettings s = settings(1000);
+  s.groups[kDesks].perSecond = 100;
+  s.groups[kDesks].burst = 50;
+  Door door(s, museum());
+  std::multimap<Time, std::size_t> returns;
+  ConnectionId id = 0;
+  std::size_t let = 0;
+  for (std::size_t k = 0; k < 400; ++k) returns.emplace(Time(static_cast<std::int64_t>(k) * 100), k);
+  Time last{};
+  std::map<std::int64_t, int> tries;  // by 100 ms
+  while (!returns.empty()) {
+    const auto [now, k] = *returns.begin();
+    returns.erase(returns.begin());
+    ++tries[now.count() / 100000];
+    const Welcome w = door.arrived(now, ++id, ip(host("10.1", k)));
+    let += w.admitted;
+    last = now;
+    if (!w.admitted) {
+      EXPECT_EQ(w.why, Why::Rate);
+      EXPECT_GE(w.comeBack, s.comeBackLeast);
+      EXPECT_LE(w.comeBack, s.comeBackMost);
+      returns.emplace(now + w.comeBack, k);
+    }
+  }
+  EXPECT_EQ(let, 400u);
+  EXPECT_LT(last, 6s);  // 350 at 100 a second
+  for (const auto& [slot, n] : tries) {
+    if (slot > 0) {
+      EXPECT_LE(n, 25) << slot;  // no second wave
+    }
+  }
+}
+TEST(Door, AReloadThatLowersACapClosesOnlyWhatIsIdle) {
+  Door door(settings(100), museum());
+  for (ConnectionId id = 1; id <= 20; ++id)
+    ASSERT_TRUE(door.arrived(Time(0), id, ip(host("10.2", id))).admitted);
+  for (ConnectionId id = 1; id <= 12; ++id) door.idle(Time(100 - static_cast<std::int64_t>(id)), id);
+  DoorSettings s = settings(100);
+  s.groups[kApps].most = 10;
+  door.reload(s, museum());
+  EXPECT_EQ(door.count(kApps).held, 20u);
+  EXPECT_EQ(door.surplus(2s, 4), (std::vector<ConnectionId>{12, 11, 10, 9}));  // longest idle first
+  EXPECT_EQ(door.surplus(2s, 100).size(), 6u);
+  EXPECT_EQ(door.count(kApps).held, 10u);
+  EXPECT_TRUE(door.surplus(2s, 100).empty());
+  EXPECT_FALSE(door.arrived(1ms, 50, ip("10.2.9.9")).admitted);
+}
+TEST(Door, AnAddressMovesToAnotherGroupOnReloadAndANamedOneStays) {
+  Door door(settings(10), museum());
+  ASSERT_TRUE(door.arrived(Time(0), 1, ip("10.2.0.1")).admitted);
+  ASSERT_TRUE(door.arrived(Time(0), 2, ip("10.2.0.2")).admitted);
+  door.idle(Time(5), 1);
+  door.belongs(2, kElse);
+  EXPECT_EQ(door.count(kApps).held, 1u);
+  door.reload(settings(10), networks({{"10.2.0.0/16", kDesks}}));
+  EXPECT_EQ(door.groupOf(1), kDesks);
+  EXPECT_EQ(door.groupOf(2), kElse);
+  EXPECT_EQ(door.count(kDesks).idle, 1u);
+  door.busy(1);
+  door.left(1);
+  door.left(2);
+  for (std::size_t g = 0; g < door.groups(); ++g) EXPECT_EQ(door.count(g).held, 0u);
+}
+// The reserve is new and others hold everything: who is idle makes way at once.
+TEST(Door, AReserveThatIsOwedIsTakenBack) {
+  Door door(settings(10), museum());
+  for (ConnectionId id = 1; id <= 10; ++id) {
+    ASSERT_TRUE(door.arrived(Time(0), id, ip(host("10.2", id))).admitted);
+    door.idle(Time(static_cast<std::int64_t>(id)), id);
+  }
+  DoorSettings s = settings(10);
+  s.groups[kDesks].reserve = 3;
+  door.reload(s, museum());
+  for (ConnectionId id = 11; id <= 13; ++id) {
+    const Welcome w = door.arrived(1s, id, ip(host("10.1", id)));
+    EXPECT_TRUE(w.admitted);
+    EXPECT_EQ(w.close, id - 10);
+  }
+}
+TEST(Door, AnAbuserAmongTheDesksTakesNothingFromThem) {
+  DoorSettings s = settings(100);
+  s.groups[kDesks].reserve = 60;
+  s.groups[kDesks].mostByAddress = 3;
+  s.groups[kDesks].perSecond = 50;
+  s.groups[kDesks].burst = 10;
+  Door door(s, museum());
+  ConnectionId id = 0;
+  std::size_t desks = 0;
+  for (int k = 0; k < 20000; ++k) {
+    const Time now(k * 100);
+    door.arrived(now, ++id, ip("10.1.66.6"));
+    if (k % 500 == 0)
+      desks += door.arrived(now, ++id, ip(host("10.1", static_cast<std::size_t>(k / 500)))).admitted;
+  }
+  EXPECT_EQ(desks, 40u);
+}
+// Against a simple model: nobody is counted twice, no cap is passed, only idle ones make way, a reserve is
+// kept.
+TEST(Door, KeepsItsBoundsWhateverHappens) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    pcg32 random(seed);
+    DoorSettings s = settings(40);
+    s.groups[kDesks].reserve = 10;
+    s.groups[kApps].most = 25;
+    s.groups[kApps].mostByAddress = 4;
+    s.groups[kElse].mostByPrefix = 6;
+    Door door(s, museum());
+    struct Held {
+      IpAddress from;
+      bool idle = false;
+    };
+    std::map<ConnectionId, Held> model;
+    ConnectionId id = 0;
+    Time now{};
+    const char* const nets[] = {"10.1", "10.2", "10.3"};
+    for (int k = 0; k < 3000; ++k) {
+      now += Time(random(200000));
+      const auto pick = [&] {
+        return model.empty() ? model.end()
+                             : std::next(model.begin(), random(static_cast<std::uint32_t>(model.size())));
+      };
+      const auto what = random(10);
+      if (what < 5) {
+        const IpAddress from = ip(host(nets[random(3)], random(12)));
+        const std::size_t group = door.groupOf(0) - 1;  // the last one
+        const Welcome w = door.arrived(now, ++id, from);
+        if (w.close != 0) {
+          ASSERT_TRUE(w.admitted);
+          ASSERT_EQ(model.count(w.close), 1u);
+          ASSERT_TRUE(model[w.close].idle);
+          model.erase(w.close);
+        }
+        if (w.admitted) model[id] = {from, false};
+        ASSERT_EQ(group, kElse);
+      } else if (const auto it = pick(); it != model.end()) {
+        if (what < 7) {
+          door.idle(now, it->first);
+          it->second.idle = true;
+        } else if (what < 8) {
+          door.busy(it->first);
+          it->second.idle = false;
+        } else {
+          door.left(it->first);
+          model.erase(it);
+        }
+      }
+      std::map<std::size_t, std::size_t> held;
+      std::map<IpAddress, std::size_t> byAddress;
+      for (const auto& [c, h] : model) {
+        ++held[door.groupOf(c)];
+        ++byAddress[h.from];
+      }
+      ASSERT_EQ(door.held(), model.size());
+      ASSERT_LE(model.size(), 40u);
+      ASSERT_LE(held[kApps], 25u);
+      for (std::size_t g = 0; g < 3; ++g) ASSERT_EQ(door.count(g).held, held[g]);
+      for (const auto& [a, n] : byAddress)
+        if (a.to_string().rfind("10.2.", 0) == 0) {
+          ASSERT_LE(n, 4u);
+        }
+      // What the reserve still owes is free.
+      ASSERT_GE(40u - model.size(), door.count(kDesks).reserveLeft);
+    }
+  }
+}
+
+// ---- who has been served before
+// ----------------------------------------------------------------------------------
+TEST(Known, WhoWasServedOverAWhileIsKnownUntilItIsForgotten) {
+  Known known({});
+  const IpAddress a = ip("10.1.0.1");
+  for (int k = 0; k < 50; ++k) known.served(Time(k), a);  // often, but within a moment
+  EXPECT_FALSE(known.is(1s, a));
+  known.served(2s, a);
+  EXPECT_TRUE(known.is(2s, a));
+  EXPECT_TRUE(known.is(24h, a));
+  EXPECT_FALSE(known.is(25h, a));
+  known.served(25h, a);
+  EXPECT_FALSE(known.is(25h, a));
+  EXPECT_FALSE(known.is(2s, ip("10.1.0.2")));
+}
+TEST(Known, AnAbuserCannotFillIt) {
+  KnownSettings s;
+  s.most = 100;
+  s.mostByPrefix = 10;
+  Known known(s);
+  std::vector<IpAddress> desks;
+  for (std::size_t k = 0; k < 60; ++k) desks.push_back(ip("10." + std::to_string(k) + ".1.1"));
+  for (const IpAddress& d : desks)
+    for (int k = 0; k < 3; ++k) known.served(Time(k * 1s), d);
+  // One network with all its addresses, served again and again; then a thousand networks, each once.
+  for (int round = 0; round < 5; ++round)
+    for (int k = 1; k < 255; ++k) known.served(10s + Time(round * 1s), ip("127.0.0." + std::to_string(k)));
+  for (int k = 0; k < 1000; ++k)
+    known.served(20s, ip("127." + std::to_string(k / 250) + "." + std::to_string(k % 250) + ".1"));
+  EXPECT_LE(known.size(), 100u);
+  for (const IpAddress& d : desks) EXPECT_TRUE(known.is(30s, d)) << d.to_string();
+}
+
+// ---- the limit
+// ---------------------------------------------------------------------------------------------------- A
+// server that does `cores` requests at once in 10 ms each; what is beyond them queues.
+std::size_t settled(const LimitSettings& s, double cores, int rounds) {
+  Limit limit(s);
+  Time now{};
+  for (int k = 0; k < rounds; ++k) {
+    const std::size_t out = limit.value();  // demand is endless
+    const Time latency(static_cast<std::int64_t>(10000 * std::max(1.0, static_cast<double>(out) / cores)));
+    now += latency;
+    for (std::size_t j = 0; j < out; ++j) limit.ended(now, latency, out, false);
+  }
+  return limit.value();
+}
+TEST(Limit, FindsWhatAServerCanDo) {
+  for (const double cores : {8.0, 40.0, 200.0}) {
+    LimitSettings gradient;
+    const auto g = static_cast<double>(settled(gradient, cores, 4000));
+    EXPECT_GE(g, cores * 0.9) << cores;
+    EXPECT_LE(g, cores * 4 + 40) << cores;
+    LimitSettings aimd;
+    aimd.kind = LimitKind::Aimd;
+    aimd.bound = 25ms;
+    const auto a = static_cast<double>(settled(aimd, cores, 20000));
+    EXPECT_GE(a, cores * 0.9) << cores;
+    EXPECT_LE(a, cores * 2.6) << cores;
+  }
+  LimitSettings fixed;
+  fixed.kind = LimitKind::Fixed;
+  EXPECT_EQ(settled(fixed, 8, 100), 20u);
+}
+TEST(Limit, ShrinksWhenThingsAreDroppedAndNeverBelowItsLeast) {
+  for (const LimitKind kind : {LimitKind::Aimd, LimitKind::Gradient}) {
+    LimitSettings s;
+    s.kind = kind;
+    Limit limit(s);
+    Time now{};
+    for (int k = 0; k < 100; ++k) limit.ended(now += 300ms, 10ms, 20, true);
+    EXPECT_EQ(limit.value(), 4u);
+  }
+}
+TEST(Limit, DoesNotGrowWhileNothingPushes) {
+  LimitSettings s;
+  Limit limit(s);
+  Time now{};
+  for (int k = 0; k < 10000; ++k) limit.ended(now += 10ms, 10ms, 2, false);
+  EXPECT_LE(limit.value(), 20u);
+}
+
+// ---- requests
+// ------------------------------------------------------------------------------------------------------
+RequestSettings shares(double a, double b, double limit, std::size_t waiting) {
+  RequestSettings s;
+  s.limit.kind = LimitKind::Fixed;
+  s.limit.first = limit;
+  s.limit.least = 1;
+  s.mostWaiting = waiting;
+  s.groups = {{a, 0}, {b, 0}};
+  return s;
+}
+TEST(Requests, GoWhileThereIsRoomThenWaitThenAreRefused) {
+  Requests r(shares(1, 1, 2, 2));
+  EXPECT_EQ(r.ask(Time(0), 1, 0, 1s).turn, Turn::Go);
+  EXPECT_EQ(r.ask(Time(0), 2, 0, 1s).turn, Turn::Go);
+  EXPECT_EQ(r.ask(Time(0), 3, 0, 1s).turn, Turn::Wait);
+  EXPECT_EQ(r.ask(Time(0), 4, 0, 1s).turn, Turn::Wait);
+  const auto refused = r.ask(Time(0), 5, 0, 1s);
+  EXPECT_EQ(refused.turn, Turn::Refuse);
+  EXPECT_GT(refused.comeBack, Time(0));
+  const auto next = r.ended(10ms, 1, 10ms, false);
+  ASSERT_EQ(next.size(), 1u);
+  EXPECT_EQ(next[0].key, 3u);
+  EXPECT_EQ(next[0].turn, Turn::Go);
+  EXPECT_TRUE(r.ended(10ms, 1, 10ms, false).empty());  // it has ended already
+  EXPECT_TRUE(r.left(10ms, 4).empty());
+  EXPECT_EQ(r.waiting(), 0u);
+  EXPECT_EQ(r.out(), 2u);
+}
+// A group that pipelines hundreds takes its weight's part, no more: the other gets in at once.
+TEST(Requests, AFullQueueGivesWayByWeight) {
+  Requests r(shares(1, 1, 1, 10));
+  for (RequestKey k = 1; k <= 300; ++k) r.ask(Time(0), k, 0, 1s);
+  EXPECT_EQ(r.waiting(), 10u);
+  const auto a = r.ask(Time(0), 1000, 1, 1s);
+  EXPECT_EQ(a.turn, Turn::Wait);
+  ASSERT_EQ(a.others.size(), 1u);
+  EXPECT_EQ(a.others[0].key, 11u);  // the newest of those that wait
+  EXPECT_EQ(a.others[0].turn, Turn::Refuse);
+  const auto next = r.ended(1ms, 1, 1ms, false);
+  ASSERT_EQ(next.size(), 1u);
+  EXPECT_EQ(next[0].key, 1000u);  // its group has nothing out
+}
+TEST(Requests, ServeBusyGroupsByWeight) {
+  Requests r(shares(3, 1, 8, 40));
+  pcg32 random(4);
+  RequestKey key = 0;
+  std::map<RequestKey, std::size_t> group;
+  std::vector<RequestKey> out;
+  std::map<std::size_t, int> served;
+  Time now{};
+  for (int k = 0; k < 20000; ++k) {
+    now += 100us;
+    for (const std::size_t g : {0u, 1u}) {
+      group[++key] = g;
+      if (r.ask(now, key, g, now + 10s).turn == Turn::Go) out.push_back(key);
+    }
+    const std::size_t at = random(static_cast<std::uint32_t>(out.size()));
+    const RequestKey done = out[at];
+    out.erase(out.begin() + static_cast<std::ptrdiff_t>(at));
+    ++served[group[done]];
+    for (const Answered& a : r.ended(now, done, 1ms, false))
+      if (a.turn == Turn::Go) out.push_back(a.key);
+  }
+  EXPECT_NEAR(static_cast<double>(served[0]) / served[1], 3.0, 0.3);
+}
+TEST(Requests, WhatCanNoLongerBeOnTimeIsDroppedFirst) {
+  RequestSettings s = shares(1, 1, 4, 10);
+  s.limit.kind = LimitKind::Gradient;
+  s.limit.first = s.limit.most = s.limit.least = 4;
+  Requests r(s);
+  RequestKey key = 0;
+  Time now{};
+  // It learns that a request takes 100 ms.
+  for (int k = 0; k < 400; ++k) {
+    EXPECT_EQ(r.ask(now, ++key, 0, now + 1s).turn, Turn::Go);
+    r.ended(now += 100ms, key, 100ms, false);
+  }
+  for (int k = 0; k < 4; ++k) EXPECT_EQ(r.ask(now, ++key, 0, now + 1s).turn, Turn::Go);
+  EXPECT_EQ(r.ask(now, ++key, 0, now + 50ms).turn, Turn::Refuse);  // at once, not near its end
+  const RequestKey first = ++key, second = ++key;
+  EXPECT_EQ(r.ask(now, first, 0, now + 150ms).turn, Turn::Wait);
+  EXPECT_EQ(r.ask(now, second, 0, now + 400ms).turn, Turn::Wait);
+  const auto late = r.overdue(now + 60ms);
+  ASSERT_EQ(late.size(), 1u);
+  EXPECT_EQ(late[0].key, first);
+  EXPECT_EQ(late[0].turn, Turn::Refuse);
+}
+// Each request gets exactly one word in the end, and the limit holds, whatever comes and goes.
+TEST(Requests, EachGetsOneWord) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    pcg32 random(seed);
+    RequestSettings s = shares(2, 1, 6, 8);
+    s.groups[1].mostOpen = 5;
+    Requests r(s);
+    std::map<RequestKey, Turn> state;  // Wait or Go
+    RequestKey key = 0;
+    Time now{};
+    const auto take = [&](const std::vector<Answered>& all) {
+      for (const Answered& a : all) {
+        ASSERT_EQ(state.count(a.key), 1u);
+        ASSERT_EQ(state[a.key], Turn::Wait);
+        if (a.turn == Turn::Go)
+          state[a.key] = Turn::Go;
+        else
+          state.erase(a.key);
+      }
+    };
+    for (int k = 0; k < 5000; ++k) {
+      now += Time(random(3000));
+      const auto pick = [&](Turn t) {
+        std::vector<RequestKey> all;
+        for (const auto& [id, is] : state)
+          if (is == t) all.push_back(id);
+        return all.empty() ? RequestKey(0) : all[random(static_cast<std::uint32_t>(all.size()))];
+      };
+      const auto what = random(10);
+      if (what < 5) {
+        const auto a = r.ask(now, ++key, random(2), now + Time(random(20000)));
+        take(a.others);
+        if (a.turn != Turn::Refuse) state[key] = a.turn;
+      } else if (what < 8) {
+        const RequestKey done = pick(Turn::Go);
+        if (done == 0) continue;
+        state.erase(done);
+        take(r.ended(now, done, Time(random(5000)), random(20) == 0));
+      } else if (what < 9) {
+        const RequestKey gone = pick(random(2) == 0 ? Turn::Go : Turn::Wait);
+        if (gone == 0) continue;
+        state.erase(gone);
+        take(r.left(now, gone));
+      } else {
+        take(r.overdue(now));
+      }
+      std::size_t out = 0;
+      for (const auto& [id, is] : state) out += is == Turn::Go;
+      ASSERT_EQ(r.out(), out);
+      ASSERT_EQ(r.waiting(), state.size() - out);
+      ASSERT_LE(out, 6u);
+      ASSERT_LE(r.waiting(), 8u);
+      if (r.waiting() > 0) {
+        ASSERT_EQ(out, 6u);  // nobody waits while there is room
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace sablespur::admission
