End a client in a later pass of the loop, never amid its own reading

Cause: the sanitizers' run of the tests found Session::read looking at itself after end() had freed it: with nothing left to write, a client that cancels or says goodbye was closed at once, within its own callback.

Change: end() asks for the write callback of a later pass, which closes. A test kept a view into a temporary.

--- a/src/front/pg/session.cpp
+++ b/src/front/pg/session.cpp
@@ -174,7 +174,9 @@
 void Session::end() {
   ending_ = true;
   bufferevent_disable(bev_.get(), EV_READ);
-  if (evbuffer_get_length(output()) == 0) owner_.closed(*this);
+  // Not now: whoever calls is often in the midst of reading this client. flushed() closes it.
+  if (evbuffer_get_length(output()) == 0)
+    bufferevent_trigger(bev_.get(), EV_WRITE, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
 bool Session::looksAlive(Time now) {
   if (paused_ && !ending_ && evbuffer_get_length(input()) > 0) readSoon();
--- a/src/front/pg/session.hpp
+++ b/src/front/pg/session.hpp
@@ -38,7 +38,7 @@
   // How readily this client gives up its place to a new one; 0: not at all.
   int spare(Time now);
   Time lastActive() const { return lastActive_; }
-  // Closes once all that was written has gone out; the object may be gone after this.
+  // Closes once all that was written has gone out, in a later pass of the loop.
   void end();
   // Guards against clients that hold a place and do not ask: they are owed an end within 3 s. False: this one
   // is to be closed.
--- a/tests/translate_test.cpp
+++ b/tests/translate_test.cpp
@@ -152,7 +152,8 @@
   bool bad = false;
   const std::string q = pg2::query("SELECT 1");
   for (std::size_t n = 0; n < q.size(); ++n) EXPECT_FALSE(pg2::parseSent(q.substr(0, n), bad)) << n;
-  const auto sent = pg2::parseSent(q + "X", bad);
+  const std::string two = q + "X";
+  const auto sent = pg2::parseSent(two, bad);
   ASSERT_TRUE(sent);
   EXPECT_EQ(sent->text, "SELECT 1");
   EXPECT_EQ(sent->size, q.size());
