Tests of cancels, versions and bounds fail without the code that they guard

Need: with the code of each hard case taken out in turn, six of 21 cases went unnoticed: a server that turns 3.2 down with an error, a connection that is used while its CancelRequest is on the way, one that is not taken back, a cancel that is ignored for as long as the request lives, a row beyond the bound, a nonce that does not begin with ours; and a wrong key was not told from a right one.

Change: tests only. The stand-in speaks its version from the first connection on, holds CancelRequests back, counts used connections that ended; a wrong key is followed by an answer that has to arrive.

--- a/tests/generations_test.cpp
+++ b/tests/generations_test.cpp
@@ -314,9 +314,10 @@
 TEST(Generations, AskedFor32AnOlderServerIsSpokenToIn30) {
   for (const std::string speaks : {"3.2", "old", "fatal"}) {
     SCOPED_TRACE(speaks);
-    Scenario t(ini("protocol = 3.2\n"));
-    t.run("s2 speaks " + speaks + R"(
-      s2 close idle
+    Setting s = ini("protocol = 3.2\n");
+    s.speaks = speaks;
+    Scenario t(s);
+    t.run(R"(
       s2 wait idle 2
       o1 speaks 2.0
       o1 gets in
@@ -324,7 +325,10 @@
       s2 expect query id=1
       s2 send row v
       o1 gets row v
-    )");
+      s2 close idle
+      s2 wait idle 2
+      s2 expect minor )" +
+          std::string(speaks == "3.2" ? "2" : "0"));  // what it turned down is not asked for again
   }
 }
 
@@ -339,12 +343,17 @@
       s2 expect query id=1
       o1 cancels wrong
       o1 cancels long
+      s2 send row untouched
+      o1 gets row untouched
+      o1 cancels
+      o1 asks SELECT 1 /* id=2,c=read,d=7000,cluster=3 */
+      s2 expect query id=2
       o1 cancels
       s2 expect closed
       o1 gets error canceling statement due to user request
       o1 cancels
-      o1 asks SELECT 1 /* id=2,c=read,d=7000,cluster=3 */
-      s2 expect query id=2
+      o1 asks SELECT 1 /* id=3,c=read,d=7000,cluster=3 */
+      s2 expect query id=3
       s2 send row v
       o1 gets row v
     )");
--- a/tests/logins_test.cpp
+++ b/tests/logins_test.cpp
@@ -243,7 +243,7 @@
     s2 expect cancel
     s2 send error 57014
     o1 asks SELECT 1 /* id=2,c=read,d=7000,cluster=3 */
-    s2 expect query id=2
+    s2 expect kept id=2
     s2 send row v
     o1 gets row v
   )");
@@ -266,12 +266,37 @@
     o1 gets row v
   )");
 }
+// The answer is there, but the server is not done with the CancelRequest: it could still strike what runs
+// next.
+TEST(Cancels, AConnectionIsNotUsedWhileItsCancelIsOnTheWay) {
+  Scenario t(cancelling("give_up_wait = 9s\n"));
+  t.run(R"(
+    o1 speaks 3.0
+    o1 gets in
+    s2 holds cancels
+    o1 asks SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    s2 expect query id=1
+    o1 cancels
+    o1 gets error 57014
+    s2 expect cancel
+    s2 send error 57014
+    o1 asks SELECT 1 /* id=2,c=read,d=7000,cluster=3 */
+    s2 expect another id=2
+    s2 send row v
+    o1 gets row v
+    s2 frees cancels
+    o1 asks SELECT 1 /* id=3,c=read,d=7000,cluster=3 */
+    s2 expect kept id=3
+    s2 send row w
+    o1 gets row w
+  )");
+}
 TEST(Cancels, AServerThatIgnoresThemLosesTheConnection) {
   Scenario t(cancelling("give_up_wait = 100ms\n"));
   t.run(R"(
     o1 speaks 3.2
     o1 gets in
-    o1 asks SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    o1 asks SELECT 1 /* id=1,c=read,d=600000,cluster=3 */
     s2 expect query id=1
     o1 cancels
     o1 gets error 57014
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -148,6 +148,7 @@
     : setting_(setting), servers_(static_cast<std::size_t>(setting.servers)) {
   for (Server& s : servers_) s.listener = listenOn(s.port);
   servers_.front().primary = true;
+  for (Server& s : servers_) s.speaks = setting.speaks;
   int listPort = 0;
   listListener_ = listenOn(listPort);
   if (setting.dnssd) {
@@ -395,7 +396,17 @@
 }
 
 void Scenario::server(Server& s, const std::string& verb, const std::string& what, const std::string& rest) {
-  if (verb == "expect" && what == "query") {
+  if (verb == "expect" && what == "minor") {
+    EXPECT_EQ(s.minor, std::stoi(rest)) << at_;
+    return;
+  }
+  if (verb == "holds" || verb == "frees") {
+    s.holdsCancels = verb == "holds";
+    for (Connection& c : s.all)
+      if (c.held && !s.holdsCancels) shutdown(c.fd, SHUT_RDWR);
+    return;
+  }
+  if (verb == "expect" && (what == "query" || what == "another" || what == "kept")) {
     Connection* found = nullptr;
     std::string statement;
     until(
@@ -409,8 +420,12 @@
         "a query");
     if (!found) return;
     EXPECT_NE(statement.find(rest), std::string::npos) << at_ << ": got " << statement;
+    if (what != "query") {
+      ASSERT_NE(s.current, nullptr) << at_;
+      EXPECT_TRUE(what == "kept" ? s.lost == 0 && !s.current->ended : found != s.current) << at_;
+    }
     s.current = found;
-    found->busy = true;
+    found->busy = found->used = true;
     return;
   }
   if (verb == "drop") {
@@ -695,6 +710,7 @@
     s.all.remove_if([&](Connection& c) {
       const bool gone = c.ended && !c.busy && &c != s.current;
       if (gone) close(c.fd);
+      s.lost += gone && c.used;
       return gone;
     });
     accepted(s.listener, s.all);
@@ -715,12 +731,14 @@
       pg::readInt32(c.in.data() + 4) == pg::kCancelRequest) {
     if (const auto key = pg::parseCancel(c.in)) s.cancels.push_back(key->process);
     c.in.clear();
-    shutdown(c.fd, SHUT_RDWR);
+    c.held = s.holdsCancels;
+    if (!c.held) shutdown(c.fd, SHUT_RDWR);
     return;
   }
   if (!c.greeted && c.method.empty() && c.in.size() >= 4 && c.in.size() >= pg::readInt32(c.in.data())) {
     const auto hello = pg::parseStartup(std::string_view(c.in).substr(0, pg::readInt32(c.in.data())));
     c.in.erase(0, pg::readInt32(c.in.data()));
+    if (hello) s.minor = hello->minor;
     if (hello && hello->minor > 0 && s.speaks == "fatal") {
       put(c.fd, pg::error("FATAL", "0A000", "unsupported frontend protocol 3.2: server supports 1.0 to 3.0"));
       shutdown(c.fd, SHUT_WR);
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -1,20 +1,24 @@
 // A small language for what clients, data servers and discovery do to a real sablespur process. A step a
 // line:
 //
-//   c1 send query TEXT     c1 expect row TEXT     c1 expect error CODE     c1 expect closed     c1 close
-//   s2 expect query TEXT   s2 send row TEXT       s2 send error CODE       s2 close             s2 wait idle
-//   2 s2 wait silent         list expect watch TEXT list send line JSON      list close
-//   proxy send TERM          proxy expect exit 0     proxy expect log TEXT        proxy reload moved|broken
-//   proxy expect quiet       s2 send spoilt KIND      s2 report TEXT
-//   s2 drop probes N
-//   s2 send cells TYPE=VALUE ...   a row of columns by their types' ids     s2 send done TAG
-//   s2 serves TEXT           to every query, by itself
-//   s2 asks trust|cleartext|md5|scram|signature|nonce|iterations|skip|kerberos   of a login, from then on;
-//   password "inner" s2 expect cancel         for the query that it holds                  proxy reload same
-//   s2 says NAME=VALUE       of connections that it greets from then on      s2 speaks 3.2|old|fatal
-//   o1 speaks 2.0|3.0|3.2 [NAME=VALUE ...]   o1 asks TEXT   o1 runs TEXT | VALUE | TYPE:HEX ...   o1 cancels
-//   [wrong|long] o1 gets row A | B        o1 gets error WORD   o1 gets seen TYPES   o1 gets closed   o1 sends
-//   HEX dns publish s2 [KEY=VALUE ...]   dns withdraw s2   dns mood NAME   dns move DOMAIN
+// clang-format off
+//   c1 send query TEXT   c1 expect row TEXT   c1 expect error CODE   c1 expect closed   c1 close
+//   s2 expect query TEXT   s2 send row TEXT   s2 send error CODE   s2 close   s2 wait idle 2
+//   s2 expect another TEXT   a query, on another connection than the last one; s2 expect kept TEXT: and none that was used has ended
+//   s2 wait silent   s2 report TEXT   s2 drop probes N   s2 send spoilt KIND   s2 send done TAG
+//   s2 send cells TYPE=VALUE ...   a row of columns by their types' ids
+//   s2 serves TEXT   to every query, by itself
+//   s2 says NAME=VALUE   on connections that it greets from then on
+//   s2 speaks 3.2|old|fatal   to those that ask for 3.2; s2 expect minor N: what the last one asked for
+//   s2 asks trust|cleartext|md5|scram|signature|nonce|iterations|skip|kerberos   of a login; the password is "inner"
+//   s2 expect cancel   for the query that it holds
+//   s2 holds cancels   keeps the connections open that bring them; s2 frees cancels
+//   o1 speaks 2.0|3.0|3.2 [NAME=VALUE ...]   o1 asks TEXT   o1 runs TEXT | VALUE | TYPE:HEX ...   o1 sends HEX
+//   o1 cancels [wrong|long|short]   o1 gets row A | B   o1 gets error WORD   o1 gets seen TYPES   o1 gets closed
+//   list expect watch TEXT   list send line JSON   list close
+//   dns publish s2 [KEY=VALUE ...]   dns withdraw s2   dns mood NAME   dns move DOMAIN
+//   proxy send TERM   proxy expect exit 0   proxy expect log TEXT   proxy expect quiet   proxy reload moved|broken|same
+// clang-format on
 //
 // c1, c2 ... are clients of today; o1, o2 ... desks that speak any version; s1 (the primary), s2 ... data
 // servers that greet and report by themselves. A reload replaces the file and sends SIGHUP: `moved` names
@@ -47,7 +51,8 @@
   bool dnssd = false;                // found by service records; in our form
   bool ini = false;                  // settings in our form, by `serve --config`
   std::string dataServers, clients;  // more lines of these sections of our form
-  int descriptors = 0;               // RLIMIT_NOFILE of the process; 0: as it is
+  std::string speaks;   // what data servers speak from the first connection on, as by "s2 speaks"
+  int descriptors = 0;  // RLIMIT_NOFILE of the process; 0: as it is
 };
 
 std::string configuration(const Setting&, int discoveryPort, const std::vector<int>& serverPorts);
@@ -75,6 +80,8 @@
   struct Connection {
     int fd = -1;
     std::string in;
+    bool held = false;  // a CancelRequest came on it, and it stays open
+    bool used = false;  // a query came on it
     bool ended = false, greeted = false, busy = false, fresh = true;
     std::uint32_t number = 0;  // as a server tells it in its key
     std::string method;        // of a login under way
@@ -83,10 +90,13 @@
   struct Server {
     int listener = -1, port = 0;
     bool primary = false, silent = false;
-    std::string report;                  // in place of its own
-    int dropProbes = 0;                  // so many are answered by the end of their connection
-    std::string says;                    // parameters of its greeting
-    std::string speaks;                  // to those that ask for more than 3.0
+    std::string report;  // in place of its own
+    int dropProbes = 0;  // so many are answered by the end of their connection
+    std::string says;    // parameters of its greeting
+    std::string speaks;  // to those that ask for more than 3.0
+    bool holdsCancels = false;
+    int lost = 0;                        // connections that ended after a query had come on them
+    int minor = -1;                      // that was asked for last
     std::string asks;                    // of those that log in
     std::string serves;                  // to every query
     std::vector<std::uint32_t> cancels;  // numbers of the connections that were called off
--- a/tests/translate_test.cpp
+++ b/tests/translate_test.cpp
@@ -319,6 +319,10 @@
             "an answer that is too long in the form that was asked for");
   EXPECT_EQ(why(serverAnswer({tr::kInt4}, {{"1"}}, "SELECT 1"), {std::nullopt, {1, 0}}, 1 << 20),
             "formats for 2 columns where there are 1");
+  // The row itself is turned down, before it is written.
+  tr::Conversion early(three, {}, false, 100);
+  EXPECT_TRUE(early.columns({{"a", tr::kText, -1, -1, false}}));
+  EXPECT_FALSE(early.row({std::string_view(big)}));
   tr::Conversion enough(three, {tr::ByteaForm::Escape, {}}, true, 129 << 10);
   EXPECT_TRUE(pg::readAnswer(serverAnswer({tr::kBytea}, {{big}}, "SELECT 1"), enough));
 }
@@ -519,6 +523,8 @@
     return why;
   };
   EXPECT_EQ(fault("r=another,s=W22ZaJ0SNY7soEsUEjb6gQ==,i=4096"), "a nonce that is not ours");
+  EXPECT_EQ(fault("r=" + std::string(30, 'x') + ",s=W22ZaJ0SNY7soEsUEjb6gQ==,i=4096"),
+            "a nonce that is not ours");
   EXPECT_EQ(fault("r="s + kClientNonce + ",s=W22ZaJ0SNY7soEsUEjb6gQ==,i=4096"), "a nonce that is not ours");
   EXPECT_EQ(fault("r="s + kClientNonce + "x,s=W22ZaJ0SNY7soEsUEjb6gQ==,i=2000000000"),
             "an iteration count out of range");
