--- a/src/admission/door.cpp
+++ b/src/admission/door.cpp
@@ -62,7 +62,7 @@
   for (auto& [id, c] : connections_) {
     const auto stay = stays.find(id);
     c.named = stay != stays.end();
-    c.group = c.named ? stay->second : networks_->find(c.address, groups_.size() - 1);
+    c.group = c.named ? stay->second : groupOf(c.address);
     enter(id, c);
     if (c.idle) idle.emplace_back(c.since, id);
   }
@@ -158,8 +158,8 @@
   return best ? best->idle.front() : 0;
 }
 
-Welcome Door::arrived(Time now, ConnectionId id, const IpAddress& from) {
-  const std::size_t k = networks_->find(from, groups_.size() - 1);
+Welcome Door::arrived(Time now, ConnectionId id, const IpAddress& from, std::optional<std::size_t> group) {
+  const std::size_t k = group ? std::min(*group, groups_.size() - 1) : groupOf(from);
   Group& g = groups_[k];
   const GroupLimits& l = g.limits;
   // The narrowest bound first: an abuser is told of its own, and takes nothing from its neighbours' rate.
@@ -190,6 +190,7 @@
   Connection c;
   c.group = k;
   c.address = from;
+  c.named = group.has_value();
   enter(id, connections_.emplace(id, c).first->second);
   ++g.count.admitted;
   g.count.refusing = false;
@@ -240,28 +241,45 @@
   count(g);
 }
 
+void Door::askBack(Group& g, std::vector<ConnectionId>& all) {
+  const ConnectionId id = g.idle.front();
+  ++g.count.asked;
+  left(id);
+  all.push_back(id);
+}
+
+Door::Group* Door::widest(Time now) {
+  Group* best = nullptr;
+  const auto share = [](const Group& g) {
+    return static_cast<double>(g.count.held) / std::max(g.limits.weight, 1e-9);
+  };
+  for (Group& g : groups_)
+    if (!g.idle.empty() && now - connections_.at(g.idle.front()).since >= settings_.idleLeast &&
+        g.count.held > g.limits.reserve && (!best || share(g) > share(*best)))
+      best = &g;
+  return best;
+}
+
 std::vector<ConnectionId> Door::surplus(Time now, std::size_t most) {
   std::vector<ConnectionId> all;
-  const auto take = [&](Group& g) {
-    const ConnectionId id = g.idle.front();
-    if (now - connections_.at(id).since < settings_.idleLeast) return false;
-    ++g.count.asked;
-    left(id);
-    all.push_back(id);
-    return true;
-  };
   for (Group& g : groups_)
     while (all.size() < most && g.limits.most > 0 && g.count.held > g.limits.most && !g.idle.empty() &&
-           take(g)) {
-    }
+           now - connections_.at(g.idle.front()).since >= settings_.idleLeast)
+      askBack(g, all);
   while (all.size() < most && connections_.size() > settings_.most) {
-    Group* widest = nullptr;
-    for (Group& g : groups_)
-      if (!g.idle.empty() && g.count.held > g.limits.reserve &&
-          (!widest || static_cast<double>(g.count.held) / g.limits.weight >
-                          static_cast<double>(widest->count.held) / widest->limits.weight))
-        widest = &g;
-    if (!widest || !take(*widest)) break;
+    Group* const g = widest(now);
+    if (!g) break;
+    askBack(*g, all);
+  }
+  return all;
+}
+
+std::vector<ConnectionId> Door::spare(Time now, std::size_t most) {
+  std::vector<ConnectionId> all;
+  while (all.size() < most) {
+    Group* const g = widest(now);
+    if (!g) break;
+    askBack(*g, all);
   }
   return all;
 }
--- a/src/admission/door.hpp
+++ b/src/admission/door.hpp
@@ -12,6 +12,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -56,7 +57,8 @@
  public:
   Door(DoorSettings, std::shared_ptr<const Networks>);
 
-  Welcome arrived(Time now, ConnectionId, const IpAddress&);  // ids of those refused are not kept
+  // Ids of those refused are not kept. `group`: who it is known to be, whatever its network.
+  Welcome arrived(Time now, ConnectionId, const IpAddress&, std::optional<std::size_t> group = std::nullopt);
   void left(ConnectionId);
   void busy(ConnectionId);            // it has asked
   void idle(Time now, ConnectionId);  // it is answered
@@ -68,6 +70,9 @@
   void reload(DoorSettings, std::shared_ptr<const Networks>);
   // Idle connections beyond the caps, longest idle first, `most` at once.
   std::vector<ConnectionId> surplus(Time now, std::size_t most);
+  // Up to so many idle ones that are asked back although no cap says so: descriptors ran out. Of the widest
+  // groups by weight, beyond their reserves, longest idle first.
+  std::vector<ConnectionId> spare(Time now, std::size_t most);
 
   struct Count {
     std::size_t held = 0, idle = 0, reserveLeft = 0;
@@ -78,8 +83,10 @@
   const Count& count(std::size_t group) const { return groups_[group].count; }
   std::size_t held() const { return connections_.size(); }
   std::size_t groups() const { return groups_.size(); }
+  std::size_t most() const { return settings_.most; }
   const GroupLimits& limits(std::size_t group) const { return groups_[group].limits; }
   std::size_t groupOf(ConnectionId) const;  // groups(): it is not known
+  std::size_t groupOf(const IpAddress& a) const { return networks_->find(a, groups_.size() - 1); }
 
  private:
   struct Group {
@@ -101,6 +108,8 @@
   void enter(ConnectionId, Connection&);
   void leave(Connection&);
   void count(Group&);
+  Group* widest(Time now);  // by weight, of those with an idle one to give beyond their reserve
+  void askBack(Group&, std::vector<ConnectionId>&);
   Welcome refuse(Group&, Time now, Why);
   bool rate(Group&, Time now);
   std::size_t keptForOthers(std::size_t group) const;
--- a/src/admission/limit.cpp
+++ b/src/admission/limit.cpp
@@ -19,23 +19,26 @@
     opened_ = now;
   }
   mostOut_ = std::max(mostOut_, out);
-  dropped_ = dropped_ || dropped;
+  dropped_ += dropped;
   // While half the limit is tried, what began before tells of the whole one.
   if (!dropped && !(probing_ && now - latency < opened_)) {
     sum_ += static_cast<double>(latency.count());
     ++samples_;
   }
-  if (now - opened_ >= s_.window && (samples_ >= s_.samplesLeast || dropped_)) close(now);
+  if (now - opened_ >= s_.window && samples_ + dropped_ >= s_.samplesLeast) close(now);
 }
 
 void Limit::close(Time now) {
   const double mean = samples_ > 0 ? sum_ / static_cast<double>(samples_) : 0;
   // Guards against growing where nothing pushes: a limit that was not reached has not been tried.
+  const bool overrun =
+      static_cast<double>(dropped_) >= s_.dropShare * static_cast<double>(samples_ + dropped_) &&
+      dropped_ > 0;
   const bool pushed = 2 * static_cast<double>(mostOut_) >= limit_;
   if (mean > 0) usual_ = usual_ > 0 ? usual_ + (mean - usual_) * kSmooth : mean;
   double next = limit_;
   if (s_.kind == LimitKind::Aimd) {
-    if (dropped_ || mean > static_cast<double>(s_.bound.count()))
+    if (overrun || mean > static_cast<double>(s_.bound.count()))
       next = limit_ * s_.backoff;
     else if (pushed)
       next = limit_ + 1;
@@ -43,7 +46,7 @@
     if (mean > 0) least_ = least_ > 0 ? std::min(least_, mean) : mean;
     const double base =
         leastBefore_ > 0 && least_ > 0 ? std::min(leastBefore_, least_) : std::max(leastBefore_, least_);
-    if (dropped_) {
+    if (overrun) {
       next = limit_ * s_.backoff;
     } else if (mean > 0) {
       const double gradient = std::clamp(s_.tolerance * base / mean, 0.5, 1.0);
@@ -59,8 +62,7 @@
   limit_ = std::clamp(next, s_.least, s_.most);
   opened_ = now;
   sum_ = 0;
-  samples_ = mostOut_ = 0;
-  dropped_ = false;
+  samples_ = dropped_ = mostOut_ = 0;
 }
 
 }  // namespace sablespur::admission
--- a/src/admission/limit.hpp
+++ b/src/admission/limit.hpp
@@ -21,7 +21,8 @@
   Time window = std::chrono::milliseconds(200);
   std::size_t samplesLeast = 8;                 // a window with fewer says nothing and goes on
   Time bound = std::chrono::milliseconds(400);  // Aimd
-  double backoff = 0.9;                         // Aimd, and Gradient where something was dropped
+  double backoff = 0.9;                         // Aimd, and Gradient where too much was dropped
+  double dropShare = 0.1;  // of a window's ends: a few that ran out of time are no overload
   std::size_t epoch = 50;  // Gradient: windows after which half the limit is tried for one
   double tolerance = 1.5;  // Gradient: so much slower than the least is still no queue
 };
@@ -29,8 +30,8 @@
 class Limit {
  public:
   explicit Limit(const LimitSettings&);
-  // A request has ended. `out`: how many were out with it, itself included. `dropped`: it was refused or
-  // timed out.
+  // A request has ended. `out`: how many were out with it, itself included. `dropped`: its time ran out. What
+  // was refused or failed early says nothing of the load and is not told here.
   void ended(Time now, Time latency, std::size_t out, bool dropped);
   std::size_t value() const {
     return static_cast<std::size_t>(probing_ ? std::max(limit_ / 2, s_.least) : limit_);
@@ -50,8 +51,8 @@
   bool probing_ = false;
   Time opened_{};
   double sum_ = 0;
-  std::size_t samples_ = 0, mostOut_ = 0;
-  bool dropped_ = false, open_ = false;
+  std::size_t samples_ = 0, dropped_ = 0, mostOut_ = 0;
+  bool open_ = false;
 };
 
 }  // namespace sablespur::admission
--- a/src/admission/requests.cpp
+++ b/src/admission/requests.cpp
@@ -7,7 +7,7 @@
 
 Requests::Requests(RequestSettings s) : s_(std::move(s)), limit_(s_.limit) {
   if (s_.groups.empty()) throw std::invalid_argument("requests without a group");
-  for (const ShareSettings& g : s_.groups) groups_.push_back({g, 0, {}});
+  for (const ShareSettings& g : s_.groups) groups_.push_back({g, 0, {}, {}});
 }
 
 // What a group has of the whole by its weight; the smallest is served next.
@@ -26,14 +26,45 @@
   refused_ = 0;
   return s_.comeBackMost;
 }
-Answered Requests::refuse(RequestKey key) {
-  open_.erase(key);
+Answered Requests::refuse(RequestKey key, Turned why) {
+  const auto it = open_.find(key);
+  ++groups_[it->second.group].count.refused[static_cast<std::size_t>(why)];
+  open_.erase(it);
   return {key, Turn::Refuse, comeBack()};
 }
 
+const char* turnedName(Turned t) {
+  static const char* const names[] = {"share", "late", "queue"};
+  return names[static_cast<std::size_t>(t)];
+}
+Requests::Count Requests::count(std::size_t group) const {
+  Count c = groups_[group].count;
+  c.out = groups_[group].out;
+  c.waiting = groups_[group].waiting.size();
+  return c;
+}
+void Requests::reload(RequestSettings s) {
+  if (s.groups.empty()) throw std::invalid_argument("requests without a group");
+  // Groups that are no more go on in the last one: what they have out still ends here.
+  while (groups_.size() > s.groups.size()) {
+    Group gone = std::move(groups_.back());
+    groups_.pop_back();
+    Group& last = groups_.back();
+    last.out += gone.out;
+    for (const Waiting& w : gone.waiting) last.waiting.push_back(w);
+    for (auto& [key, o] : open_) o.group = std::min(o.group, groups_.size() - 1);
+  }
+  groups_.resize(s.groups.size());
+  for (std::size_t k = 0; k < groups_.size(); ++k) groups_[k].settings = s.groups[k];
+  last_ = 0;
+  s.limit = s_.limit;
+  s_ = std::move(s);
+}
+
 void Requests::go(RequestKey key, std::size_t group) {
   open_[key] = {group, true};
   ++groups_[group].out;
+  ++groups_[group].count.went;
   ++out_;
   last_ = group;
 }
@@ -48,7 +79,7 @@
       --waiting_;
       const RequestKey key = it->key;
       it = g.waiting.erase(it);
-      all.push_back(refuse(key));
+      all.push_back(refuse(key, Turned::Late));
     }
 }
 
@@ -72,19 +103,19 @@
   Asked a;
   group = std::min(group, groups_.size() - 1);
   Group& g = groups_[group];
-  if (g.settings.mostOpen > 0 && g.out + g.waiting.size() >= g.settings.mostOpen) {
+  const auto turnAway = [&](Turned why) {
+    ++g.count.refused[static_cast<std::size_t>(why)];
     a.comeBack = comeBack();
     return a;
-  }
+  };
+  if (g.settings.mostOpen > 0 && g.out + g.waiting.size() >= g.settings.mostOpen)
+    return turnAway(Turned::Share);
   if (waiting_ == 0 && out_ < limit_.value()) {
     go(key, group);
     a.turn = Turn::Go;
     return a;
   }
-  if (deadline - now <= limit_.usual()) {  // it could not be on time
-    a.comeBack = comeBack();
-    return a;
-  }
+  if (deadline - now <= limit_.usual()) return turnAway(Turned::Late);  // it could not be on time
   if (waiting_ >= s_.mostWaiting) drop(now, a.others);
   if (waiting_ >= s_.mostWaiting) {
     // Whoever has most waiting by weight gives way, with its newest: it has waited least.
@@ -94,18 +125,16 @@
     };
     for (Group& x : groups_)
       if (!x.waiting.empty() && width(x, 0) > width(*widest, widest == &g ? 1 : 0)) widest = &x;
-    if (widest == &g) {
-      a.comeBack = comeBack();
-      return a;
-    }
+    if (widest == &g) return turnAway(Turned::Queue);
     const RequestKey gives = widest->waiting.back().key;
     widest->waiting.pop_back();
     --waiting_;
-    a.others.push_back(refuse(gives));
+    a.others.push_back(refuse(gives, Turned::Queue));
   }
   g.waiting.push_back({key, deadline});
   open_[key] = {group, false};
   ++waiting_;
+  ++g.count.waited;
   a.turn = Turn::Wait;
   // A slot may be free: what stood before it has just been dropped.
   std::vector<Answered> went;
--- a/src/admission/requests.hpp
+++ b/src/admission/requests.hpp
@@ -2,6 +2,7 @@
 // by weight among groups, before a short queue. Free of I/O and clocks.
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -28,6 +29,9 @@
 };
 
 enum class Turn { Go, Wait, Refuse };
+enum class Turned { Share, Late, Queue };  // why: its group's cap, no time left for it, no room to wait
+constexpr std::size_t kTurned = 3;
+const char* turnedName(Turned);
 
 struct Answered {
   RequestKey key = 0;
@@ -56,6 +60,17 @@
   std::size_t out() const { return out_; }
   std::size_t waiting() const { return waiting_; }
   std::size_t limit() const { return limit_.value(); }
+  Time usual() const { return limit_.usual(); }
+  struct Count {
+    std::size_t out = 0, waiting = 0;
+    std::uint64_t went = 0, waited = 0;
+    std::array<std::uint64_t, kTurned> refused{};  // by Turned
+  };
+  Count count(std::size_t group) const;
+  std::size_t groups() const { return groups_.size(); }
+  // New shares and bounds while it runs; what is out or waits stays with its group by number, and what the
+  // limit has learned stays.
+  void reload(RequestSettings);
 
  private:
   struct Waiting {
@@ -66,6 +81,7 @@
     ShareSettings settings;
     std::size_t out = 0;
     std::deque<Waiting> waiting;
+    Count count;
   };
   struct Open {
     std::size_t group;
@@ -74,11 +90,11 @@
   void go(RequestKey, std::size_t group);
   void take(std::vector<Answered>&);            // as many as there is room for
   void drop(Time now, std::vector<Answered>&);  // what can no longer be on time
-  Answered refuse(RequestKey);
+  Answered refuse(RequestKey, Turned);
   Time comeBack();
   double share(const Group& g, std::size_t extra) const;
 
-  const RequestSettings s_;
+  RequestSettings s_;
   Limit limit_;
   std::vector<Group> groups_;
   std::unordered_map<RequestKey, Open> open_;
--- /dev/null
+++ b/src/admission/spells.hpp
@@ -0,0 +1,43 @@
+// When a spell of refusals begins and ends: one word each, however many are refused within it. Pure.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace sablespur::admission {
+
+using Time = std::chrono::microseconds;
+
+class Spell {
+ public:
+  explicit Spell(Time calm = std::chrono::seconds(1)) : calm_(calm) {}
+  enum class Turn { None, Began, Ended };
+  // `total`: refusals so far. A spell has ended once none has come for as long as `calm`.
+  Turn at(Time now, std::uint64_t total) {
+    if (total != total_) {
+      const bool began = !on_;
+      if (began) {
+        since_ = now;
+        before_ = total_;
+      }
+      last_ = now;
+      total_ = total;
+      on_ = true;
+      return began ? Turn::Began : Turn::None;
+    }
+    if (!on_ || now - last_ < calm_) return Turn::None;
+    on_ = false;
+    return Turn::Ended;
+  }
+  bool on() const { return on_; }
+  std::uint64_t within() const { return total_ - before_; }  // of the spell that is on, or was last
+  Time lasted() const { return last_ - since_; }
+
+ private:
+  Time calm_;
+  bool on_ = false;
+  std::uint64_t total_ = 0, before_ = 0;
+  Time since_{}, last_{};
+};
+
+}  // namespace sablespur::admission
--- a/src/app/cli.cpp
+++ b/src/app/cli.cpp
@@ -9,6 +9,7 @@
 #include "app/members.hpp"
 #include "app/password.hpp"
 #include "app/serve.hpp"
+#include "app/status.hpp"
 #include "config/config.hpp"
 
 namespace sablespur {
@@ -64,6 +65,11 @@
     listing->add_option("--wait", members.waitSeconds, "seconds to wait for discovery")
         ->check(CLI::Range(0.1, 300.0))
         ->capture_default_str();
+    StatusOptions status;
+    CLI::App* const asking =
+        app.add_subcommand("status", "ask a running proxy what it holds, lets in and turns away");
+    asking->add_option("--config", path, "its file of settings (INI)")->required();
+    asking->add_flag("--json", status.json, "as JSON");
     PasswordOptions password;
     CLI::App* const hashing = app.add_subcommand(
         "password", "make a user's line for the file of users; the password is read from standard input");
@@ -83,6 +89,7 @@
     if (checking->parsed()) return check(path);
     if (hashing->parsed()) return makePassword(password);
     const Config config = readSettings(path);
+    if (asking->parsed()) return showStatus(config, status);
     if (listing->parsed()) return showMembers(config, members);
     return serve(config, [path] { return readSettings(path); });
   } catch (const std::exception& e) {
--- a/src/app/members.cpp
+++ b/src/app/members.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "app/list_source.hpp"
+#include "app/table.hpp"
 #include "core/event.hpp"
 #include "log/log.hpp"
 
@@ -64,18 +65,8 @@
                     fmt::format("{:g}", i.weight), stateName(i.state), started(i.startedMs), r.leftOut});
   }
   for (const auto& [name, why] : view.faults) rows.push_back({name, "", "", "", "", "", "", "", why});
-  std::vector<std::size_t> widths(heads.size());
-  for (const auto& row : rows)
-    for (std::size_t k = 0; k < row.size(); ++k) widths[k] = std::max(widths[k], row[k].size());
-  std::string text;
-  for (const auto& row : rows) {
-    std::string line;
-    for (std::size_t k = 0; k < row.size(); ++k)
-      line += fmt::format("{:<{}}", row[k].empty() ? "-" : row[k], widths[k] + 2);
-    line.erase(line.find_last_not_of(' ') + 1);
-    text += line + "\n";
-  }
-  return text + fmt::format("{} data servers, {} left out; {}\n", used, rows.size() - 1 - used, age(view));
+  return table(rows) +
+         fmt::format("{} data servers, {} left out; {}\n", used, rows.size() - 1 - used, age(view));
 }
 
 std::string membersJson(const Config& config, const MembersView& view) {
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -2,12 +2,17 @@
 
 #include <csignal>
 #include <exception>
+#include <optional>
+#include <stdexcept>
 
 #include "app/list_source.hpp"
+#include "app/status.hpp"
 #include "back/pg/upstream.hpp"
+#include "core/account.hpp"
 #include "core/engine.hpp"
 #include "core/event.hpp"
 #include "core/member_feed.hpp"
+#include "core/system.hpp"
 #include "core/workers.hpp"
 #include "front/pg/clients.hpp"
 #include "log/log.hpp"
@@ -15,19 +20,48 @@
 namespace sablespur {
 namespace {
 
+std::unique_ptr<Gate> openAdmission(event_base* base, Engine& engine, const Config& c) {
+#ifdef SABLESPUR_ADMISSION
+  return openGate(base, engine, c);
+#else
+  (void)base, (void)engine, (void)c;  // the settings' reader turns a door down where there is none
+  return nullptr;
+#endif
+}
+
 constexpr std::size_t kWorkers = 2;  // passwords are salted there, a few milliseconds each
 
+// What the settings say, within what the system allows. Guards against a table that fills before the account
+// does: every bound here is meant to be met first.
+Config bounded(const Config& given) {
+  Config c = given;
+  const std::size_t allowed = descriptorsAllowed(given.descriptors);
+  if (allowed >= given.descriptors) return c;
+  if (allowed < kLeastDescriptors)
+    throw std::runtime_error("key descriptors: the system allows this process " + std::to_string(allowed) +
+                             ", and " + std::to_string(kLeastDescriptors) + " are needed (ulimit -n)");
+  logEvent(LogLevel::Warning, "descriptors_limited", {{"wanted", given.descriptors}, {"allowed", allowed}});
+  deriveBounds(c, allowed, given.memory);
+  return c;
+}
+
 }  // namespace
 
-int serve(const Config& config, const std::function<Config()>& reread) {
-  setLog(config.logForm, config.logLevel);
+int serve(const Config& given, const std::function<Config()>& reread) {
+  setLog(given.logForm, given.logLevel);
+  const Config config = bounded(given);
   const EventBase base(event_base_new());
   Engine engine(base.get(), config);
   Workers workers(base.get(), kWorkers);
-  Upstream upstream(base.get(), engine, workers, config);
+  Account account(config);
+  Spare spare;
+  Upstream upstream(base.get(), engine, workers, account, config);
   MemberFeed feed(base.get(), engine.clock(), engine, sourcePolicy(config));
   const std::unique_ptr<ListSource> source = openSource(base.get(), engine.clock(), feed, config);
-  Clients clients(base.get(), engine, workers, config);
+  const std::unique_ptr<Gate> gate = openAdmission(base.get(), engine, config);
+  Clients clients(base.get(), engine, workers, account, spare, gate.get(), config);
+  upstream.onShortage([&clients] { clients.shortage(); });
+  const std::unique_ptr<StatusServer> status = openStatus(base.get(), config, engine, account, gate.get());
   bool running = true;
 
   struct Stop {
@@ -50,14 +84,22 @@
   struct Reload {
     ListSource& source;
     Clients& clients;
+    Gate* gate;
+    Spare& spare;
     const std::function<Config()>& reread;
-  } reload{*source, clients, reread};
+  } reload{*source, clients, gate.get(), spare, reread};
   const auto onReload = [](evutil_socket_t, short, void* p) {
     const auto& r = *static_cast<Reload*>(p);
     try {
-      const Config c = r.reread();
+      // One file is open at a time, on the spare descriptor: new settings may be what mends the want of
+      // others.
+      std::optional<Config> read;
+      const auto again = [&] { read = r.reread(); };
+      if (!r.spare.lend(again)) again();
+      const Config& c = *read;
       r.source.move(c);
       r.clients.users(c.users);
+      if (r.gate) r.gate->reload(c);
       logEvent(LogLevel::Info, "settings_read_again");
     } catch (const std::exception& e) {
       logEvent(LogLevel::Error, "settings_unchanged", {{"why", e.what()}});
--- a/src/back/pg/cancel_call.hpp
+++ b/src/back/pg/cancel_call.hpp
@@ -4,9 +4,9 @@
 #include <functional>
 #include <string>
 
+#include "base/address.hpp"
 #include "core/event.hpp"
 #include "knotstack/balancer.hpp"
-#include "membership/address.hpp"
 
 namespace sablespur {
 
--- a/src/back/pg/upstream.cpp
+++ b/src/back/pg/upstream.cpp
@@ -7,6 +7,7 @@
 #include <cerrno>
 #include <charconv>
 #include <cmath>
+#include <cstring>
 #include <optional>
 
 #include "back/pg/cancel_call.hpp"
@@ -26,6 +27,8 @@
 constexpr std::size_t kWarm = 2;
 constexpr Time kUpkeep = std::chrono::milliseconds(250);
 constexpr Time kDialAgain = std::chrono::seconds(1);
+// After a want of descriptors: closed ones are free in the loop's next pass.
+constexpr Time kShortPause = std::chrono::milliseconds(10);
 // Guards against the race with the data server's own idle limit: what is written to a connection that it has
 // closed ends as a reset. So much of the limit is used.
 constexpr double kIdleShare = 0.7;
@@ -75,8 +78,10 @@
 // A connection belongs to its Upstream, which frees it; a job on it is only pointed at.
 class Upstream::Connection {
  public:
-  Connection(Upstream& owner, MemberId to, const Address& address, int minor)
+  // `fd`: a socket of the address's family, or -1.
+  Connection(Upstream& owner, MemberId to, const Address& address, int minor, evutil_socket_t fd)
       : owner_(owner),
+        descriptor_(owner.account_, Holder::Servers),
         address_(address),
         member(to),
         minor_(minor),
@@ -84,7 +89,7 @@
         timer(event_new(
             owner.base_, -1, 0,
             [](evutil_socket_t, short, void* self) { static_cast<Connection*>(self)->late(); }, this)) {
-    bev_.reset(bufferevent_socket_new(owner.base_, -1, BEV_OPT_CLOSE_ON_FREE));
+    bev_.reset(bufferevent_socket_new(owner.base_, fd, BEV_OPT_CLOSE_ON_FREE));
     pg::Startup hello;
     hello.minor = minor;
     hello.user = owner.config_.serverUser;
@@ -100,7 +105,6 @@
         [](bufferevent*, short what, void* self) { static_cast<Connection*>(self)->event(what); }, this);
   }
   ~Connection() {
-    if (call_) --owner_.calls_;
     // bufferevent_free closes the descriptor only in the loop's next pass; the end of an attempt has to show
     // before the next one goes out.
     const evutil_socket_t fd = bufferevent_getfd(bev_.get());
@@ -138,11 +142,11 @@
   // A CancelRequest for what runs here. False: the server has told no key.
   bool callOff() {
     if (!key_ || call_) return false;
-    ++owner_.calls_;
+    callDescriptor_ = Account::Place(owner_.account_, Holder::Servers);
     call_ = std::make_unique<CancelCall>(owner_.base_, address_, pg::cancel(*key_), owner_.config_.giveUpWait,
                                          [this](bool taken) {
                                            const auto ended = std::move(call_);
-                                           --owner_.calls_;
+                                           callDescriptor_ = Account::Place();
                                            owner_.giveUpEnded(*this, taken);
                                          });
     return true;
@@ -406,6 +410,7 @@
   }
 
   Upstream& owner_;
+  const Account::Place descriptor_;
   const Address address_;
   BufferEvent bev_;
   Result failure_ = Result::ConnectFailed;  // what its end means now
@@ -426,6 +431,7 @@
   int minor_;                           // of version 3, as asked for, then as agreed
   std::unique_ptr<ServerLogin> login_;  // until it lets us in
   std::optional<pg::Key> key_;
+  Account::Place callDescriptor_;
   std::unique_ptr<CancelCall> call_;
 
  public:
@@ -434,15 +440,18 @@
   Event timer;  // of the dial, then of idleness
 };
 
-Upstream::Upstream(event_base* base, Engine& engine, Workers& workers, const Config& config)
+Upstream::Upstream(event_base* base, Engine& engine, Workers& workers, Account& account, const Config& config)
     : base_(base),
       engine_(engine),
       workers_(workers),
       config_(config),
-      most_(config.serverConnections),
+      account_(account),
       upkeep_(event_new(
           base, -1, EV_PERSIST,
-          [](evutil_socket_t, short, void* self) { static_cast<Upstream*>(self)->keepWarm(); }, this)) {
+          [](evutil_socket_t, short, void* self) { static_cast<Upstream*>(self)->keepWarm(); }, this)),
+      again_(event_new(
+          base, -1, 0,
+          [](evutil_socket_t, short, void* self) { static_cast<Upstream*>(self)->dialWaiting(); }, this)) {
   startTimer(upkeep_.get(), kUpkeep);
 }
 Upstream::~Upstream() = default;
@@ -461,8 +470,8 @@
   for (auto& [id, e] : endpoints_) {
     if (!e.ready || now < e.dialAgain) continue;
     while (e.idle.size() + static_cast<std::size_t>(e.dialing) < kWarm + e.waiting.size() &&
-           connections_.size() < most_ / 2)
-      dial(id, e);
+           account_.part(Holder::Servers).held < account_.part(Holder::Servers).most / 2)
+      if (!dial(id, e)) return;
   }
 }
 
@@ -482,7 +491,7 @@
 }
 
 bool Upstream::makeRoom() {
-  if (connections_.size() + calls_ < most_) return true;
+  if (account_.room(Holder::Servers)) return true;
   for (auto& [id, e] : endpoints_)
     if (!e.idle.empty()) {
       drop(*e.idle.front());
@@ -491,10 +500,44 @@
   return false;
 }
 
-void Upstream::dial(MemberId id, Endpoint& e) {
-  auto c = std::make_unique<Connection>(*this, id, e.address, std::min(e.minor, config_.serverMinor));
+bool Upstream::dial(MemberId id, Endpoint& e) {
+  const int fd = systemCalls().socket(e.address.v6() ? AF_INET6 : AF_INET);
+  if (fd < 0 && shortageOf(errno) != Shortage::None) {
+    shortOf(errno);
+    return false;
+  }
+  if (short_) logEvent(LogLevel::Info, "dial_well_again");
+  short_ = false;
+  auto c = std::make_unique<Connection>(*this, id, e.address, std::min(e.minor, config_.serverMinor), fd);
   ++e.dialing;
   connections_.emplace(c.get(), std::move(c));
+  return true;
+}
+
+// Guards against holding the proxy's own want against the data server: nothing is reported, what waits goes
+// on waiting, and room is made. An idle connection to another server serves nobody now.
+void Upstream::shortOf(int error) {
+  const Shortage what = shortageOf(error);
+  account_.ranShort(what);
+  if (!short_)
+    logEvent(LogLevel::Warning, "dial_failed", {{"why", std::strerror(error)}, {"of", shortageName(what)}});
+  short_ = true;
+  if (what == Shortage::Descriptors) {
+    const auto idlest = std::max_element(
+        endpoints_.begin(), endpoints_.end(),
+        [](const auto& a, const auto& b) { return a.second.idle.size() < b.second.idle.size(); });
+    if (idlest != endpoints_.end() && !idlest->second.idle.empty())
+      drop(*idlest->second.idle.front());
+    else if (shortage_)
+      shortage_();
+  }
+  if (!event_pending(again_.get(), EV_TIMEOUT, nullptr)) startTimer(again_.get(), kShortPause);
+}
+
+void Upstream::dialWaiting() {
+  for (auto& [id, e] : endpoints_)
+    while (static_cast<std::size_t>(e.dialing) < e.waiting.size())
+      if (!dial(id, e)) return;
 }
 
 // ---- jobs ------------------------------------------------------------------------------------------------
@@ -546,7 +589,7 @@
     return write(j);
   }
   if (!makeRoom()) {  // by the limits on clients there is room for all that they can ask at once
-    logEvent(LogLevel::Warning, "server_connections_full", {{"most", most_}});
+    logEvent(LogLevel::Warning, "server_connections_full", {{"most", account_.part(Holder::Servers).most}});
     Ending none;
     none.result = Result::Moot;
     return j.probe() ? finishProbe(j, false) : finish(j, std::move(none));
@@ -698,6 +741,8 @@
   // all, so the other idle ones are no better. A send that has to dial fails without having run, and soon; on
   // a silent connection it is lost until its deadline, and may have run.
   Endpoint& endpoint = endpoints_[j.member];
+  // A probe that had no descriptor to go out on tells nothing of its member; by this word it lives, unheard.
+  if (short_ && !j.written) return finishProbe(j, true);
   dropIdle(endpoint);
   endpoint.dialAgain = engine_.now() + kDialAgain;
   finishProbe(j, false);
--- a/src/back/pg/upstream.hpp
+++ b/src/back/pg/upstream.hpp
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/account.hpp"
 #include "core/engine.hpp"
 #include "core/event.hpp"
 #include "core/workers.hpp"
@@ -18,7 +19,7 @@
 
 class Upstream final : public Members {
  public:
-  Upstream(event_base*, Engine&, Workers&, const Config&);
+  Upstream(event_base*, Engine&, Workers&, Account&, const Config&);
   ~Upstream() override;
 
   void listed(MemberId, const Address&, bool ready) override;
@@ -27,6 +28,8 @@
   void cancel(RequestId, int attempt) override;
   void probe(MemberId) override;
   void forget(MemberId) override;
+  // What is called when there is no descriptor for a connection that is needed: others are to make room.
+  void onShortage(std::function<void()> call) { shortage_ = std::move(call); }
 
  private:
   struct Job;
@@ -43,8 +46,10 @@
   };
   using AttemptKey = std::pair<RequestId, int>;
 
-  void run(Job&);  // on an idle connection, or once a new one stands
-  void dial(MemberId, Endpoint&);
+  void run(Job&);                  // on an idle connection, or once a new one stands
+  bool dial(MemberId, Endpoint&);  // false: the machine has no socket for it now; who waits goes on waiting
+  void shortOf(int error);
+  void dialWaiting();
   bool stands(Connection&);  // dialed or released: takes the next job or idles; false: it was dropped
   void write(Job&);
   void rewrite(Job&);
@@ -71,12 +76,13 @@
   bool salt(const std::string& challenge, std::function<std::string()> work);
   std::map<std::string, std::string> salted_;       // by a server's challenge: the password, salted; bounded
   std::map<std::string, Workers::Ticket> salting_;  // under way
-  std::size_t calls_ = 0;                           // CancelRequests on their way
-  const std::size_t most_;                          // connections at once
+  Account& account_;
+  std::function<void()> shortage_;
+  bool short_ = false;  // the last socket that was asked for was not to be had
   std::unordered_map<MemberId, Endpoint> endpoints_;
   std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
   std::map<AttemptKey, std::unique_ptr<Job>> attempts_;
-  Event upkeep_;
+  Event upkeep_, again_;
 };
 
 }  // namespace sablespur
--- a/src/membership/address.cpp
+++ b/src/base/address.cpp
@@ -1,4 +1,4 @@
-#include "membership/address.hpp"
+#include "base/address.hpp"
 
 #include <arpa/inet.h>
 
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -25,6 +25,8 @@
 // room. Of the memory beyond the process itself a quarter is for large statements, whoever sends them, a
 // half for what each client may hold at any time, the rest for answers on their way.
 void deriveBounds(Config& c, std::size_t descriptors, std::uint64_t memory) {
+  c.descriptors = descriptors;
+  c.memory = memory;
   const std::size_t free = static_cast<std::size_t>(memory) - kOwnMemory;
   c.clientConnections = std::min((descriptors - kOwnDescriptors) * 45 / 100, free / 2 / kClientMemory);
   // The side of the clients holds a third of the descriptors at most. Below that, so that room is made here
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -18,6 +18,9 @@
 namespace sablespur::auth {
 class Users;
 }
+namespace sablespur::admission {
+struct Settings;
+}
 namespace sablespur {
 
 using knotstack::Time;
@@ -76,6 +79,14 @@
   std::shared_ptr<const auth::Users> users;  // where logins want a password
   bool cancelServers = false;                // give_up = cancel
   Time giveUpWait{};                         // for a data server's answer to that
+  // Slow clients: so long until a first query, until the rest of what was begun, until some of an answer is
+  // read.
+  Time firstQuery = std::chrono::milliseconds(2000), halfMessage = std::chrono::milliseconds(1500),
+       unreadAnswer = std::chrono::seconds(10);
+  std::shared_ptr<const admission::Settings> admission;  // null: no door
+  std::string statusSocket;                              // empty: none
+  std::size_t descriptors = 0;                           // limits as they were given
+  std::uint64_t memory = 0;
   LogForm logForm = LogForm::Logfmt;
   LogLevel logLevel = LogLevel::Info;
 };
--- a/src/config/ini_config.cpp
+++ b/src/config/ini_config.cpp
@@ -11,6 +11,9 @@
 #ifdef SABLESPUR_AUTH
 #include "auth/users.hpp"
 #endif
+#ifdef SABLESPUR_ADMISSION
+#include "config/admission.hpp"
+#endif
 #include "base/ini.hpp"
 #include "config/config.hpp"
 #include "config/keys.hpp"
@@ -36,6 +39,8 @@
       if (s.type == "group" && !s.name.empty()) aGroup(s);
     for (const IniSection& s : file_.sections)
       if (s.type == "member" && !s.name.empty()) aMember(s);
+    for (const IniSection& s : file_.sections)
+      if (s.type == "admission_group" && !s.name.empty()) aDoorGroup(s);
     whole();
     if (!faults_.empty()) {
       std::stable_sort(faults_.begin(), faults_.end(),
@@ -183,6 +188,43 @@
     config_.known.instances.push_back(draft_.member);
   }
 
+  void aDoorGroup(const IniSection& s) {
+    draft_.door = {};
+    apply("admission_group", &s, draft_);
+    draft_.door.name = s.name;
+    draft_.door.line = s.line;
+    draft_.admission.groups.push_back(std::move(draft_.door));
+  }
+
+  // After the bounds on clients are known.
+  void admission() {
+    AdmissionDraft& a = draft_.admission;
+    if (!a.door) {
+      if (!a.groups.empty())
+        fault(a.groups.front().line, "[admission_group " + a.groups.front().name + "]",
+              {"there is no door to keep it apart", "write door = yes in [admission]"});
+      return;
+    }
+#ifdef SABLESPUR_ADMISSION
+    AdmissionContext context;
+    context.clients = config_.clientConnections;
+    context.passwords = wantsPassword(config_);
+    context.line = [this](const std::string& title, const char* key) {
+      for (const IniSection& s : file_.sections)
+        if (s.title() == title) return key ? lineOf(s, key) : s.line;
+      return 0;
+    };
+    context.fault = [this](int line, std::string where, Wrong w) {
+      fault(line, std::move(where), std::move(w));
+    };
+    context.file = [this](const std::string& name) { return text(beside(name)); };
+    config_.admission = makeAdmission(a, context);
+#else
+    fault(keyLine("admission", "door"), "[admission] door",
+          {"this build has no admission", "build with SABLESPUR_ADMISSION"});
+#endif
+  }
+
   void whole() {
     if (config_.classes.empty())
       fault(0, "", {"there is no [class NAME]", "add one for each class of requests that clients name (c=)"});
@@ -212,12 +254,22 @@
     }
     config_.known.reset = true;
     deriveBounds(config_, draft_.descriptors, draft_.memory);
+    admission();
+  }
+  std::string beside(const std::string& name) const {
+    const std::size_t slash = path_.rfind('/');
+    return name[0] == '/' || slash == std::string::npos ? name : path_.substr(0, slash + 1) + name;
+  }
+  static std::optional<std::string> text(const std::string& path) {
+    std::ifstream file(path);
+    std::stringstream all;
+    all << file.rdbuf();
+    if (!file) return std::nullopt;
+    return all.str();
   }
   // A file of secrets, by its path or beside the settings; nothing, after a fault.
   std::optional<std::string> secrets(const char* section, const char* key, const std::string& name) {
-    const std::size_t slash = path_.rfind('/');
-    const std::string path =
-        name[0] == '/' || slash == std::string::npos ? name : path_.substr(0, slash + 1) + name;
+    const std::string path = beside(name);
     const auto wrong = [&](const char* problem, const std::string& fix) {
       fault(keyLine(section, key), std::string("[") + section + "] " + key,
             {"'" + name + "' " + problem, fix});
@@ -332,7 +384,7 @@
   IniFile file_;
   std::vector<Fault> faults_;
   Config config_;
-  Draft draft_{config_, 0, 0, {}, {}, {}, {}, {}, {}};
+  Draft draft_{config_, 0, 0, {}, {}, {}, {}, {}, {}, {}, {}};
 };
 
 }  // namespace
@@ -342,11 +394,14 @@
 }
 
 Config readSettings(const std::string& path) {
-  std::ifstream file(path);
   std::stringstream text;
-  text << file.rdbuf();
-  if (!file || !text)
-    throw BadSettings({{path, 0, "", "it cannot be read", "see that it exists and may be read"}});
+  {
+    // Closed before other files are opened: one descriptor is enough to read all settings.
+    std::ifstream file(path);
+    text << file.rdbuf();
+    if (!file || !text)
+      throw BadSettings({{path, 0, "", "it cannot be read", "see that it exists and may be read"}});
+  }
   return parseSettings(text.str(), path);
 }
 
--- a/src/config/keys.cpp
+++ b/src/config/keys.cpp
@@ -50,6 +50,15 @@
        "while serving."},
       {"data_servers", false, "What the data servers of this installation do and allow."},
       {"clients", false, "What the clients of this installation understand."},
+      {"admission", false,
+       "The door: which clients are let in, and which requests go on. Off unless `door = yes`. SIGHUP takes "
+       "new "
+       "values while serving."},
+      {"admission_group", true,
+       "Clients that the door knows apart, by network or by name. Whoever is in none belongs to `others`, "
+       "which "
+       "may have a section too."},
+      {"status", false, "Where `sablespur status` asks."},
       {"rules", false, "The figures of the rules that the proxy keeps."},
       {"goal", false, "What counts when not all can be served."},
       {"class", true, "A class of requests, by the name that statements carry (`c=`). At least one."},
@@ -327,6 +336,136 @@
            "on in the "
            "client's form, or the client gets 40003."},
 
+          {"clients", "first_query", Kind::Duration, "2s", 10 * kMillisecond, kHour, "",
+           [](Draft& d, const KeyValue& v) { d.config.firstQuery = time(v); },
+           "A client that has asked nothing by then is closed; its login is part of it."},
+          {"clients", "half_message", Kind::Duration, "1500ms", 10 * kMillisecond, kHour, "",
+           [](Draft& d, const KeyValue& v) { d.config.halfMessage = time(v); },
+           "A client that has begun a message and not sent the rest of it by then is closed."},
+          {"clients", "unread_answer", Kind::Duration, "10s", 100 * kMillisecond, kHour, "",
+           [](Draft& d, const KeyValue& v) { d.config.unreadAnswer = time(v); },
+           "A client that has taken nothing of its answer for so long is closed."},
+
+          {"admission", "door", Kind::Flag, "no", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.admission.door = as<bool>(v); },
+           "Whether the groups below are kept apart. Without it every client is alike, and the longest idle one "
+           "makes way."},
+          {"admission", "connections", Kind::Count, "0", 0, 1e6, "",
+           [](Draft& d, const KeyValue& v) { d.admission.most = static_cast<std::size_t>(as<std::int64_t>(v)); },
+           "Client connections at once, of all groups; 0 is what the limits on descriptors and memory leave for "
+           "clients, less the antechamber. More than that is cut to it."},
+          {"admission", "antechamber", Kind::Count, "0", 0, 1e5, "",
+           [](Draft& d, const KeyValue& v) {
+             d.admission.antechamber = static_cast<std::size_t>(as<std::int64_t>(v));
+           },
+           "Connections that are not let in and are held for a moment all the same: to be told so in words of "
+           "their version, to prove a name, to say for whom they stand. 0 is an eighth of the clients' "
+           "descriptors, 8 at least. Beyond it a connection gets a word of version 3 and is closed at once."},
+          {"admission", "network_bits", Kind::Count, "24", 8, 32, "",
+           [](Draft& d, const KeyValue& v) { d.admission.prefix4 = static_cast<int>(as<std::int64_t>(v)); },
+           "How many bits of an IPv4 address make the network that `connections_by_network` counts."},
+          {"admission", "network_bits_v6", Kind::Count, "64", 16, 128, "",
+           [](Draft& d, const KeyValue& v) { d.admission.prefix6 = static_cast<int>(as<std::int64_t>(v)); },
+           "The same for IPv6."},
+          {"admission", "come_back_least", Kind::Duration, "100ms", kMillisecond, kHour, "",
+           [](Draft& d, const KeyValue& v) { d.admission.comeBackLeast = time(v); },
+           "A client that is not let in is told to come back after this at the earliest,"},
+          {"admission", "come_back_most", Kind::Duration, "10s", kMillisecond, kHour, "",
+           [](Draft& d, const KeyValue& v) { d.admission.comeBackMost = time(v); },
+           "and after this at the latest, each at a time of its own between."},
+          {"admission", "idle_least", Kind::Duration, "500ms", 0, kHour, "",
+           [](Draft& d, const KeyValue& v) { d.admission.idleLeast = time(v); },
+           "A connection that has been idle for less is not asked to make way."},
+          {"admission", "fronts", Kind::Words, "", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.admission.fronts = as<std::vector<std::string>>(v); },
+           "Networks of fronts that hide their clients' addresses: each connection from there has to begin with a "
+           "PROXY header, version 1 or 2, and counts by the address in it. From anywhere else a header is an "
+           "error."},
+          {"admission", "served_before", Kind::Text, "", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.admission.servedBefore = word(v); },
+           "The group of addresses that are in no group's network and have been served several times over 2 s, "
+           "within a day. Empty: they belong to `others`."},
+          {"admission", "known_addresses", Kind::Count, "4096", 1, 1e6, "",
+           [](Draft& d, const KeyValue& v) {
+             d.admission.knownMost = static_cast<std::size_t>(as<std::int64_t>(v));
+           },
+           "Of those so many are remembered, 32 of one network at most; about 200 bytes each."},
+          {"admission", "requests", Kind::Choice, "off", 0, 0, "off fixed aimd gradient",
+           [](Draft& d, const KeyValue& v) { d.admission.requests = word(v); },
+           "A limit on the requests that are out at once, of all groups: none, `limit`, or one that is learned from "
+           "latency: `gradient` from its rise over the least of late, `aimd` by adding until `bound` is passed. "
+           "Another kind takes a restart."},
+          {"admission", "limit", Kind::Count, "50", 1, 1e6, "",
+           [](Draft& d, const KeyValue& v) { d.admission.limit = static_cast<std::size_t>(as<std::int64_t>(v)); },
+           "With `requests = fixed` the limit, else where learning begins."},
+          {"admission", "limit_least", Kind::Count, "8", 1, 1e6, "",
+           [](Draft& d, const KeyValue& v) {
+             d.admission.limitLeast = static_cast<std::size_t>(as<std::int64_t>(v));
+           },
+           "A learned limit is no lower."},
+          {"admission", "limit_most", Kind::Count, "1000", 1, 1e6, "",
+           [](Draft& d, const KeyValue& v) {
+             d.admission.limitMost = static_cast<std::size_t>(as<std::int64_t>(v));
+           },
+           "A learned limit is no higher."},
+          {"admission", "bound", Kind::Duration, "400ms", kMillisecond, kHour, "",
+           [](Draft& d, const KeyValue& v) { d.admission.bound = time(v); },
+           "With `requests = aimd`: the mean latency above which the limit shrinks."},
+          {"admission", "waiting", Kind::Count, "64", 0, 1e5, "",
+           [](Draft& d, const KeyValue& v) { d.admission.waiting = static_cast<std::size_t>(as<std::int64_t>(v)); },
+           "Requests that may wait for a place under the limit. What can no longer be on time is dropped first, "
+           "then the newest of the group that has most waiting by weight."},
+          {"admission", "request_back_least", Kind::Duration, "50ms", kMillisecond, kHour, "",
+           [](Draft& d, const KeyValue& v) { d.admission.requestBackLeast = time(v); },
+           "A request that is turned away may come back after this at the earliest,"},
+          {"admission", "request_back_most", Kind::Duration, "2s", kMillisecond, kHour, "",
+           [](Draft& d, const KeyValue& v) { d.admission.requestBackMost = time(v); },
+           "and after this at the latest."},
+
+          {"admission_group", "networks", Kind::Words, "", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.door.networks = as<std::vector<std::string>>(v); },
+           "IPv4 and IPv6 networks or addresses, with commas between; the longest that holds an address counts, of "
+           "whichever group."},
+          {"admission_group", "networks_file", Kind::Text, "", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.door.networksFile = word(v); },
+           "More of them, one a line; # begins a comment. Beside the settings unless its path is absolute."},
+          {"admission_group", "users", Kind::Words, "", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.door.users = as<std::vector<std::string>>(v); },
+           "Users that belong here wherever they come from, once they have logged in with their password."},
+          {"admission_group", "connections", Kind::Count, "0", 0, 1e6, "",
+           [](Draft& d, const KeyValue& v) { d.door.most = static_cast<std::size_t>(as<std::int64_t>(v)); },
+           "At once; 0 is no cap of its own."},
+          {"admission_group", "connections_by_address", Kind::Count, "0", 0, 1e6, "",
+           [](Draft& d, const KeyValue& v) {
+             d.door.mostByAddress = static_cast<std::size_t>(as<std::int64_t>(v));
+           },
+           "At once from one address; 0 is no cap."},
+          {"admission_group", "connections_by_network", Kind::Count, "0", 0, 1e6, "",
+           [](Draft& d, const KeyValue& v) {
+             d.door.mostByPrefix = static_cast<std::size_t>(as<std::int64_t>(v));
+           },
+           "At once from one network of `network_bits`; 0 is no cap."},
+          {"admission_group", "connections_per_second", Kind::Number, "0", 0, 1e6, "",
+           [](Draft& d, const KeyValue& v) { d.door.perSecond = as<double>(v); },
+           "New connections that are let in; 0 is no bound."},
+          {"admission_group", "burst", Kind::Number, "1", 1, 1e6, "",
+           [](Draft& d, const KeyValue& v) { d.door.burst = as<double>(v); },
+           "Of them so many may come at once, as when all come back after a restart."},
+          {"admission_group", "reserve", Kind::Count, "0", 0, 1e6, "",
+           [](Draft& d, const KeyValue& v) { d.door.reserve = static_cast<std::size_t>(as<std::int64_t>(v)); },
+           "Places that nobody else may take, used or not."},
+          {"admission_group", "weight", Kind::Number, "1", 0.001, 1e6, "",
+           [](Draft& d, const KeyValue& v) { d.door.weight = as<double>(v); },
+           "When all is full: the group that holds most by its weight gives up its idle connections first, and the "
+           "one with the fewest requests out by its weight goes next."},
+          {"admission_group", "requests", Kind::Count, "0", 0, 1e6, "",
+           [](Draft& d, const KeyValue& v) { d.door.mostOpen = static_cast<std::size_t>(as<std::int64_t>(v)); },
+           "Requests out or waiting at once, with `[admission] requests`; 0 is no cap of its own."},
+
+          {"status", "socket", Kind::Text, "", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.statusSocket = word(v); },
+           "The path of a local socket that only the proxy's own user may open. Empty: there is none."},
+
           {"rules", "drain_grace", Kind::Duration, "1s", 0, kHour, "",
            [](Draft& d, const KeyValue& v) { d.config.settings.drainGrace = time(v); },
            "Nothing new to a data server later than this after it was told that it drains or is gone."},
--- a/src/config/keys.hpp
+++ b/src/config/keys.hpp
@@ -30,6 +30,29 @@
 using KeyValue = std::variant<std::string, Address, std::vector<Address>, Time, std::uint64_t, std::int64_t,
                               double, bool, std::vector<std::string>>;
 
+// [admission] and [admission_group NAME] as they stand; admission.cpp makes the settings of it.
+struct AdmissionGroupDraft {
+  std::string name;
+  int line = 0;
+  std::vector<std::string> networks, users;
+  std::string networksFile;
+  std::size_t most = 0, mostByAddress = 0, mostByPrefix = 0, reserve = 0, mostOpen = 0;
+  double perSecond = 0, burst = 1, weight = 1;
+};
+struct AdmissionDraft {
+  bool door = false;
+  std::size_t most = 0, antechamber = 0;
+  int prefix4 = 24, prefix6 = 64;
+  Time comeBackLeast{}, comeBackMost{}, idleLeast{};
+  std::vector<std::string> fronts;
+  std::string servedBefore;
+  std::size_t knownMost = 0;
+  std::string requests;  // off, fixed, aimd, gradient
+  std::size_t limit = 0, limitLeast = 0, limitMost = 0, waiting = 0;
+  Time bound{}, requestBackLeast{}, requestBackMost{};
+  std::vector<AdmissionGroupDraft> groups;
+};
+
 // What a section's keys are set on.
 struct Draft {
   Config& config;
@@ -40,6 +63,8 @@
   std::string memberGroup;       // a name or a number
   GroupName group;               // of the [group] at hand
   std::string usersFile, passwordFile;
+  AdmissionDraft admission;
+  AdmissionGroupDraft door;  // of the [admission_group] at hand
 };
 
 struct Key {
--- /dev/null
+++ b/src/core/acceptor.cpp
@@ -0,0 +1,127 @@
+#include "core/acceptor.hpp"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+#include <string>
+
+#include "log/log.hpp"
+
+namespace sablespur {
+namespace {
+
+constexpr int kBacklog = 1024;
+constexpr int kBurst = 32;      // in one pass of the loop: requests that are out come between
+constexpr int kTurnAways = 16;  // the same, on the spare descriptor
+constexpr Clock::Time kCalm = std::chrono::seconds(1);  // without a failure, until the log says so
+constexpr std::chrono::microseconds kPause = std::chrono::milliseconds(20),
+                                    kLongestPause = std::chrono::seconds(1);
+
+}  // namespace
+
+Acceptor::Acceptor(event_base* base, const Clock& clock, const Address& at, Account& account, Spare& spare,
+                   Taker taker)
+    : clock_(clock), account_(account), spare_(spare), taker_(std::move(taker)) {
+  const auto fail = [&] {
+    const std::string why = std::strerror(errno);
+    if (fd_ >= 0) close(fd_);
+    throw std::runtime_error("key listen: " + why);
+  };
+  fd_ = systemCalls().socket(at.v6() ? AF_INET6 : AF_INET);
+  const int on = 1;
+  if (fd_ < 0 || setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
+      bind(fd_, at.data(), at.size()) != 0 || listen(fd_, kBacklog) != 0)
+    fail();
+  readable_.reset(event_new(
+      base, fd_, EV_READ | EV_PERSIST,
+      [](evutil_socket_t, short, void* self) { static_cast<Acceptor*>(self)->ready(); }, this));
+  again_.reset(event_new(
+      base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<Acceptor*>(self)->resume(); }, this));
+  event_add(readable_.get(), nullptr);
+}
+Acceptor::~Acceptor() {
+  readable_.reset();
+  close(fd_);
+}
+
+int Acceptor::port() const {
+  sockaddr_storage a{};
+  socklen_t length = sizeof a;
+  getsockname(fd_, reinterpret_cast<sockaddr*>(&a), &length);
+  return Address::fromSocket(reinterpret_cast<const sockaddr*>(&a)).port();
+}
+
+void Acceptor::resume() {
+  event_del(again_.get());
+  event_add(readable_.get(), nullptr);
+}
+void Acceptor::pause(std::chrono::microseconds t) {
+  event_del(readable_.get());
+  startTimer(again_.get(), t);
+}
+
+void Acceptor::ready() {
+  for (int n = 0; n < kBurst; ++n) {
+    if (!taker_.room()) return pause(kPause);
+    sockaddr_storage from{};
+    socklen_t length = sizeof from;
+    const int fd = systemCalls().accept(fd_, reinterpret_cast<sockaddr*>(&from), &length);
+    if (fd < 0) {
+      if (!failed(errno)) return;
+      continue;
+    }
+    pause_ = {};
+    if (short_ && clock_.now() - failedAt_ >= kCalm) {
+      logEvent(LogLevel::Info, "accept_well_again");
+      short_ = false;
+    }
+    taker_.taken(fd, reinterpret_cast<const sockaddr*>(&from));
+  }
+}
+
+bool Acceptor::failed(int error) {
+  if (error == EAGAIN || error == EWOULDBLOCK) return false;
+  const Shortage what = shortageOf(error);
+  if (what == Shortage::None) {
+    // Of one connection, or of the network: the others are no worse (accept(2), "Error handling").
+    if (error == EBADF || error == EINVAL || error == ENOTSOCK) pause(kLongestPause);
+    return error != EBADF && error != EINVAL && error != ENOTSOCK;
+  }
+  account_.ranShort(what);
+  if (!short_)
+    logEvent(LogLevel::Warning, "accept_failed", {{"why", std::strerror(error)}, {"of", shortageName(what)}});
+  short_ = true;
+  failedAt_ = clock_.now();
+  if (what == Shortage::Memory) {
+    pause_ = std::clamp(pause_ * 2, kPause, kLongestPause);
+    pause(pause_);
+    return false;
+  }
+  taker_.shortage();
+  turnAway();
+  pause_ = kPause;
+  pause(kPause);
+  return false;
+}
+
+// Guards against clients that wait in the backlog until their time is up, with no word: the listener stays
+// ready while nothing can be accepted.
+void Acceptor::turnAway() {
+  for (int n = 0; n < kTurnAways; ++n) {
+    bool took = false;
+    spare_.lend([&] {
+      const int fd = systemCalls().accept(fd_, nullptr, nullptr);
+      if (fd < 0) return;
+      took = true;
+      taker_.refuse(fd);
+      close(fd);
+    });
+    spare_.hold();
+    if (!took) return;
+  }
+}
+
+}  // namespace sablespur
--- /dev/null
+++ b/src/core/acceptor.hpp
@@ -0,0 +1,55 @@
+// A listening socket that stays level: so many connections a pass of the loop and no more, whatever waits;
+// and an answer for each way in which accept(2) fails.
+//
+// connection that is gone already (ECONNABORTED and the network's errors, accept(2)): the next one is taken.
+// No descriptor (EMFILE, ENFILE): somebody idle is asked to make room; until then each one that comes is
+// taken on the spare descriptor, told so and closed, rather than left waiting for nothing. No memory
+// (ENOBUFS, ENOMEM): a pause that doubles up to a second; the rest waits in the backlog.
+#pragma once
+
+#include <chrono>
+#include <functional>
+
+#include "base/address.hpp"
+#include "core/account.hpp"
+#include "core/clock.hpp"
+#include "core/event.hpp"
+#include "core/system.hpp"
+
+namespace sablespur {
+
+class Acceptor {
+ public:
+  struct Taker {
+    std::function<void(evutil_socket_t, const sockaddr*)> taken;  // owns the descriptor from here on
+    std::function<bool()> room;      // asked before each; false: no more are taken until resume
+    std::function<void()> shortage;  // there is no descriptor: what can be spared is to be closed
+    std::function<void(evutil_socket_t)> refuse;  // writes a last word; the caller closes
+  };
+  // Throws std::runtime_error where it cannot listen.
+  Acceptor(event_base*, const Clock&, const Address&, Account&, Spare&, Taker);
+  ~Acceptor();
+  Acceptor(const Acceptor&) = delete;
+
+  void resume();  // there is room again
+  int port() const;
+  std::chrono::microseconds pausing() const { return pause_; }  // of the last failure; 0: none since
+
+ private:
+  void ready();
+  bool failed(int error);  // true: the next one may be tried at once
+  void pause(std::chrono::microseconds);
+  void turnAway();
+
+  const Clock& clock_;
+  Account& account_;
+  Spare& spare_;
+  const Taker taker_;
+  int fd_ = -1;
+  bool short_ = false;
+  Clock::Time failedAt_{};
+  std::chrono::microseconds pause_{};
+  Event readable_, again_;
+};
+
+}  // namespace sablespur
--- /dev/null
+++ b/src/front/gate.cpp
@@ -0,0 +1,327 @@
+#include "front/gate.hpp"
+
+#include <algorithm>
+#include <unordered_map>
+
+#include "admission/settings.hpp"
+#include "admission/spells.hpp"
+#include "log/log.hpp"
+
+namespace sablespur {
+namespace {
+
+using admission::Answered;
+using admission::IpAddress;
+using admission::Requests;
+using admission::Spell;
+using admission::Turn;
+
+// How often what waits too long, what is held beyond a cap and spells of refusals are looked at.
+constexpr Time kRound = std::chrono::milliseconds(20);
+constexpr std::size_t kSurplus = 64;   // idle connections taken back in one round
+constexpr std::size_t kShortage = 32;  // the same, when descriptors run out
+
+class AdmissionGate final : public Gate {
+ public:
+  AdmissionGate(event_base* base, Engine& engine, std::shared_ptr<const admission::Settings> s)
+      : engine_(engine),
+        s_(std::move(s)),
+        door_(s_->door, s_->networks),
+        known_(s_->known),
+        deliver_(event_new(
+            base, -1, 0,
+            [](evutil_socket_t, short, void* self) { static_cast<AdmissionGate*>(self)->deliver(); }, this)),
+        round_(event_new(
+            base, -1, EV_PERSIST,
+            [](evutil_socket_t, short, void* self) { static_cast<AdmissionGate*>(self)->round(); }, this)) {
+    if (s_->requests) requests_ = std::make_unique<Requests>(*s_->requests);
+    spells_.resize(2 * door_.groups());
+    startTimer(round_.get(), kRound);
+  }
+
+  bool hidesClients(const Address& a) const override {
+    return s_->fronts.size() > 0 && s_->fronts.find(admission::addressOf(a.data()), 1) == 0;
+  }
+  bool knowsNames() const override { return !s_->users.empty(); }
+  std::size_t antechamber() const override { return s_->antechamber; }
+
+  Admission arrived(Guest& g, const Address& from) override {
+    const IpAddress ip = admission::addressOf(from.data());
+    std::optional<std::size_t> group;
+    if (s_->servedBefore && door_.groupOf(ip) == door_.groups() - 1 && known_.is(engine_.now(), ip))
+      group = s_->servedBefore;
+    return enter(g, ip, group);
+  }
+
+  Admission named(Guest& g, PlaceId place, const Address& from, const std::string& user) override {
+    const auto it = s_->users.find(user);
+    if (place == 0) {
+      if (it != s_->users.end()) return enter(g, admission::addressOf(from.data()), it->second);
+      Admission none;
+      none.why = "full";
+      return none;
+    }
+    if (it != s_->users.end()) door_.belongs(place, it->second);
+    Admission a;
+    a.place = place;
+    return a;
+  }
+
+  void left(PlaceId place) override {
+    if (place == 0) return;
+    door_.left(place);
+    guests_.erase(place);
+  }
+  void busy(PlaceId place) override { door_.busy(place); }
+  void idle(PlaceId place) override { door_.idle(engine_.now(), place); }
+  void served(PlaceId place) override {
+    const auto it = guests_.find(place);
+    if (s_->servedBefore && it != guests_.end()) known_.served(engine_.now(), it->second.address);
+  }
+  void shortage() override {
+    for (const admission::ConnectionId id : door_.spare(engine_.now(), kShortage)) askBack(id);
+  }
+
+  RequestId request(Requester& asker, knotstack::Request q, Message m, PlaceId place) override {
+    if (!requests_) return engine_.request(asker, q, std::move(m));
+    const RequestId key = ++lastKey_;
+    auto e = std::make_unique<Entered>(*this, key, asker, q, std::move(m));
+    e->arrived = engine_.now();
+    Entered& entered = *entered_.emplace(key, std::move(e)).first->second;
+    const Requests::Asked a = requests_->ask(engine_.now(), key, door_.groupOf(place), q.deadline);
+    if (a.turn == Turn::Go) go(entered);
+    if (a.turn == Turn::Refuse) refuse(key, a.comeBack);
+    carryOut(a.others);
+    return key;
+  }
+  void gone(RequestId key) override {
+    if (!requests_) return engine_.left(key);
+    const auto it = entered_.find(key);
+    if (it == entered_.end()) return;
+    if (it->second->inEngine != 0) engine_.left(it->second->inEngine);
+    entered_.erase(it);
+    carryOut(requests_->left(engine_.now(), key));
+  }
+
+  void reload(const Config& c) override {
+    if (!c.admission || c.admission->requests.has_value() != s_->requests.has_value() ||
+        (c.admission->requests && c.admission->requests->limit.kind != s_->requests->limit.kind))
+      logEvent(LogLevel::Warning, "settings_need_restart",
+               {{"key", c.admission ? "[admission] requests" : "[admission] door"}});
+    if (!c.admission) return;
+    // By name: the spell that a group is in goes on.
+    std::vector<Spell> spells(2 * c.admission->door.groups.size());
+    for (std::size_t k = 0; k < c.admission->door.groups.size(); ++k)
+      for (std::size_t was = 0; was < door_.groups(); ++was)
+        if (door_.limits(was).name == c.admission->door.groups[k].name) {
+          spells[2 * k] = spells_[2 * was];
+          spells[2 * k + 1] = spells_[2 * was + 1];
+        }
+    s_ = c.admission;
+    spells_ = std::move(spells);
+    door_.reload(s_->door, s_->networks);
+    if (requests_ && s_->requests) requests_->reload(*s_->requests);
+  }
+
+  GateView view() const override {
+    GateView v;
+    v.held = door_.held();
+    v.most = door_.most();
+    v.antechamber = s_->antechamber;
+    v.known = known_.size();
+    v.limits = requests_ != nullptr;
+    if (requests_) {
+      v.limit = requests_->limit();
+      v.out = requests_->out();
+      v.waiting = requests_->waiting();
+      v.usual = requests_->usual();
+    }
+    for (std::size_t k = 0; k < door_.groups(); ++k) {
+      const admission::Door::Count& c = door_.count(k);
+      GateView::Group g;
+      g.name = door_.limits(k).name;
+      g.held = c.held;
+      g.idle = c.idle;
+      g.most = door_.limits(k).most;
+      g.reserve = door_.limits(k).reserve;
+      g.reserveLeft = c.reserveLeft;
+      g.weight = door_.limits(k).weight;
+      g.admitted = c.admitted;
+      g.askedBack = c.asked;
+      for (const auto& [why, n] : c.refused) g.refused[admission::whyName(why)] = n;
+      if (requests_ && k < requests_->groups()) {
+        const Requests::Count r = requests_->count(k);
+        g.out = r.out;
+        g.waiting = r.waiting;
+        g.went = r.went;
+        g.waited = r.waited;
+        for (std::size_t t = 0; t < admission::kTurned; ++t)
+          if (r.refused[t] > 0)
+            g.turnedAway[admission::turnedName(static_cast<admission::Turned>(t))] = r.refused[t];
+      }
+      g.refusing = spells_[2 * k].on() || spells_[2 * k + 1].on();
+      v.groups.push_back(std::move(g));
+    }
+    return v;
+  }
+
+ private:
+  // A request between its front and the engine. The engine answers it, and it tells the decisions how that
+  // ended before its front hears of it.
+  struct Entered final : Requester {
+    Entered(AdmissionGate& g, RequestId k, Requester& a, const knotstack::Request& r, Message&& m)
+        : gate(g), key(k), asker(a), q(r), message(std::move(m)) {}
+    void served(Answer answer) override {
+      Requester& to = asker;
+      gate.ended(*this, End::Served);  // this is no more
+      to.served(std::move(answer));
+    }
+    void refused(Time retryAfter) override {
+      Requester& to = asker;
+      gate.ended(*this, End::Refused);
+      to.refused(retryAfter);
+    }
+    void failed() override {
+      Requester& to = asker;
+      gate.ended(*this, End::Failed);
+      to.failed();
+    }
+    AdmissionGate& gate;
+    const RequestId key;
+    Requester& asker;
+    knotstack::Request q;
+    Message message;
+    RequestId inEngine = 0;  // 0: it has not gone on
+    Time arrived{}, went{};
+  };
+  enum class End { Served, Refused, Failed };
+
+  Admission enter(Guest& g, const IpAddress& ip, std::optional<std::size_t> group) {
+    const PlaceId id = ++lastPlace_;
+    const admission::Welcome w = door_.arrived(engine_.now(), id, ip, group);
+    Admission a;
+    if (!w.admitted) {
+      a.why = admission::whyName(w.why);
+      a.comeBack = w.comeBack;
+      return a;
+    }
+    if (w.close != 0) askBack(w.close);
+    guests_.emplace(id, Held{&g, ip});
+    a.place = id;
+    return a;
+  }
+  // The door has forgotten it already.
+  void askBack(admission::ConnectionId id) {
+    const auto it = guests_.find(id);
+    if (it == guests_.end()) return;
+    Guest* const g = it->second.guest;
+    guests_.erase(it);
+    g->giveUpPlace();
+  }
+
+  void go(Entered& e) {
+    e.went = engine_.now();
+    // How long ago the session last wrote counts from now.
+    if (e.q.tokenMs > 0) e.q.tokenMs += static_cast<float>((e.went - e.arrived).count()) / 1e3f;
+    e.inEngine = engine_.request(e, e.q, std::move(e.message));
+  }
+  void refuse(RequestId key, Time comeBack) {
+    refusals_.emplace_back(key, comeBack);
+    event_active(deliver_.get(), EV_TIMEOUT, 0);
+  }
+  void carryOut(const std::vector<Answered>& all) {
+    for (const Answered& a : all) {
+      const auto it = entered_.find(a.key);
+      if (it == entered_.end()) continue;
+      if (a.turn == Turn::Go)
+        go(*it->second);
+      else
+        refuse(a.key, a.comeBack);
+    }
+  }
+  void ended(Entered& e, End how) {
+    const Time now = engine_.now(), latency = now - e.went;
+    // The module's own refusals, and failures before the time was up, tell of a server or a role: a limit
+    // that shrank for them would turn away what others can be served.
+    const bool late = how == End::Failed && now + kRound >= e.q.deadline;
+    const RequestId key = e.key;
+    entered_.erase(key);
+    carryOut(how == End::Served || late ? requests_->ended(now, key, latency, late)
+                                        : requests_->left(now, key));
+  }
+  void deliver() {
+    std::vector<std::pair<RequestId, Time>> all;
+    all.swap(refusals_);
+    for (const auto& [key, comeBack] : all) {
+      const auto it = entered_.find(key);
+      if (it == entered_.end()) continue;  // its client has left
+      Requester& asker = it->second->asker;
+      entered_.erase(it);
+      asker.refused(comeBack);
+    }
+  }
+  void round() {
+    const Time now = engine_.now();
+    if (requests_) carryOut(requests_->overdue(now));
+    for (const admission::ConnectionId id : door_.surplus(now, kSurplus)) askBack(id);
+    for (std::size_t k = 0; k < door_.groups(); ++k) {
+      std::uint64_t refused = 0, turned = 0;
+      std::uint64_t most = 0;
+      const char* why = "none";
+      for (const auto& [w, n] : door_.count(k).refused) {
+        refused += n;
+        if (n > most) why = admission::whyName(w);
+        most = std::max(most, n);
+      }
+      tell(k, "connections", spells_[2 * k], refused, why);
+      if (!requests_ || k >= requests_->groups()) continue;
+      const Requests::Count c = requests_->count(k);
+      std::size_t widest = 0;
+      for (std::size_t t = 0; t < admission::kTurned; ++t) {
+        turned += c.refused[t];
+        if (c.refused[t] > c.refused[widest]) widest = t;
+      }
+      tell(k, "requests", spells_[2 * k + 1], turned,
+           admission::turnedName(static_cast<admission::Turned>(widest)));
+    }
+  }
+  void tell(std::size_t group, const char* what, Spell& spell, std::uint64_t total, const char* why) {
+    const Spell::Turn turn = spell.at(engine_.now(), total);
+    const std::string& name = door_.limits(group).name;
+    if (turn == Spell::Turn::Began)
+      logEvent(LogLevel::Warning, "refusing_began",
+               {{"group", name}, {"what", what}, {"mostly", why}, {"held", door_.count(group).held}});
+    if (turn == Spell::Turn::Ended)
+      logEvent(LogLevel::Info, "refusing_ended",
+               {{"group", name},
+                {"what", what},
+                {"refused", spell.within()},
+                {"seconds", static_cast<double>(spell.lasted().count()) / 1e6}});
+  }
+
+  struct Held {
+    Guest* guest;
+    IpAddress address;
+  };
+  Engine& engine_;
+  std::shared_ptr<const admission::Settings> s_;
+  admission::Door door_;
+  admission::Known known_;
+  std::unique_ptr<Requests> requests_;
+  std::unordered_map<PlaceId, Held> guests_;
+  std::unordered_map<RequestId, std::unique_ptr<Entered>> entered_;
+  std::vector<std::pair<RequestId, Time>> refusals_;  // to be told
+  std::vector<Spell> spells_;                         // by group: of connections, of requests
+  PlaceId lastPlace_ = 0;
+  RequestId lastKey_ = 0;
+  Event deliver_, round_;
+};
+
+}  // namespace
+
+std::unique_ptr<Gate> openGate(event_base* base, Engine& engine, const Config& c) {
+  if (!c.admission) return nullptr;
+  return std::make_unique<AdmissionGate>(base, engine, c.admission);
+}
+
+}  // namespace sablespur
--- a/src/front/pg/clients.cpp
+++ b/src/front/pg/clients.cpp
@@ -3,46 +3,42 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <cerrno>
-#include <cstring>
-#include <stdexcept>
 
 #include "base/secret.hpp"
 #include "front/pg/session.hpp"
 #include "log/log.hpp"
+#include "wire/pg/codec.hpp"
 #include "wire/pg/pg.hpp"
 
 namespace sablespur {
 namespace {
 
-constexpr Time kPause = std::chrono::milliseconds(20);
 // New connections may keep coming for 0.4 s after SIGTERM.
 constexpr Time kLastCall = std::chrono::milliseconds(500);
 // After the last call, what is taken is finished within the longest deadline and this.
 constexpr Time kFinish = std::chrono::seconds(1);
+// What a client is told that came when there was no descriptor left.
+constexpr Time kShortOf = std::chrono::milliseconds(500);
 // How often all clients are looked at for what takes too long.
 constexpr Time kRound = std::chrono::milliseconds(100);
 
 }  // namespace
 
-Clients::Clients(event_base* base, Engine& engine, Workers& workers, const Config& config)
+Clients::Clients(event_base* base, Engine& engine, Workers& workers, Account& account, Spare& spare,
+                 Gate* gate, const Config& config)
     : base_(base),
       engine_(engine),
       workers_(workers),
+      account_(account),
+      gate_(gate),
       config_(config),
-      users_(config.users),
-      most_(config.clientConnections) {
-  const auto accept = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
-    static_cast<Clients*>(self)->accepted(fd);
-  };
-  listener_.reset(evconnlistener_new_bind(base, accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 1024,
-                                          config.listen.data(), static_cast<int>(config.listen.size())));
-  if (!listener_) throw std::runtime_error(std::string("key listen: ") + std::strerror(errno));
-  evconnlistener_set_error_cb(
-      listener_.get(), [](evconnlistener*, void* self) { static_cast<Clients*>(self)->acceptFailed(); });
-  pause_.reset(event_new(
-      base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<Clients*>(self)->acceptAgain(); },
-      this));
+      users_(config.users) {
+  Acceptor::Taker taker;
+  taker.taken = [this](evutil_socket_t fd, const sockaddr* from) { accepted(fd, from); };
+  taker.room = [this] { return room(); };
+  taker.shortage = [this] { shortage(); };
+  taker.refuse = [this](evutil_socket_t fd) { turnAway(fd, kShortOf); };
+  acceptor_ = std::make_unique<Acceptor>(base, engine.clock(), config.listen, account, spare, std::move(taker));
   round_.reset(event_new(
       base, -1, EV_PERSIST, [](evutil_socket_t, short, void* self) { static_cast<Clients*>(self)->round(); },
       this));
@@ -57,12 +53,12 @@
   if (u && users_) users_ = std::move(u);
 }
 
-int Clients::port() const {
-  sockaddr_storage a{};
-  socklen_t length = sizeof a;
-  getsockname(evconnlistener_get_fd(listener_.get()), reinterpret_cast<sockaddr*>(&a), &length);
-  return Address::fromSocket(reinterpret_cast<const sockaddr*>(&a)).port();
+int Clients::port() const { return acceptor_->port(); }
+
+RequestId Clients::request(Requester& asker, const knotstack::Request& q, Message m, PlaceId place) {
+  return gate_ ? gate_->request(asker, q, std::move(m), place) : engine_.request(asker, q, std::move(m));
 }
+void Clients::left(RequestId id) { gate_ ? gate_->gone(id) : engine_.left(id); }
 
 // Unguessable, both the number that stands for a process and the secret.
 pg::Key Clients::newKey(Session& s, std::size_t length) {
@@ -79,23 +75,48 @@
   if (it != keys_.end() && sameSecret(it->second->key().secret, key.secret)) it->second->cancelled();
 }
 
-void Clients::accepted(evutil_socket_t fd) {
-  auto session = std::make_unique<Session>(*this, fd);
+void Clients::accepted(evutil_socket_t fd, const sockaddr* from) {
+  const Address address = Address::fromSocket(from);
+  const bool hidden = gate_ && gate_->hidesClients(address);
+  auto session = std::make_unique<Session>(*this, fd, address, hidden);
+  if (gate_ && !hidden) session->enterDoor();
+  // Guards the descriptors: only so many are held for a moment to be told in words of their version.
+  if (gate_ && outside_ > gate_->antechamber()) {
+    turnAway(fd, session->comeBack());
+    return;
+  }
   sessions_.emplace(session.get(), std::move(session));
-  acceptAgain();
 }
 
-// Accepts while there is room, or someone to make it; the rest waits in the listener's backlog.
-void Clients::acceptAgain() {
-  if (!listener_) return;
-  if (sessions_.size() < most_ || makeRoom()) {
-    evconnlistener_enable(listener_.get());
-  } else {
-    evconnlistener_disable(listener_.get());
-    startTimer(pause_.get(), kPause);
+// In version 3's words, whatever it speaks: there is no descriptor to hold it on until it has said so.
+void Clients::turnAway(evutil_socket_t fd, Time comeBack) {
+  translate::Problem p;
+  p.severity = "FATAL";
+  p.code = "53300";
+  p.text = "too many connections";
+  const auto ms = (comeBack.count() + 999) / 1000;
+  if (ms > 0) p.comeBackMs = static_cast<std::uint32_t>(ms);
+  const std::string last = pg::Codec(0).problem(p);
+  const ssize_t sent = send(fd, last.data(), last.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  (void)sent;  // it is the last word either way
+  shutdown(fd, SHUT_WR);
+  // Closing on unread input would reset the connection, and the word be lost; what has come is read.
+  char startup[1024];
+  while (recv(fd, startup, sizeof startup, MSG_DONTWAIT) == static_cast<ssize_t>(sizeof startup)) {
   }
 }
 
+// Accepts while there is room, or someone to make it; the rest waits in the listener's backlog. With a Gate
+// everyone is taken, if only to be told no: it keeps to its bounds, and what is told no is bounded too.
+bool Clients::room() { return gate_ || account_.room(Holder::Clients) || makeRoom(); }
+
+void Clients::shortage() {
+  if (gate_)
+    gate_->shortage();
+  else
+    makeRoom();
+}
+
 // Guards against connections that nobody uses keeping out those that ask: first what is being closed, then
 // what has never asked, then what has been idle longest.
 bool Clients::makeRoom() {
@@ -117,7 +138,7 @@
 // that asks for the first time, lest their side has none left to ask on, while the table here is not even
 // full.
 void Clients::firstAsked(const Session& by) {
-  if (++asking_ <= config_.askingClients) return;
+  if (++asking_ <= config_.askingClients || gate_) return;
   const Time now = engine_.now();
   Session* longest = nullptr;
   for (const auto& [s, owned] : sessions_)
@@ -133,17 +154,12 @@
   for (Session* s : over) closed(*s);
 }
 
-// Guards against spinning on a full descriptor table: the listener stays ready while nothing can be accepted.
-void Clients::acceptFailed() {
-  logEvent(LogLevel::Warning, "accept_failed", {{"why", std::strerror(EVUTIL_SOCKET_ERROR())}});
-  evconnlistener_disable(listener_.get());
-  startTimer(pause_.get(), kPause);
-}
-
 void Clients::closed(Session& s) {
   sessions_.erase(&s);
-  acceptAgain();
-  if (draining_ && !listener_ && sessions_.empty()) done_();
+  if (acceptor_)
+    acceptor_->resume();
+  else if (draining_ && sessions_.empty())
+    done_();
 }
 
 void Clients::drain(std::function<void()> done) {
@@ -155,8 +171,8 @@
 
 // At the last call, and once more when what was taken should be finished.
 void Clients::stopListening() {
-  if (!listener_) return done_();
-  listener_.reset();
+  if (!acceptor_) return done_();
+  acceptor_.reset();
   std::vector<Session*> all;
   for (const auto& [s, owned] : sessions_) all.push_back(s);
   for (Session* s : all)
--- a/src/front/pg/clients.hpp
+++ b/src/front/pg/clients.hpp
@@ -6,9 +6,12 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "core/acceptor.hpp"
+#include "core/account.hpp"
 #include "core/engine.hpp"
 #include "core/event.hpp"
 #include "core/workers.hpp"
+#include "front/gate.hpp"
 #include "wire/pg/startup.hpp"
 
 namespace sablespur {
@@ -17,20 +20,23 @@
 
 class Clients {
  public:
-  Clients(event_base*, Engine&, Workers&, const Config&);  // throws std::runtime_error where it cannot listen
+  // `gate` may be null. Throws std::runtime_error where it cannot listen.
+  Clients(event_base*, Engine&, Workers&, Account&, Spare&, Gate* gate, const Config&);
   ~Clients();
   // Serves on while new connections still come, then closes connections between requests and finishes what is
   // taken. `done` follows when no connection is left.
   void drain(std::function<void()> done);
   int port() const;
+  void shortage();                                 // there is no descriptor: an idle client makes way
   void users(std::shared_ptr<const auth::Users>);  // of logins from now on
 
  private:
   friend class Session;
-  void accepted(evutil_socket_t);
-  void acceptFailed();
+  void accepted(evutil_socket_t, const sockaddr*);
+  void turnAway(evutil_socket_t,
+                Time comeBack);  // without reading who it is; the descriptor stays the caller's
   void closed(Session&);
-  void acceptAgain();
+  bool room();
   bool makeRoom();
   void round();
   void firstAsked(const Session& by);
@@ -41,13 +47,18 @@
   event_base* const base_;
   Engine& engine_;
   Workers& workers_;
+  // Requests go by the Gate where there is one.
+  RequestId request(Requester&, const knotstack::Request&, Message, PlaceId);
+  void left(RequestId);
+
+  Account& account_;
+  Gate* const gate_;
   const Config& config_;
   std::shared_ptr<const auth::Users> users_;
-  const std::size_t most_;    // connections at once
-  std::size_t asking_ = 0;    // sessions that have asked something
-  std::size_t reserved_ = 0;  // bytes of long statements on their way, of Config::largeStatements
-  Listener listener_;
-  Event pause_, lastCall_, round_;
+  std::size_t asking_ = 0;   // sessions that have asked something
+  std::size_t outside_ = 0;  // sessions that the Gate has not let in
+  std::unique_ptr<Acceptor> acceptor_;
+  Event lastCall_, round_;
   bool draining_ = false;
   std::function<void()> done_;
   std::unordered_set<std::string> openIds_;           // of the requests that are out
--- a/src/front/pg/session.cpp
+++ b/src/front/pg/session.cpp
@@ -11,15 +11,13 @@
 #include "wire/pg/pg.hpp"
 #include "wire/pg2/codec.hpp"
 #include "wire/pg2/pg2.hpp"
+#include "wire/proxy_protocol/header.hpp"
 
 namespace sablespur {
 namespace {
 
-constexpr std::size_t kTail = 512;       // the comment at a statement's end is shorter
-constexpr std::size_t kStart = 256;      // the quoted key at its start comes before
-constexpr timeval kWriteTimeout{10, 0};  // a client that takes nothing of its answer
-// A client that has not asked anything by then, or not sent the rest of what it began, is given up.
-constexpr Time kFirstAsk = std::chrono::milliseconds(2000), kHalfMessage = std::chrono::milliseconds(1500);
+constexpr std::size_t kTail = 512;   // the comment at a statement's end is shorter
+constexpr std::size_t kStart = 256;  // the quoted key at its start comes before
 // So long a new client is left to say who it is, however many others come.
 constexpr Time kNewcomer = std::chrono::milliseconds(25);
 // After its last word to a client that still sends, so much is read and thrown away before the close: closing
@@ -51,9 +49,12 @@
 
 }  // namespace
 
-Session::Session(Clients& owner, evutil_socket_t fd)
+Session::Session(Clients& owner, evutil_socket_t fd, const Address& from, bool hidden)
     : owner_(owner),
+      descriptor_(owner.account_, Holder::Clients),
       bev_(bufferevent_socket_new(owner.base_, fd, BEV_OPT_CLOSE_ON_FREE)),
+      from_(from),
+      hidden_(hidden),
       codec_(&kVersion30) {
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -62,22 +63,61 @@
       [](bufferevent*, void* self) { static_cast<Session*>(self)->flushed(); },
       [](bufferevent*, short what, void* self) { static_cast<Session*>(self)->event(what); }, this);
   bufferevent_setwatermark(bev_.get(), EV_READ, 0, kReadAhead);
-  bufferevent_set_timeouts(bev_.get(), nullptr, &kWriteTimeout);
+  const auto us = owner_.config_.unreadAnswer.count();
+  const timeval unread{static_cast<time_t>(us / 1000000), static_cast<suseconds_t>(us % 1000000)};
+  bufferevent_set_timeouts(bev_.get(), nullptr, &unread);
   bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
   lastActive_ = owner_.engine_.now();
+  if (hidden) outside(true);
 }
 Session::~Session() {
-  if (request_ != 0) owner_.engine_.left(request_);
+  if (request_ != 0) owner_.left(request_);
+  outside(false);
+  if (owner_.gate_) owner_.gate_->left(place_);
   owner_.asking_ -= asked_;
-  owner_.reserved_ -= held_;
+  owner_.account_.giveBytes(held_);
   owner_.keys_.erase(key_.process);
   forget();
   release();
 }
 
+// ---- the door -----------------------------------------------------------------------------------------
+void Session::outside(bool is) {
+  owner_.outside_ += is;
+  owner_.outside_ -= outside_;
+  outside_ = is;
+}
+void Session::enterDoor() {
+  const Admission a = owner_.gate_->arrived(*this, from_);
+  place_ = a.place;
+  comeBack_ = a.comeBack;
+  outside(place_ == 0);
+}
+bool Session::admitted() {
+  if (!owner_.gate_) return true;
+  if (!user_.empty() || place_ != 0) {
+    const Admission a = owner_.gate_->named(*this, place_, from_, user_);
+    place_ = a.place;
+    if (a.comeBack > Time(0)) comeBack_ = a.comeBack;
+    outside(place_ == 0);
+  }
+  if (place_ != 0) return true;
+  translate::Problem p = problem("FATAL", "53300", "too many connections of this client's group");
+  p.comeBackMs = static_cast<std::uint32_t>(std::max<std::int64_t>((comeBack_.count() + 999) / 1000, 1));
+  tell(p);
+  lingers();
+  return false;
+}
+void Session::giveUpPlace() {
+  place_ = 0;
+  outside(true);
+  end();
+}
+
 // ---- answers ------------------------------------------------------------------------------------------
 void Session::served(Answer answer) {
   request_ = 0;
+  if (owner_.gate_) owner_.gate_->served(place_);
   write(std::move(answer));
   answered();
 }
@@ -96,7 +136,7 @@
 }
 void Session::cancelled() {
   if (request_ == 0) return;  // its answer is out: there is nothing to give up
-  owner_.engine_.left(request_);
+  owner_.left(request_);
   request_ = 0;
   tell(problem("ERROR", "57014", "canceling statement due to user request"));
   answered();
@@ -161,6 +201,7 @@
   if (side_.bytea) wanted_.bytea = side_.bytea;
   described_ = true;
   mostRows_ = 0;
+  if (owner_.gate_) owner_.gate_->idle(place_);
   settle();
 }
 
@@ -183,8 +224,8 @@
   paused_ = false;
   if (lingering_) return now - lastActive_ < kLinger;
   if (request_ != 0 || ending_ || evbuffer_get_length(output()) > 0) return true;
-  if (!asked_ && now - lastActive_ >= kFirstAsk) return false;
-  return halfSince_ == Time(0) || now - halfSince_ < kHalfMessage;
+  if (!asked_ && now - lastActive_ >= owner_.config_.firstQuery) return false;
+  return halfSince_ == Time(0) || now - halfSince_ < owner_.config_.halfMessage;
 }
 void Session::event(short what) {
   if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) owner_.closed(*this);
@@ -204,7 +245,7 @@
 void Session::settle() {
   if (evbuffer_get_length(input()) > 0)
     readSoon();
-  else if (owner_.draining_ && !owner_.listener_ && !batch_)
+  else if (owner_.draining_ && !owner_.acceptor_ && !batch_)
     end();
 }
 // What cannot be read to its end is fatal. Otherwise nothing more is taken before the next round: guards
@@ -213,7 +254,11 @@
   tell(problem(fatal ? "FATAL" : "ERROR", code, text));
   paused_ = true;
   if (!fatal) return answered();
+  lingers();
+}
+void Session::lingers() {
   release();
+  login_.reset();
   ending_ = lingering_ = true;
   lastActive_ = owner_.engine_.now();
   bufferevent_enable(bev_.get(), EV_READ);
@@ -230,26 +275,29 @@
 // its part of what the configuration leaves for all such, from its head to its answer.
 bool Session::reserve(std::size_t whole) {
   if (whole <= kReadAhead || reserved_ > 0) return true;
-  if (whole > owner_.config_.largeStatements - owner_.reserved_) return false;
-  owner_.reserved_ += reserved_ = whole;
+  if (!owner_.account_.takeBytes(whole)) return false;
+  reserved_ = whole;
   bufferevent_setwatermark(bev_.get(), EV_READ, 0, whole);
   return true;
 }
 void Session::release() {
   if (reserved_ == 0) return;
-  owner_.reserved_ -= reserved_;
+  owner_.account_.giveBytes(reserved_);
   reserved_ = 0;
   bufferevent_setwatermark(bev_.get(), EV_READ, 0, kReadAhead);
 }
-void Session::hold(std::size_t bytes) {
-  owner_.reserved_ += bytes - held_;
+bool Session::hold(std::size_t bytes) {
+  if (bytes > held_ && !owner_.account_.takeBytes(bytes - held_)) return false;
+  if (bytes < held_) owner_.account_.giveBytes(held_ - bytes);
   held_ = bytes;
+  return true;
 }
 
 void Session::read() {
   if (lingering_) return discard();
   while (request_ == 0 && !ending_ && !paused_ && evbuffer_get_length(output()) < kUnread) {
-    const bool took = speaks_ == Speaks::Nothing    ? takeStartup()
+    const bool took = hidden_                       ? takeHeader()
+                      : speaks_ == Speaks::Nothing  ? takeStartup()
                       : login_                      ? takeLogin()
                       : speaks_ == Speaks::Version3 ? takeMessage()
                                                     : takeMessage2();
@@ -271,8 +319,32 @@
 }
 
 // ---- the startup --------------------------------------------------------------------------------------
+bool Session::takeHeader() {
+  const std::size_t have = std::min(evbuffer_get_length(input()), proxyproto::kLongestV2);
+  if (have == 0) return false;
+  const proxyproto::Header h = proxyproto::parse(pull(have));
+  if (h.bad) {
+    reject("08P01", "expected a PROXY header", true);
+    return false;
+  }
+  if (h.length == 0) return false;
+  evbuffer_drain(input(), h.length);
+  hidden_ = false;
+  if (h.client) from_ = *h.client;
+  outside(false);
+  enterDoor();
+  return true;
+}
+
 bool Session::takeStartup() {
   char head[8];
+  // Guards against a TLS client that waits for a handshake: it reads no ErrorResponse, but an alert
+  // (RFC 8446, 6: fatal, handshake_failure).
+  if (evbuffer_copyout(input(), head, 2) == 2 && head[0] == 0x16 && head[1] == 0x03) {
+    append(output(), std::string_view("\x15\x03\x01\x00\x02\x02\x28", 7));
+    lingers();
+    return false;
+  }
   if (evbuffer_copyout(input(), head, sizeof head) < static_cast<ev_ssize_t>(sizeof head)) return false;
   const std::uint32_t length = pg::readInt32(head), code = pg::readInt32(head + 4);
   if (length < sizeof head || length > pg::kLongestStartup) {
@@ -343,7 +415,10 @@
 }
 
 void Session::enter(const std::string& user) {
-  if (!wantsPassword(owner_.config_)) return welcome();
+  const bool password = wantsPassword(owner_.config_);
+  // One that has no place may have one by its name, once that is proved.
+  if (owner_.gate_ && place_ == 0 && !(password && owner_.gate_->knowsNames()) && !admitted()) return;
+  if (!password) return welcome();
   user_ = user;
   std::string why;
   login_ = openLogin(owner_.config_, *owner_.users_, user, speaks_ == Speaks::Version2, why);
@@ -391,7 +466,7 @@
       return;
     case Login::Next::In:
       login_.reset();
-      return welcome();
+      return admitted() ? welcome() : void();
     case Login::Next::Salt:
       salting_ = owner_.workers_.run(login_->slow(), [this](const std::string& result) {
         salting_.reset();
@@ -415,6 +490,7 @@
                              pg2::keyData({key_.process, pg::readInt32(key_.secret.data())}) + pg2::ready());
   lastActive_ = owner_.engine_.now();
   sideTold();
+  if (owner_.gate_) owner_.gate_->idle(place_);
   settle();
 }
 
@@ -551,9 +627,7 @@
   }
   evbuffer_drain(input(), whole);
   // Guards the memory: what clients have prepared counts like long statements.
-  if (p.bytes() > held_ && p.bytes() - held_ > owner_.config_.largeStatements - owner_.reserved_)
-    return reject("53200", "too many prepared statements at once", true);
-  hold(p.bytes());
+  if (!hold(p.bytes())) return reject("53200", "too many prepared statements at once", true);
   if (!asked) {
     release();
     if (type == 'S') settle();
@@ -641,7 +715,8 @@
   }
   owner_.openIds_.insert(id);
   id_ = std::move(id);
-  request_ = owner_.engine_.request(*this, q, std::move(message));
+  if (owner_.gate_) owner_.gate_->busy(place_);
+  request_ = owner_.request(*this, q, std::move(message), place_);
 }
 void Session::forget() {
   if (!id_.empty()) owner_.openIds_.erase(id_);
--- a/src/front/pg/session.hpp
+++ b/src/front/pg/session.hpp
@@ -7,9 +7,11 @@
 #include <string>
 #include <string_view>
 
+#include "core/account.hpp"
 #include "core/engine.hpp"
 #include "core/event.hpp"
 #include "core/workers.hpp"
+#include "front/gate.hpp"
 #include "front/pg/login.hpp"
 #include "front/pg/prepared.hpp"
 #include "translate/settings.hpp"
@@ -21,11 +23,17 @@
 class Clients;
 
 // What is pipelined behind a request waits in the input, which is bounded.
-class Session final : public Requester {
+class Session final : public Requester, public Guest {
  public:
-  Session(Clients& owner, evutil_socket_t fd);
+  // `hidden`: it comes from a front, and a PROXY header tells whom it stands for.
+  Session(Clients& owner, evutil_socket_t fd, const Address& from, bool hidden);
   ~Session() override;
 
+  // Asks the Gate for a place. Without one the client is told so once it has said what it speaks.
+  void enterDoor();
+  Time comeBack() const { return comeBack_; }
+  void giveUpPlace() override;
+
   void served(Answer) override;
   void refused(Time retryAfter) override;
   void failed() override;
@@ -59,7 +67,7 @@
   void discard();
   bool reserve(std::size_t whole);
   void release();
-  void hold(std::size_t bytes);  // for what is prepared
+  bool hold(std::size_t bytes);  // for what is prepared; false: there is no room
 
   // An answer or an error is written; what waits behind comes next.
   void answered();
@@ -68,10 +76,14 @@
   void take(const Prepared::Said&);
 
   // Each takes one message, or leaves it (false) for when the rest has come.
+  bool takeHeader();  // of the PROXY protocol
   bool takeStartup();
   bool takeVersion3(std::string_view packet);
   bool takeVersion2(std::string_view packet);
   void enter(const std::string& user);  // by a login, or at once
+  bool admitted();                      // by the name that it has proved, or before; else it is told no
+  void outside(bool);                   // whether it is without a place
+  void lingers();
   bool takeLogin();
   void said(const Login::Said&);
   void welcome();
@@ -89,7 +101,13 @@
   void write(Answer);
 
   Clients& owner_;
+  Account::Place descriptor_;
   BufferEvent bev_;
+  Address from_;          // its own, or that which a front told
+  PlaceId place_ = 0;     // with the Gate; 0: none
+  bool hidden_ = false;   // its PROXY header is still to come
+  bool outside_ = false;  // the Gate has not let it in
+  Time comeBack_{};       // what it is told then
   Speaks speaks_ = Speaks::Nothing;
   const translate::ClientCodec* codec_;
   pg::Key key_;
@@ -111,7 +129,7 @@
   bool reading_ = true;       // EV_READ is enabled
   std::string id_;            // of the request that is out
   RequestId request_ = 0;     // that is out; 0: none
-  std::size_t reserved_ = 0;  // of Clients::reserved_, for the message at hand
+  std::size_t reserved_ = 0;  // of the account's bytes, for the message at hand
   std::size_t held_ = 0;      // the same, for what is prepared
   std::size_t discarded_ = 0;
   Time lastActive_{};  // when it came, or had its last answer
--- a/src/membership/list.hpp
+++ b/src/membership/list.hpp
@@ -7,8 +7,8 @@
 #include <string_view>
 #include <vector>
 
+#include "base/address.hpp"
 #include "knotstack/balancer.hpp"
-#include "membership/address.hpp"
 
 namespace sablespur {
 
--- /dev/null
+++ b/src/wire/proxy_protocol/header.cpp
@@ -0,0 +1,118 @@
+#include "wire/proxy_protocol/header.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <vector>
+
+namespace sablespur::proxyproto {
+namespace {
+
+constexpr std::string_view kSignature("\r\n\r\n\0\r\nQUIT\n", 12);
+constexpr std::string_view kWord = "PROXY ";
+
+bool begins(std::string_view bytes, std::string_view with) {
+  const std::size_t n = std::min(bytes.size(), with.size());
+  return bytes.substr(0, n) == with.substr(0, n);
+}
+Header bad() {
+  Header h;
+  h.bad = true;
+  return h;
+}
+bool readPort(std::string_view text) {
+  unsigned v = 0;
+  const char* const end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, v);
+  // Section 2.1: a decimal of 0 to 65535 without leading zeros.
+  return error == std::errc() && stop == end && v <= 65535 && (text.size() == 1 || text[0] != '0');
+}
+
+// "PROXY TCP4 203.0.113.7 10.0.0.1 51000 5432\r\n"
+Header parse1(std::string_view bytes) {
+  const std::size_t end = bytes.substr(0, kLongestV1).find("\r\n");
+  if (end == std::string_view::npos) return bytes.size() < kLongestV1 ? Header() : bad();
+  std::vector<std::string_view> words;
+  std::string_view line = bytes.substr(0, end);
+  for (std::size_t at = 0; at <= line.size();) {
+    const std::size_t stop = std::min(line.find(' ', at), line.size());
+    words.push_back(line.substr(at, stop - at));
+    at = stop + 1;
+  }
+  Header h;
+  h.length = end + 2;
+  if (words.size() >= 2 && words[1] == "UNKNOWN") return h;  // what stands behind it is to be ignored
+  if (words.size() != 6 || (words[1] != "TCP4" && words[1] != "TCP6")) return bad();
+  const bool six = words[1] == "TCP6";
+  const auto address = [&](std::string_view host, std::string_view port) -> std::optional<Address> {
+    if (!readPort(port) || (host.find(':') != std::string_view::npos) != six) return std::nullopt;
+    return Address::parse((six ? "[" : "") + std::string(host) + (six ? "]:" : ":") + std::string(port));
+  };
+  h.client = address(words[2], words[4]);
+  if (!h.client || !address(words[3], words[5])) return bad();
+  return h;
+}
+
+// Section 2.2: signature, 0x2V, family and transport, length, addresses, TLVs.
+Header parse2(std::string_view bytes) {
+  if (bytes.size() < kHeadV2) return {};
+  const auto byte = [&](std::size_t k) { return static_cast<unsigned char>(bytes[k]); };
+  const std::size_t body = static_cast<std::size_t>(byte(14)) << 8 | byte(15);
+  const unsigned version = byte(12) >> 4, command = byte(12) & 15, family = byte(13) >> 4;
+  if (version != 2 || command > 1 || kHeadV2 + body > kLongestV2) return bad();
+  if (bytes.size() < kHeadV2 + body) return {};
+  Header h;
+  h.length = kHeadV2 + body;
+  if (command == 0) return h;  // LOCAL: a check of the front's own
+  const std::size_t each = family == 1 ? 4 : family == 2 ? 16 : 0;
+  if (each == 0) return h;  // UNSPEC or a UNIX socket
+  if (body < 2 * each + 4) return bad();
+  const std::size_t port = kHeadV2 + 2 * each;
+  h.client = Address::fromBytes(bytes.substr(kHeadV2, each),
+                                static_cast<std::uint16_t>(byte(port) << 8 | byte(port + 1)));
+  return h;
+}
+
+std::string host(const Address& a) {
+  const std::string text = a.text();
+  const std::size_t colon = text.rfind(':');
+  return a.v6() ? text.substr(1, colon - 2) : text.substr(0, colon);
+}
+std::string raw(const Address& a) {
+  if (a.v6()) {
+    const auto* const in = reinterpret_cast<const sockaddr_in6*>(a.data());
+    return {reinterpret_cast<const char*>(&in->sin6_addr), 16};
+  }
+  const auto* const in = reinterpret_cast<const sockaddr_in*>(a.data());
+  return {reinterpret_cast<const char*>(&in->sin_addr), 4};
+}
+
+}  // namespace
+
+Header parse(std::string_view bytes) {
+  if (begins(bytes, kSignature)) return parse2(bytes);
+  if (begins(bytes, kWord)) return parse1(bytes);
+  return bad();
+}
+
+std::string version1(const Address& client, const Address& server) {
+  return "PROXY TCP" + std::string(client.v6() ? "6 " : "4 ") + host(client) + " " + host(server) + " " +
+         std::to_string(client.port()) + " " + std::to_string(server.port()) + "\r\n";
+}
+
+std::string version2(const Address& client, const Address& server) {
+  std::string s(kSignature);
+  const std::string a = raw(client), b = raw(server);
+  const std::size_t body = a.size() + b.size() + 4;
+  s += '\x21';
+  s += client.v6() ? '\x21' : '\x11';
+  s += static_cast<char>(body >> 8);
+  s += static_cast<char>(body);
+  s += a + b;
+  for (const std::uint16_t port : {client.port(), server.port()}) {
+    s += static_cast<char>(port >> 8);
+    s += static_cast<char>(port);
+  }
+  return s;
+}
+
+}  // namespace sablespur::proxyproto
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -2,11 +2,13 @@
 #include "config/config.hpp"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <fstream>
 #include <sstream>
 
+#include "admission/settings.hpp"
 #include "app/members.hpp"
 #include "base/units.hpp"
 #include "scenario.hpp"
@@ -171,6 +173,56 @@
         << "wanted " << wanted << "\ngot " << faults(text);
 }
 
+// The door's: what a person gets wrong in it, each named by its line.
+TEST(Settings, FaultsOfTheDoorNameFileLineKeyAndFix) {
+  const auto door = [](const std::string& more) {
+    return faults(kGood + "\n[admission]\ndoor = yes\n" + more);
+  };
+  EXPECT_EQ(door("[admission_group desks]\nnetworks = 10.1.0.0/16\nreserve = 4\n"), "");
+  const std::vector<std::pair<std::string, std::string>> cases{
+      {door("[admission_group desks]\nnetworks = 10.1.0.7/16\n"),
+       "[admission_group desks] networks: '10.1.0.7/16' has bits beyond its prefix; write networks such as"},
+      {door("[admission_group a]\nnetworks = 10.1.0.0/16\n[admission_group b]\nnetworks = 10.1.0.0/16\n"),
+       "[admission_group b] networks: '10.1.0.0/16' belongs to another group already"},
+      {door("[admission_group desks]\nnetworks_file = none.txt\n"),
+       "[admission_group desks] networks_file: 'none.txt' cannot be read; see that it exists"},
+      {door("[admission_group desks]\nusers = desk\n"),
+       "[admission_group desks] users: a name proves nothing without a password; write [clients] login"},
+      {door("[admission_group others]\nnetworks = 10.1.0.0/16\n"),
+       "[admission_group others]: it is whoever is in no other group; leave out its networks and users"},
+      {door("[admission_group desks]\nconnections = 3\nreserve = 4\n"),
+       "[admission_group desks] reserve: it is more than the group may hold"},
+      {door("connections = 10\n[admission_group desks]\nreserve = 11\n"),
+       "[admission] connections: the groups' reserves come to 11, and there are 10 places"},
+      {door("antechamber = 5000\n"), "[admission] antechamber: it leaves no room"},
+      {door("fronts = desk\n"), "[admission] fronts: 'desk' is no network"},
+      {door("served_before = desks\n"), "[admission] served_before: there is no [admission_group desks]"},
+      {door("come_back_least = 20s\n"), "[admission] come_back_most: it is shorter than come_back_least"},
+      {door("requests = gradient\nlimit_least = 20\nlimit_most = 10\n"),
+       "[admission] limit_most: it is less than limit_least"},
+      {faults(kGood + "\n[admission_group desks]\n"),
+       "[admission_group desks]: there is no door to keep it apart; write door = yes in [admission]"},
+  };
+  for (const auto& [got, wanted] : cases)
+    EXPECT_NE(got.find(wanted), std::string::npos) << "wanted " << wanted << "\ngot " << got;
+}
+TEST(Settings, ThousandsOfNetworksComeFromAFileAndAFaultInItHasItsLine) {
+  const std::string path = "/tmp/sablespur-networks-" + std::to_string(getpid());
+  const auto read = [&](const std::string& text) {
+    std::ofstream(path) << text;
+    return kGood + "\n[admission]\ndoor = yes\n[admission_group desks]\nnetworks_file = " + path + "\n";
+  };
+  std::string all = "# the desks\n\n";
+  for (int k = 0; k < 5000; ++k)
+    all += "10." + std::to_string(k / 250) + "." + std::to_string(k % 250) + ".0/24  # desk\r\n";
+  const Config c = parseSettings(read(all), "f.ini");
+  ASSERT_TRUE(c.admission);
+  EXPECT_EQ(c.admission->networks->size(), 5000u);
+  EXPECT_EQ(c.admission->door.groups.back().name, "others");
+  EXPECT_NE(faults(read(all + "10.1.0\n")).find(path + ":5003: '10.1.0' is no network"), std::string::npos);
+  unlink(path.c_str());
+}
+
 // One round of mending has to do: all faults are told, in the order of the lines, not the first alone.
 TEST(Settings, TellAllFaultsInTheOrderOfTheLines) {
   std::string text = with("aim = 400ms", "aim = soon");
