Limit requests by lane; learn how many connections there really is room for; play ships in the lab

The first limit, one for the whole proxy, did harm: at three times the load writes that waited for crowded primaries held its places and 2,806 requests went on where 5,368 had without a limit. And in a table that fills for a reason outside the account, reserves held in the account alone: a desk waited up to 11 s.

Change: a lane for each group of data servers, with and without its primary, each with its own limit and queue; the queue holds only what can still be answered within its aim; refusals by the module shrink the limit, so that weights decide who is turned away. A ceiling on connections falls with each want of descriptors, down to the reserves, and climbs again.

Tests of parts and whole programs pass.

--- /dev/null
+++ b/bench/admission.cpp
@@ -0,0 +1,126 @@
+// What a decision at the door costs, by how much it has to look at.
+#include <benchmark/benchmark.h>
+
+#include <pcg_random.hpp>
+#include <random>
+#include <string>
+
+#include "admission/door.hpp"
+#include "admission/known.hpp"
+#include "admission/lanes.hpp"
+
+namespace {
+
+using namespace sablespur::admission;
+using namespace std::chrono_literals;
+
+IpAddress address(std::uint32_t n) { return asio::ip::address_v4(n); }
+
+// So many networks of a dozen lengths, as a list that was put together over years has them.
+std::shared_ptr<const Networks> networks(std::size_t entries) {
+  auto all = std::make_shared<Networks>();
+  pcg64 random(7);
+  std::string why;
+  while (all->size() < entries) {
+    const int bits = std::uniform_int_distribution<int>(20, 32)(random);
+    const auto first = static_cast<std::uint32_t>(random()) & ~((1ull << (32 - bits)) - 1);
+    all->add(address(static_cast<std::uint32_t>(first)).to_string() + "/" + std::to_string(bits), 0, why);
+  }
+  return all;
+}
+
+void find(benchmark::State& state) {
+  const auto all = networks(static_cast<std::size_t>(state.range(0)));
+  pcg64 random(1);
+  for (auto _ : state) benchmark::DoNotOptimize(all->find(address(static_cast<std::uint32_t>(random())), 1));
+}
+BENCHMARK(find)->Arg(10)->Arg(1000)->Arg(100000)->Name("network_of_an_address/entries");
+
+DoorSettings settings() {
+  DoorSettings s;
+  s.most = 20000;
+  s.groups.resize(3);
+  for (std::size_t k = 0; k < 3; ++k) s.groups[k].name = std::string(1, static_cast<char>('a' + k));
+  s.groups[0].reserve = 100;
+  s.groups[1].mostByAddress = 8;
+  s.groups[1].mostByPrefix = 4000;
+  return s;
+}
+// One comes and one goes while so many are held.
+void comeAndGo(benchmark::State& state) {
+  const auto held = static_cast<ConnectionId>(state.range(1));
+  Door door(settings(), networks(static_cast<std::size_t>(state.range(0))));
+  pcg64 random(1);
+  ConnectionId id = 0;
+  while (door.held() < held) {
+    door.arrived(1s, ++id, address(static_cast<std::uint32_t>(random())));
+    door.idle(1s, id);
+  }
+  Time now = 10s;
+  ConnectionId oldest = 0;
+  for (auto _ : state) {
+    now += 10us;
+    benchmark::DoNotOptimize(door.arrived(now, ++id, address(static_cast<std::uint32_t>(random()))));
+    door.idle(now, id);
+    door.left(++oldest);
+  }
+}
+BENCHMARK(comeAndGo)
+    ->Args({10, 10000})
+    ->Args({1000, 10000})
+    ->Args({100000, 10000})
+    ->Args({1000, 100})
+    ->Name("connection_comes_and_goes/entries/held");
+
+// The door is full: an idle one is found to make way, or the newcomer is refused.
+void full(benchmark::State& state) {
+  DoorSettings s = settings();
+  s.most = 10000;
+  Door door(s, networks(1000));
+  pcg64 random(1);
+  ConnectionId id = 0;
+  while (door.held() < s.most - 100) {
+    door.arrived(1s, ++id, address(static_cast<std::uint32_t>(random())));
+    if (state.range(0) != 0) door.idle(1s, id);
+  }
+  Time now = 10s;
+  for (auto _ : state) {
+    now += 10us;
+    const Welcome w = door.arrived(now, ++id, address(static_cast<std::uint32_t>(random())));
+    if (w.admitted) door.idle(now, id);
+    benchmark::DoNotOptimize(w);
+  }
+}
+BENCHMARK(full)->Arg(1)->Arg(0)->Name("full_with_10000_held/idle_ones");
+
+void served(benchmark::State& state) {
+  Known known{KnownSettings{}};
+  pcg64 random(1);
+  Time now = 1s;
+  for (auto _ : state) known.served(now += 10us, address(static_cast<std::uint32_t>(random())));
+}
+BENCHMARK(served)->Name("served_before_is_noted");
+
+// A request that goes on at once and ends, with so many out.
+void request(benchmark::State& state) {
+  RequestSettings s;
+  s.limit.kind = LimitKind::Gradient;
+  s.limit.first = s.limit.least = 2000;
+  s.limit.most = 4000;
+  s.groups.resize(3);
+  Lanes lanes(s);
+  RequestKey key = 0, oldest = 0;
+  Time now = 1s;
+  for (; key < static_cast<RequestKey>(state.range(0));) lanes.ask(now, ++key, key % 20, key % 3, now + 1s);
+  for (auto _ : state) {
+    now += 10us;
+    ++key;
+    lanes.ask(now, key, key % 20, key % 3, now + 1s);
+    benchmark::DoNotOptimize(lanes.ended(now, ++oldest, 60ms, false));
+  }
+}
+BENCHMARK(request)->Arg(10)->Arg(1000)->Name("request_goes_and_ends/out");
+
+}  // namespace
+
+BENCHMARK_MAIN();
--- a/lab/clients.hpp
+++ b/lab/clients.hpp
@@ -28,6 +28,8 @@
   std::string way = "simple";       // or extended, binary
   double cancels = 0, missing = 0;  // shares: called off after a moment; of a column that is not there
   std::vector<std::pair<std::string, std::string>> startup;  // more parameters of it
+  std::string address;  // the first of those that it comes from; empty: where the system says
+  int addresses = 1;
 };
 
 class Clients {
@@ -40,6 +42,14 @@
   void stop();  // no new requests; what is out goes on
   void rate(double r) { s_.rate = r; }
   std::size_t open() const { return out_; }
+  // All desks at once: every idle connection is dropped, and so many new ones come.
+  void reconnect(int connections);
+  // How long connections took to be let in, from the first try on, ms; and how many were refused on the way.
+  const std::vector<double>& admissions() const { return admissions_; }
+  std::size_t refusedAtDoor() const { return refusedAtDoor_; }
+  std::size_t outside() const;  // connections that are not let in yet
+  std::size_t asked() const { return asked_; }
+  std::size_t served() const { return served_; }
   const std::vector<double>& latencies() const { return latencies_; }  // ms, of what was served
 
  private:
@@ -68,7 +78,12 @@
   Timer next_;
   Time due_{};  // of the next arrival
   bool running_ = false;
-  std::size_t out_ = 0;
+  std::size_t out_ = 0, asked_ = 0, served_ = 0, refusedAtDoor_ = 0;
+  int nextAddress_ = 0;
+  std::vector<double> admissions_;
+  std::multimap<Time, std::pair<Time, int>> comingBack_;  // to the door: when, since when, from which address
+  Timer door_;
+  void openAgain();
   std::uint64_t ids_ = 0;
   std::list<std::unique_ptr<Connection>> connections_;
   std::vector<Connection*> idle_;
--- a/lab/context.hpp
+++ b/lab/context.hpp
@@ -87,5 +87,9 @@
 std::string hostText(const sockaddr_in&);     // "127.0.1.7"
 std::string addressText(const sockaddr_in&);  // with the port
 void put(bufferevent*, std::string_view);
+// A socket that comes from this address, at a port that the system chooses when it connects; -1: there is
+// none.
+int socketFrom(std::uint32_t address);
+std::uint32_t addressNumber(const std::string& text);  // "127.1.0.1"
 
 }  // namespace sablespur::lab
--- /dev/null
+++ b/lab/crowd.cpp
@@ -0,0 +1,191 @@
+#include "lab/crowd.hpp"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdlib>
+
+#include "wire/pg/pg.hpp"
+
+namespace sablespur::lab {
+namespace {
+
+constexpr Time kSlack = std::chrono::milliseconds(70);  // after the deadline an answer still counts as one
+constexpr std::int64_t kReturnWindow = 100000;          // microseconds
+
+}  // namespace
+
+struct Crowd::One {
+  One(Crowd& o, std::uint32_t from, int fd) : owner(o), address(from), timer(o.c_, [this] { late(); }) {
+    bev.reset(bufferevent_socket_new(o.c_.loop.get(), fd, BEV_OPT_CLOSE_ON_FREE));
+    bufferevent_setcb(
+        bev.get(), [](bufferevent*, void* self) { static_cast<One*>(self)->read(); }, nullptr,
+        [](bufferevent*, short what, void* self) {
+          auto& one = *static_cast<One*>(self);
+          if (what & BEV_EVENT_CONNECTED) one.connected = true;
+          if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) one.gone();
+        },
+        this);
+    if (o.s_.way != "silent") put(bev.get(), pg::startup("api", "ledger"));
+    bufferevent_enable(bev.get(), o.s_.way == "mute" ? EV_WRITE : EV_READ | EV_WRITE);
+    if (o.s_.way == "mute") ask();
+    bufferevent_socket_connect(bev.get(), reinterpret_cast<const sockaddr*>(&o.target_), sizeof o.target_);
+    if (!asked) timer.in(o.s_.stay);
+  }
+
+  void ask() {
+    const auto reads = std::find_if(owner.classes_.begin(), owner.classes_.end(),
+                                    [](const ClassModel& m) { return !m.write; });
+    cls = &*reads;
+    id = owner.prefix_ + std::to_string(++owner.ids_);
+    const int group = std::uniform_int_distribution<int>(1, std::max(owner.s_.groups, 1))(owner.c_.random);
+    at = owner.c_.now();
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(cls->giveUp).count();
+    put(bev.get(), pg::query("SELECT blob FROM rows WHERE handle = 'crowd' /* id=" + id + ",c=" + cls->name +
+                             ",d=" + std::to_string(ms) + ",cluster=" + std::to_string(group) + " */"));
+    asked = true;
+    ++owner.asking_;
+    owner.audit_.request(at, id);
+    timer.in(cls->giveUp + kSlack);
+  }
+  void answer(Got got) {
+    if (!asked || answered) return;
+    answered = true;
+    --owner.asking_;
+    const Time latency = owner.c_.now() - at;
+    const bool inTime = got == Got::Served && latency <= cls->aim;
+    owner.audit_.answer(owner.c_.now(), id, got, value, latency, inTime, 0, 0);  // its worth is not counted
+    owner.n_.served += got == Got::Served;
+    owner.n_.turnedAway += got == Got::Refused;
+  }
+  // It leaves: its stay is over, or its time is up.
+  void late() {
+    if (asked && !answered) answer(Got::Nothing);
+    owner.ended(*this);
+  }
+  void gone() {
+    if (refused) {
+      owner.waiting_.emplace(owner.c_.now() + comeBack, address);
+      owner.back_.in(owner.waiting_.begin()->first - owner.c_.now());
+    } else if (!connected) {
+      ++owner.n_.failed;
+    } else if (!in) {
+      ++owner.n_.cut;
+    }
+    answer(Got::Failed);
+    owner.ended(*this);
+  }
+  void read() {
+    evbuffer* const from = bufferevent_get_input(bev.get());
+    for (;;) {
+      char bytes[pg::kHead];
+      if (evbuffer_copyout(from, bytes, sizeof bytes) < static_cast<ev_ssize_t>(sizeof bytes)) return;
+      const auto head = pg::parseHead(bytes);
+      if (!head) return gone();
+      const std::size_t whole = sizeof bytes + head->body;
+      if (evbuffer_get_length(from) < whole) return;
+      const auto* const first =
+          reinterpret_cast<const char*>(evbuffer_pullup(from, static_cast<ev_ssize_t>(whole)));
+      take(head->type, {first + sizeof bytes, head->body});
+      evbuffer_drain(from, whole);
+      if (head->type != 'Z') continue;
+      if (!in) {
+        in = true;
+        ++owner.n_.in;
+        if (owner.s_.way == "ask" && owner.running_) ask();
+      } else if (asked && !answered) {
+        answer(served ? Got::Served : turnedAway ? Got::Refused : Got::Failed);
+        timer.in(owner.s_.stay);
+      }
+    }
+  }
+  void take(char type, std::string_view body) {
+    if (type == 'D') {
+      served = true;
+      if (const auto v = pg::parseColumn(body)) value = std::string(*v);
+    }
+    if (type != 'E') return;
+    const bool full = pg::parseError(body).code == "53300";
+    turnedAway = full;
+    if (in || !full) return;
+    refused = true;
+    ++owner.n_.refused;
+    const std::size_t d = body.find(std::string("\0D", 2));
+    if (d != std::string_view::npos) comeBack = std::chrono::milliseconds(std::atoi(body.data() + d + 2));
+  }
+
+  Crowd& owner;
+  const std::uint32_t address;
+  Timer timer;
+  BufferEventPtr bev;
+  std::string id, value;
+  const ClassModel* cls = nullptr;
+  Time at{}, comeBack{};
+  bool connected = false, in = false, refused = false, asked = false, answered = false, served = false,
+       turnedAway = false;
+};
+
+Crowd::Crowd(Context& c, Audit& audit, const std::vector<ClassModel>& classes, const CrowdSettings& s,
+             const std::string& prefix)
+    : c_(c),
+      audit_(audit),
+      classes_(classes),
+      s_(s),
+      prefix_(prefix),
+      next_(c, [this] { arrive(); }),
+      back_(c, [this] { back(); }) {}
+Crowd::~Crowd() = default;
+
+void Crowd::start() {
+  running_ = true;
+  started_ = c_.now();
+  due_ = started_ + s_.from;
+  next_.in(s_.from);
+}
+void Crowd::stop() {
+  running_ = false;
+  waiting_.clear();
+  next_.stop();
+}
+
+void Crowd::arrive() {
+  const Time now = c_.now();
+  for (; running_ && due_ <= now && due_ < started_ + s_.until;
+       due_ += Time(static_cast<std::int64_t>(1e6 / s_.rate))) {
+    connect(addressNumber(s_.address) + std::uniform_int_distribution<std::uint32_t>(
+                                            0, static_cast<std::uint32_t>(s_.addresses) - 1)(c_.random));
+  }
+  if (running_ && due_ < started_ + s_.until) next_.in(due_ - now);
+}
+
+void Crowd::connect(std::uint32_t address) {
+  const int fd = socketFrom(address);
+  if (fd < 0) {
+    ++n_.failed;
+    return;
+  }
+  ++n_.opened;
+  auto one = std::make_unique<One>(*this, address, fd);
+  One* const key = one.get();
+  all_.emplace(key, std::move(one));
+}
+
+// Each at the time that it was told, not before.
+void Crowd::back() {
+  const Time now = c_.now();
+  while (!waiting_.empty() && waiting_.begin()->first <= now) {
+    const auto [told, address] = *waiting_.begin();
+    waiting_.erase(waiting_.begin());
+    if (!running_ || !s_.returns) continue;
+    ++n_.returned;
+    n_.early += now < told;
+    n_.peakReturns = std::max(n_.peakReturns, ++returns_[now.count() / kReturnWindow]);
+    connect(address);
+  }
+  if (!waiting_.empty()) back_.in(waiting_.begin()->first - now);
+}
+
+void Crowd::ended(One& one) { all_.erase(&one); }
+
+}  // namespace sablespur::lab
--- a/lab/experiment.hpp
+++ b/lab/experiment.hpp
@@ -8,6 +8,7 @@
 
 #include "base/fault.hpp"
 #include "lab/clients.hpp"
+#include "lab/crowd.hpp"
 #include "lab/fleet.hpp"
 
 namespace sablespur::lab {
@@ -30,6 +31,11 @@
   ClientSettings settings;
 };
 
+struct CrowdLoad {
+  std::string name;
+  CrowdSettings settings;  // of all proxies together
+};
+
 struct Desks {
   std::string name;
   ClientSettings settings;
@@ -45,6 +51,8 @@
   ClientSettings load;
   std::vector<DirectLoad> direct;
   std::vector<Desks> desks;  // before each proxy
+  std::vector<CrowdLoad> crowds;
+  int inherited = 0, descriptors = 0;  // of each proxy: open from the start; the system's limit
   std::vector<ClassModel> classes;
   std::string settings;  // for the proxies, as INI
   std::vector<Step> script;
--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <stdexcept>
@@ -57,6 +58,23 @@
 std::string addressText(const sockaddr_in& a) {
   return hostText(a) + ":" + std::to_string(ntohs(a.sin_port));
 }
+int socketFrom(std::uint32_t address) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) return -1;
+  sockaddr_in from{};
+  from.sin_family = AF_INET;
+  from.sin_addr.s_addr = htonl(address);
+  const int on = 1;
+  setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
+  if (bind(fd, reinterpret_cast<const sockaddr*>(&from), sizeof from) == 0) return fd;
+  close(fd);
+  return -1;
+}
+std::uint32_t addressNumber(const std::string& text) {
+  in_addr a{};
+  inet_pton(AF_INET, text.c_str(), &a);
+  return ntohl(a.s_addr);
+}
 void put(bufferevent* to, std::string_view bytes) { bufferevent_write(to, bytes.data(), bytes.size()); }
 
 // One connection: greeted at once, a query at a time.
--- a/lab/proxy_process.cpp
+++ b/lab/proxy_process.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -33,6 +34,12 @@
   if (pid_ == 0) {
     dup2(ends[1], 1);
     dup2(ends[1], 2);
+    for (int k = 0; k < inherited_; ++k)
+      if (dup(2) < 0) _exit(126);
+    if (descriptors_ > 0) {
+      const rlimit limit{static_cast<rlim_t>(descriptors_), static_cast<rlim_t>(descriptors_)};
+      setrlimit(RLIMIT_NOFILE, &limit);
+    }
     execl(program_.c_str(), "sablespur", "serve", "--config", settings_.c_str(), static_cast<char*>(nullptr));
     _exit(127);
   }
--- a/lab/proxy_process.hpp
+++ b/lab/proxy_process.hpp
@@ -15,6 +15,11 @@
   ProxyProcess(const ProxyProcess&) = delete;
   ProxyProcess& operator=(const ProxyProcess&) = delete;
 
+  // Of each start: descriptors that are open in it already, and the system's limit; 0: as it is.
+  void limits(int inherited, int descriptors) {
+    inherited_ = inherited;
+    descriptors_ = descriptors;
+  }
   void start(std::function<void(int port)> ready);
   void signal(int) const;
   void kill();  // at once, and waits for it
@@ -29,6 +34,7 @@
   Context& c_;
   const std::string program_, settings_, log_;
   std::function<void(int)> ready_;
+  int inherited_ = 0, descriptors_ = 0;
   int pid_ = -1, err_ = -1, status_ = -1;
   std::string text_;
   bool told_ = false;
--- a/lab/run.cpp
+++ b/lab/run.cpp
@@ -127,8 +127,17 @@
       p.desks.push_back(std::make_unique<Clients>(c_, audit_, fleet_->classes(), desk,
                                                   d.name + std::to_string(k + 1) + "-"));
     }
+    for (const CrowdLoad& d : e_.crowds) {
+      CrowdSettings crowd = d.settings;
+      crowd.rate /= static_cast<double>(proxies_.size());
+      crowd.groups = e_.fleet.groups;
+      p.crowds.push_back(std::make_unique<Crowd>(c_, audit_, fleet_->classes(), crowd,
+                                                 d.name + std::to_string(k + 1) + "-"));
+    }
+    p.process->limits(e_.inherited, e_.descriptors);
     p.process->start([this, k](int port) {
       proxies_[k].address = loopbackAddress(0, 1, port);
+      for (const auto& d : proxies_[k].crowds) d->target(proxies_[k].address);
       for (const auto& d : proxies_[k].desks) d->target(proxies_[k].address);
       proxies_[k].clients->target(loopbackAddress(0, 1, port));
       proxies_[k].ready = true;
@@ -257,6 +266,9 @@
     if (!version) complain("there is no version " + w[2]);
     bursts_.push_back(
         std::make_unique<LoginBurst>(c_, proxies_[0].address, *version, std::atoi(w[1].c_str())));
+  } else if (what == "reconnect") {  // "reconnect 40": all desks at once, so many in all
+    for (Proxy& p : proxies_)
+      p.clients->reconnect(std::atoi(w[1].c_str()) / static_cast<int>(proxies_.size()));
   } else if (what == "rate") {
     for (Proxy& p : proxies_) p.clients->rate(value(1) / static_cast<double>(proxies_.size()));
   } else if (what == "proxy") {  // "proxy 2 kill"
@@ -325,6 +337,7 @@
   for (Proxy& p : proxies_) {
     if (e_.load.rate > 0 || e_.load.loop) p.clients->start();
     for (const auto& d : p.desks) d->start();
+    for (const auto& d : p.crowds) d->start();
   }
   for (const auto& d : direct_) d->start();
   nextStep();
@@ -335,12 +348,14 @@
   for (Proxy& p : proxies_) {
     p.clients->stop();
     for (const auto& d : p.desks) d->stop();
+    for (const auto& d : p.crowds) d->stop();
   }
   for (const auto& d : direct_) d->stop();
   wait(kFinish, [this] {
     return std::all_of(proxies_.begin(), proxies_.end(), [](const Proxy& p) {
       return p.clients->open() == 0 &&
-             std::all_of(p.desks.begin(), p.desks.end(), [](const auto& d) { return d->open() == 0; });
+             std::all_of(p.desks.begin(), p.desks.end(), [](const auto& d) { return d->open() == 0; }) &&
+             std::all_of(p.crowds.begin(), p.crowds.end(), [](const auto& d) { return d->open() == 0; });
     });
   });
   seconds_.stop();
@@ -393,6 +408,34 @@
     f["logins_most_ms"] = q.most();
     if (q.most() > 0) f["logins_per_s"] = 1e3 * static_cast<double>(b->in()) / q.most();
   }
+  // The door, as the load and the crowds met it.
+  double asked = 0, served = 0;
+  Quantiles admitted;
+  for (const Proxy& p : proxies_) {
+    asked += static_cast<double>(p.clients->asked());
+    served += static_cast<double>(p.clients->served());
+    for (const double ms : p.clients->admissions()) admitted.add(ms);
+    f["load_refused_at_door"] += static_cast<double>(p.clients->refusedAtDoor());
+    f["load_outside"] += static_cast<double>(p.clients->outside());
+    for (const auto& d : p.crowds) {
+      const Crowd::Counts& n = d->counts();
+      f["crowd_opened"] += static_cast<double>(n.opened);
+      f["crowd_in"] += static_cast<double>(n.in);
+      f["crowd_refused"] += static_cast<double>(n.refused);
+      f["crowd_cut"] += static_cast<double>(n.cut);
+      f["crowd_not_connected"] += static_cast<double>(n.failed);
+      f["crowd_served"] += static_cast<double>(n.served);
+      f["crowd_requests_turned_away"] += static_cast<double>(n.turnedAway);
+      f["crowd_returned"] += static_cast<double>(n.returned);
+      f["crowd_returned_early"] += static_cast<double>(n.early);
+      f["crowd_peak_returns_100ms"] =
+          std::max(f["crowd_peak_returns_100ms"], static_cast<double>(n.peakReturns));
+    }
+  }
+  if (asked > 0) f["load_served_share"] = served / asked;
+  f["load_admissions"] = static_cast<double>(admitted.count());
+  f["load_admit_p50_ms"] = admitted.at(0.5);
+  f["load_admit_most_ms"] = admitted.most();
   f["crashes"] = static_cast<double>(crashed);
   f["resident_mb"] = peak;
   f["proxy_cpu_share"] = f["proxy_cpu_s"] / seconds / static_cast<double>(proxies_.size());
--- a/lab/run.hpp
+++ b/lab/run.hpp
@@ -56,6 +56,7 @@
     std::unique_ptr<ProxyProcess> process;
     std::unique_ptr<Clients> clients;
     std::vector<std::unique_ptr<Clients>> desks;
+    std::vector<std::unique_ptr<Crowd>> crowds;
     sockaddr_in address{};
     std::string settingsPath;
     bool ready = false;
--- a/src/admission/door.cpp
+++ b/src/admission/door.cpp
@@ -173,10 +173,10 @@
     const bool spare = !g.idle.empty() && now - connections_.at(g.idle.front()).since >= settings_.idleLeast;
     if (!spare) return refuse(g, now, Why::GroupFull);
     w.close = g.idle.front();
-  } else if (connections_.size() + keptForOthers(k) >= settings_.most && g.count.reserveLeft == 0) {
+  } else if (connections_.size() + keptForOthers(k) >= most() && g.count.reserveLeft == 0) {
     w.close = victim(now, k);
     if (w.close == 0) return refuse(g, now, Why::Full);
-  } else if (connections_.size() >= settings_.most) {
+  } else if (connections_.size() >= most()) {
     w.close = victim(now, k);  // its reserve is owed, but others were let in by earlier settings
     if (w.close == 0) return refuse(g, now, Why::Full);
   }
@@ -266,7 +266,7 @@
     while (all.size() < most && g.limits.most > 0 && g.count.held > g.limits.most && !g.idle.empty() &&
            now - connections_.at(g.idle.front()).since >= settings_.idleLeast)
       askBack(g, all);
-  while (all.size() < most && connections_.size() > settings_.most) {
+  while (all.size() < most && connections_.size() > this->most()) {
     Group* const g = widest(now);
     if (!g) break;
     askBack(*g, all);
--- a/src/admission/door.hpp
+++ b/src/admission/door.hpp
@@ -6,6 +6,7 @@
 // that has less by weight.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -83,7 +84,9 @@
   const Count& count(std::size_t group) const { return groups_[group].count; }
   std::size_t held() const { return connections_.size(); }
   std::size_t groups() const { return groups_.size(); }
-  std::size_t most() const { return settings_.most; }
+  // Connections of all groups together: as the settings say, or fewer, where there is not so much.
+  std::size_t most() const { return std::min(settings_.most, ceiling_); }
+  void ceiling(std::size_t most) { ceiling_ = most; }
   const GroupLimits& limits(std::size_t group) const { return groups_[group].limits; }
   std::size_t groupOf(ConnectionId) const;  // groups(): it is not known
   std::size_t groupOf(const IpAddress& a) const { return networks_->find(a, groups_.size() - 1); }
@@ -118,6 +121,7 @@
   IpAddress prefix(const IpAddress& a) const { return prefixOf(a, settings_.prefix4, settings_.prefix6); }
 
   DoorSettings settings_;
+  std::size_t ceiling_ = ~std::size_t{0};
   std::shared_ptr<const Networks> networks_;
   std::vector<Group> groups_;
   std::unordered_map<ConnectionId, Connection> connections_;
--- a/src/admission/limit.cpp
+++ b/src/admission/limit.cpp
@@ -6,6 +6,8 @@
 namespace sablespur::admission {
 namespace {
 
+constexpr double kSmoothOne = 1.0 / 32;  // how far one latency moves the deviation
+constexpr double kGrow = 1.1;
 constexpr double kSmooth = 0.2;  // how far one window moves the limit, and what is usual
 
 }  // namespace
@@ -22,7 +24,9 @@
   dropped_ += dropped;
   // While half the limit is tried, what began before tells of the whole one.
   if (!dropped && !(probing_ && now - latency < opened_)) {
-    sum_ += static_cast<double>(latency.count());
+    const double us = static_cast<double>(latency.count());
+    if (usual_ > 0) deviation_ += (std::abs(us - usual_) - deviation_) * kSmoothOne;
+    sum_ += us;
     ++samples_;
   }
   if (now - opened_ >= s_.window && samples_ + dropped_ >= s_.samplesLeast) close(now);
@@ -51,7 +55,12 @@
     } else if (mean > 0) {
       const double gradient = std::clamp(s_.tolerance * base / mean, 0.5, 1.0);
       const double wanted = limit_ * gradient + std::sqrt(limit_);
-      if (!probing_ && (pushed || wanted < limit_)) next = limit_ * (1 - kSmooth) + wanted * kSmooth;
+      // Where nothing queues it grows by a tenth a window: it has to be back within seconds after a server's
+      // failure brought it low.
+      if (!probing_ && pushed && gradient >= 1)
+        next = std::max(limit_ * kGrow, limit_ * (1 - kSmooth) + wanted * kSmooth);
+      else if (!probing_ && (pushed || wanted < limit_))
+        next = limit_ * (1 - kSmooth) + wanted * kSmooth;
     }
     probing_ = ++windows_ % s_.epoch == 0;
     if (probing_) {
--- a/src/admission/limit.hpp
+++ b/src/admission/limit.hpp
@@ -30,20 +30,21 @@
 class Limit {
  public:
   explicit Limit(const LimitSettings&);
-  // A request has ended. `out`: how many were out with it, itself included. `dropped`: its time ran out. What
-  // was refused or failed early says nothing of the load and is not told here.
+  // A request has ended. `out`: how many were out with it, itself included. `dropped`: its time ran out, or
+  // it was refused behind this limit. What failed early says nothing of the load and is not told here.
   void ended(Time now, Time latency, std::size_t out, bool dropped);
   std::size_t value() const {
     return static_cast<std::size_t>(probing_ ? std::max(limit_ / 2, s_.least) : limit_);
   }
-  Time usual() const {
-    return Time(static_cast<std::int64_t>(usual_));
-  }  // latency of late; 0: nothing is known
+  // Latency of late; 0: nothing is known.
+  Time usual() const { return Time(static_cast<std::int64_t>(usual_)); }
+  // What nearly all take: the mean and four deviations (as RFC 6298 reckons a time-out, section 2).
+  Time most() const { return Time(static_cast<std::int64_t>(usual_ + 4 * deviation_)); }
 
  private:
   void close(Time now);
   const LimitSettings s_;
-  double limit_, usual_ = 0;
+  double limit_, usual_ = 0, deviation_ = 0;
   // The least mean of a window, in the epoch before and in this one. Guards against taking a queue that lasts
   // for what is usual: half the limit, tried now and then, shows what it is without.
   double leastBefore_ = 0, least_ = 0;
--- a/src/admission/requests.cpp
+++ b/src/admission/requests.cpp
@@ -72,7 +72,7 @@
 void Requests::drop(Time now, std::vector<Answered>& all) {
   for (Group& g : groups_)
     for (auto it = g.waiting.begin(); it != g.waiting.end();) {
-      if (it->deadline - now > limit_.usual()) {
+      if (it->deadline - now > limit_.most()) {
         ++it;
         continue;
       }
@@ -103,19 +103,18 @@
   Asked a;
   group = std::min(group, groups_.size() - 1);
   Group& g = groups_[group];
-  const auto turnAway = [&](Turned why) {
-    ++g.count.refused[static_cast<std::size_t>(why)];
-    a.comeBack = comeBack();
+  const auto turnedAway = [&](Turned why) {
+    a.comeBack = turnAway(group, why);
     return a;
   };
   if (g.settings.mostOpen > 0 && g.out + g.waiting.size() >= g.settings.mostOpen)
-    return turnAway(Turned::Share);
+    return turnedAway(Turned::Share);
   if (waiting_ == 0 && out_ < limit_.value()) {
     go(key, group);
     a.turn = Turn::Go;
     return a;
   }
-  if (deadline - now <= limit_.usual()) return turnAway(Turned::Late);  // it could not be on time
+  if (deadline - now <= limit_.most()) return turnedAway(Turned::Late);  // it could not be on time
   if (waiting_ >= s_.mostWaiting) drop(now, a.others);
   if (waiting_ >= s_.mostWaiting) {
     // Whoever has most waiting by weight gives way, with its newest: it has waited least.
@@ -125,7 +124,7 @@
     };
     for (Group& x : groups_)
       if (!x.waiting.empty() && width(x, 0) > width(*widest, widest == &g ? 1 : 0)) widest = &x;
-    if (widest == &g) return turnAway(Turned::Queue);
+    if (widest == &g) return turnedAway(Turned::Queue);
     const RequestKey gives = widest->waiting.back().key;
     widest->waiting.pop_back();
     --waiting_;
--- a/src/admission/requests.hpp
+++ b/src/admission/requests.hpp
@@ -50,6 +50,11 @@
     std::vector<Answered> others;
   };
   Asked ask(Time now, RequestKey, std::size_t group, Time deadline);
+  // One that is turned away for a reason of the caller's: counted, and when to come back.
+  Time turnAway(std::size_t group, Turned why) {
+    ++groups_[group].count.refused[static_cast<std::size_t>(why)];
+    return comeBack();
+  }
   // One that went on has ended, or its client has left. Those that may go now, and those that can no longer
   // be on time.
   std::vector<Answered> ended(Time now, RequestKey, Time latency, bool dropped);
--- a/src/app/status.cpp
+++ b/src/app/status.cpp
@@ -187,11 +187,16 @@
                   {"antechamber", v.antechamber},
                   {"known_addresses", v.known},
                   {"groups", std::move(groups)}};
-  if (v.limits)
-    page["door"]["requests"] = {{"limit", v.limit},
-                                {"out", v.out},
-                                {"waiting", v.waiting},
-                                {"usual_ms", static_cast<double>(v.usual.count()) / 1e3}};
+  if (!v.limits) return page.dump(2, ' ', false, Json::error_handler_t::replace) + "\n";
+  Json lanes = Json::array();
+  for (const GateView::Lane& l : v.lanes)
+    lanes.push_back({{"group", l.group < 0 ? Json("rest") : Json(l.group)},
+                     {"primary", l.primary},
+                     {"limit", l.limit},
+                     {"out", l.out},
+                     {"waiting", l.waiting},
+                     {"usual_ms", static_cast<double>(l.usual.count()) / 1e3}});
+  page["door"]["lanes"] = std::move(lanes);
   return page.dump(2, ' ', false, Json::error_handler_t::replace) + "\n";
 }
 
@@ -226,11 +231,13 @@
                       g.at("refusing").get<bool>() ? "refusing" : ""});
     }
     out += table(rows);
-    if (!door.contains("requests")) return out;
-    const Json& r = door["requests"];
-    out +=
-        fmt::format("\nrequests: {} out of {} at once, {} waiting, usually {:.1f} ms\n", r.at("out").dump(),
-                    r.at("limit").dump(), r.at("waiting").dump(), r.at("usual_ms").get<double>());
+    if (!door.contains("lanes")) return out;
+    rows = {{"LANE", "LIMIT", "OUT", "WAITING", "USUALLY MS"}};
+    for (const Json& l : door["lanes"])
+      rows.push_back({l.at("group").dump() + (l.at("primary").get<bool>() ? " primary" : ""),
+                      l.at("limit").dump(), l.at("out").dump(), l.at("waiting").dump(),
+                      fmt::format("{:.1f}", l.at("usual_ms").get<double>())});
+    out += "\nrequests, by group of data servers:\n" + table(rows) + "\nand by group of clients:\n";
     rows = {{"GROUP", "OUT", "WAITING", "WENT", "WAITED", "TURNED AWAY", "WHY"}};
     for (const Json& g : door.at("groups")) {
       const Json& q = g.at("requests");
--- a/src/config/admission.cpp
+++ b/src/config/admission.cpp
@@ -140,6 +140,7 @@
   r.limit.least = static_cast<double>(fixed ? a.limit : a.limitLeast);
   r.limit.most = static_cast<double>(fixed ? a.limit : std::max(a.limitMost, a.limitLeast));
   r.limit.bound = a.bound;
+  r.limit.tolerance = a.tolerance;
   r.mostWaiting = a.waiting;
   r.comeBackLeast = a.requestBackLeast;
   r.comeBackMost = a.requestBackMost;
--- a/src/config/keys.cpp
+++ b/src/config/keys.cpp
@@ -395,10 +395,10 @@
            "A limit on the requests that are out at once, of all groups: none, `limit`, or one that is learned from "
            "latency: `gradient` from its rise over the least of late, `aimd` by adding until `bound` is passed. "
            "Another kind takes a restart."},
-          {"admission", "limit", Kind::Count, "50", 1, 1e6, "",
+          {"admission", "limit", Kind::Count, "20", 1, 1e6, "",
            [](Draft& d, const KeyValue& v) { d.admission.limit = static_cast<std::size_t>(as<std::int64_t>(v)); },
            "With `requests = fixed` the limit, else where learning begins."},
-          {"admission", "limit_least", Kind::Count, "8", 1, 1e6, "",
+          {"admission", "limit_least", Kind::Count, "4", 1, 1e6, "",
            [](Draft& d, const KeyValue& v) {
              d.admission.limitLeast = static_cast<std::size_t>(as<std::int64_t>(v));
            },
@@ -411,7 +411,11 @@
           {"admission", "bound", Kind::Duration, "400ms", kMillisecond, kHour, "",
            [](Draft& d, const KeyValue& v) { d.admission.bound = time(v); },
            "With `requests = aimd`: the mean latency above which the limit shrinks."},
-          {"admission", "waiting", Kind::Count, "64", 0, 1e5, "",
+          {"admission", "tolerance", Kind::Number, "2", 1, 100, "",
+           [](Draft& d, const KeyValue& v) { d.admission.tolerance = as<double>(v); },
+           "With `requests = gradient`: how many times the least latency of late is still no queue. More serves "
+           "a little more in all, and each a little later."},
+          {"admission", "waiting", Kind::Count, "32", 0, 1e5, "",
            [](Draft& d, const KeyValue& v) { d.admission.waiting = static_cast<std::size_t>(as<std::int64_t>(v)); },
            "Requests that may wait for a place under the limit. What can no longer be on time is dropped first, "
            "then the newest of the group that has most waiting by weight."},
--- a/src/config/keys.hpp
+++ b/src/config/keys.hpp
@@ -49,6 +49,7 @@
   std::size_t knownMost = 0;
   std::string requests;  // off, fixed, aimd, gradient
   std::size_t limit = 0, limitLeast = 0, limitMost = 0, waiting = 0;
+  double tolerance = 2;
   Time bound{}, requestBackLeast{}, requestBackMost{};
   std::vector<AdmissionGroupDraft> groups;
 };
--- a/src/front/gate.cpp
+++ b/src/front/gate.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <unordered_map>
 
+#include "admission/ceiling.hpp"
+#include "admission/lanes.hpp"
 #include "admission/settings.hpp"
 #include "admission/spells.hpp"
 #include "log/log.hpp"
@@ -23,9 +25,10 @@
 
 class AdmissionGate final : public Gate {
  public:
-  AdmissionGate(event_base* base, Engine& engine, std::shared_ptr<const admission::Settings> s)
+  AdmissionGate(event_base* base, Engine& engine, const Config& c)
       : engine_(engine),
-        s_(std::move(s)),
+        classes_(c.settings.classes),
+        s_(c.admission),
         door_(s_->door, s_->networks),
         known_(s_->known),
         deliver_(event_new(
@@ -34,7 +37,7 @@
         round_(event_new(
             base, -1, EV_PERSIST,
             [](evutil_socket_t, short, void* self) { static_cast<AdmissionGate*>(self)->round(); }, this)) {
-    if (s_->requests) requests_ = std::make_unique<Requests>(*s_->requests);
+    if (s_->requests) requests_ = std::make_unique<admission::Lanes>(*s_->requests);
     spells_.resize(2 * door_.groups());
     startTimer(round_.get(), kRound);
   }
@@ -79,6 +82,10 @@
     if (s_->servedBefore && it != guests_.end()) known_.served(engine_.now(), it->second.address);
   }
   void shortage() override {
+    std::size_t reserved = 0;
+    for (std::size_t k = 0; k < door_.groups(); ++k) reserved += door_.limits(k).reserve;
+    ceiling_.ranShort(engine_.now(), door_.held(), reserved);
+    door_.ceiling(ceiling_.value(engine_.now(), s_->door.most));
     for (const admission::ConnectionId id : door_.spare(engine_.now(), kShortage)) askBack(id);
   }
 
@@ -88,7 +95,8 @@
     auto e = std::make_unique<Entered>(*this, key, asker, q, std::move(m));
     e->arrived = engine_.now();
     Entered& entered = *entered_.emplace(key, std::move(e)).first->second;
-    const Requests::Asked a = requests_->ask(engine_.now(), key, door_.groupOf(place), q.deadline);
+    const Requests::Asked a =
+        requests_->ask(engine_.now(), key, laneOf(q), door_.groupOf(place), engine_.now() + aimOf(q));
     if (a.turn == Turn::Go) go(entered);
     if (a.turn == Turn::Refuse) refuse(key, a.comeBack);
     carryOut(a.others);
@@ -130,12 +138,10 @@
     v.antechamber = s_->antechamber;
     v.known = known_.size();
     v.limits = requests_ != nullptr;
-    if (requests_) {
-      v.limit = requests_->limit();
-      v.out = requests_->out();
-      v.waiting = requests_->waiting();
-      v.usual = requests_->usual();
-    }
+    if (requests_)
+      for (const admission::Lanes::View& l : requests_->view())
+        v.lanes.push_back({l.lane == admission::Lanes::kRest ? -1 : static_cast<std::int64_t>(l.lane >> 1),
+                           (l.lane & 1) != 0, l.limit, l.out, l.waiting, l.usual});
     for (std::size_t k = 0; k < door_.groups(); ++k) {
       const admission::Door::Count& c = door_.count(k);
       GateView::Group g;
@@ -219,6 +225,19 @@
     g->giveUpPlace();
   }
 
+  const knotstack::ClassSettings& classOf(const knotstack::Request& q) const {
+    return classes_[static_cast<std::size_t>(q.cls)];
+  }
+  // Who has to queue does so to be answered within the aim. Later an answer may still have some worth, but a
+  // place that it takes then is one that another could have had on time.
+  Time aimOf(const knotstack::Request& q) const {
+    return std::min(classOf(q).aim, q.deadline - engine_.now());
+  }
+  admission::LaneKey laneOf(const knotstack::Request& q) const {
+    const knotstack::Need need = classOf(q).need;
+    const bool primary = need == knotstack::Need::Write || need == knotstack::Need::Fresh;
+    return static_cast<admission::LaneKey>(q.group) << 1 | (primary ? 1 : 0);
+  }
   void go(Entered& e) {
     e.went = engine_.now();
     // How long ago the session last wrote counts from now.
@@ -263,6 +282,7 @@
   void round() {
     const Time now = engine_.now();
     if (requests_) carryOut(requests_->overdue(now));
+    if (ceiling_.bound()) door_.ceiling(ceiling_.value(now, s_->door.most));
     for (const admission::ConnectionId id : door_.surplus(now, kSurplus)) askBack(id);
     for (std::size_t k = 0; k < door_.groups(); ++k) {
       std::uint64_t refused = 0, turned = 0;
@@ -304,10 +324,12 @@
     IpAddress address;
   };
   Engine& engine_;
+  const std::vector<knotstack::ClassSettings> classes_;
   std::shared_ptr<const admission::Settings> s_;
   admission::Door door_;
   admission::Known known_;
-  std::unique_ptr<Requests> requests_;
+  admission::Ceiling ceiling_;
+  std::unique_ptr<admission::Lanes> requests_;
   std::unordered_map<PlaceId, Held> guests_;
   std::unordered_map<RequestId, std::unique_ptr<Entered>> entered_;
   std::vector<std::pair<RequestId, Time>> refusals_;  // to be told
@@ -321,7 +343,7 @@
 
 std::unique_ptr<Gate> openGate(event_base* base, Engine& engine, const Config& c) {
   if (!c.admission) return nullptr;
-  return std::make_unique<AdmissionGate>(base, engine, c.admission);
+  return std::make_unique<AdmissionGate>(base, engine, c);
 }
 
 }  // namespace sablespur
--- a/src/front/gate.hpp
+++ b/src/front/gate.hpp
@@ -46,8 +46,13 @@
   };
   std::vector<Group> groups;
   bool limits = false;  // requests are limited
-  std::size_t limit = 0, out = 0, waiting = 0;
-  Time usual{};  // latency of late
+  struct Lane {
+    std::int64_t group = 0;  // of data servers; -1: of all beyond those that are kept apart
+    bool primary = false;    // what needs the primary
+    std::size_t limit = 0, out = 0, waiting = 0;
+    Time usual{};  // latency of late
+  };
+  std::vector<Lane> lanes;
 };
 
 class Gate {
--- a/src/front/pg/clients.cpp
+++ b/src/front/pg/clients.cpp
@@ -38,7 +38,8 @@
   taker.room = [this] { return room(); };
   taker.shortage = [this] { shortage(); };
   taker.refuse = [this](evutil_socket_t fd) { turnAway(fd, kShortOf); };
-  acceptor_ = std::make_unique<Acceptor>(base, engine.clock(), config.listen, account, spare, std::move(taker));
+  acceptor_ =
+      std::make_unique<Acceptor>(base, engine.clock(), config.listen, account, spare, std::move(taker));
   round_.reset(event_new(
       base, -1, EV_PERSIST, [](evutil_socket_t, short, void* self) { static_cast<Clients*>(self)->round(); },
       this));
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -3,11 +3,14 @@
 #include <gtest/gtest.h>
 #include <netinet/in.h>
 
+#include <map>
 #include <pcg_random.hpp>
 #include <set>
 
+#include "admission/ceiling.hpp"
 #include "admission/door.hpp"
 #include "admission/known.hpp"
+#include "admission/lanes.hpp"
 #include "admission/limit.hpp"
 #include "admission/requests.hpp"
 #include "admission/spells.hpp"
@@ -634,6 +637,113 @@
   EXPECT_EQ(went[0].turn, Turn::Go);
 }
 
+RequestSettings laneSettings() {
+  RequestSettings s;
+  s.limit.kind = LimitKind::Fixed;
+  s.limit.first = s.limit.least = s.limit.most = 2;
+  s.mostWaiting = 2;
+  s.groups = {{1, 0}, {1, 3}};
+  return s;
+}
+// Found in the lab: writes that queued for a crowded primary held the places of reads.
+TEST(Lanes, WhatQueuesInOneKeepsNothingFromAnother) {
+  Lanes lanes(laneSettings());
+  for (RequestKey k = 1; k <= 4; ++k) lanes.ask(1s, k, 1, 0, 9s);
+  EXPECT_EQ(lanes.ask(1s, 5, 1, 0, 9s).turn, Turn::Refuse);
+  EXPECT_EQ(lanes.ask(1s, 6, 2, 0, 9s).turn, Turn::Go);
+  EXPECT_EQ(lanes.count(0).out, 3u);
+  EXPECT_EQ(lanes.count(0).waiting, 2u);
+}
+TEST(Lanes, CapsOfGroupsCountOverAllOfThem) {
+  Lanes lanes(laneSettings());
+  for (RequestKey k = 1; k <= 3; ++k) EXPECT_EQ(lanes.ask(1s, k, k, 1, 9s).turn, Turn::Go);
+  EXPECT_EQ(lanes.ask(1s, 4, 9, 1, 9s).turn, Turn::Refuse);
+  EXPECT_EQ(lanes.count(1).refused[static_cast<std::size_t>(Turned::Share)], 1u);
+  lanes.ended(1s, 2, 1ms, false);
+  EXPECT_EQ(lanes.ask(1s, 5, 9, 1, 9s).turn, Turn::Go);
+}
+// Clients name the groups: thousands of names must not make thousands of lanes, nor be kept for ever.
+TEST(Lanes, AreBoundedAndForgotten) {
+  Lanes lanes(laneSettings(), 8);
+  for (RequestKey k = 1; k <= 5000; ++k) {
+    lanes.ask(1s, k, k, 0, 9s);
+    lanes.left(1s, k);
+  }
+  EXPECT_EQ(lanes.size(), 9u);  // and the rest
+  EXPECT_EQ(lanes.count(0).went, 5000u);
+  lanes.overdue(30s);
+  EXPECT_EQ(lanes.size(), 9u);
+  lanes.overdue(62s);
+  EXPECT_EQ(lanes.size(), 0u);
+  EXPECT_EQ(lanes.count(0).went, 5000u);  // what was counted stays counted
+}
+// Against a plain account of who is where: each request has one last word, and no lane or group holds more
+// than it may.
+TEST(Lanes, EachRequestGetsOneWordWhateverHappens) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    pcg64 random(seed);
+    RequestSettings s = laneSettings();
+    Lanes lanes(s, 3);
+    struct At {
+      bool out;
+      std::size_t group;
+    };
+    std::map<RequestKey, At> open;
+    Time now = 1s;
+    RequestKey last = 0;
+    const auto word = [&](const std::vector<Answered>& all) {
+      for (const Answered& a : all) {
+        ASSERT_TRUE(open.count(a.key) == 1 && !open.at(a.key).out) << "seed " << seed;
+        if (a.turn == Turn::Go)
+          open.at(a.key).out = true;
+        else
+          open.erase(a.key);
+      }
+    };
+    for (int step = 0; step < 3000; ++step) {
+      now += Time(random() % 20000);
+      const auto any = [&] {
+        auto it = open.begin();
+        std::advance(it, static_cast<std::ptrdiff_t>(random() % open.size()));
+        return it->first;
+      };
+      const auto what = random() % 10;
+      if (what < 5 || open.empty()) {
+        const std::size_t group = random() % s.groups.size();
+        const RequestKey key = ++last;
+        const auto a = lanes.ask(now, key, random() % 6, group, now + Time(random() % 200000));
+        if (a.turn != Turn::Refuse) open.emplace(key, At{a.turn == Turn::Go, group});
+        word(a.others);
+      } else if (what < 7) {
+        const RequestKey key = any();
+        if (!open.at(key).out) continue;
+        open.erase(key);
+        word(lanes.ended(now, key, 5ms, random() % 7 == 0));
+      } else if (what < 8) {
+        const RequestKey key = any();
+        open.erase(key);
+        word(lanes.left(now, key));
+      } else if (what < 9) {
+        word(lanes.overdue(now));
+      } else if (step % 50 == 0) {
+        if (s.groups.size() == 2)
+          s.groups.push_back({2, 0});
+        else
+          s.groups.pop_back();
+        for (auto& [key, at] : open) at.group = std::min(at.group, s.groups.size() - 1);
+        lanes.reload(s);
+      }
+      std::map<std::size_t, std::pair<std::size_t, std::size_t>> held;
+      for (const auto& [key, at] : open) ++(at.out ? held[at.group].first : held[at.group].second);
+      for (std::size_t g = 0; g < s.groups.size(); ++g) {
+        ASSERT_EQ(lanes.count(g).out, held[g].first) << "seed " << seed << " step " << step;
+        ASSERT_EQ(lanes.count(g).waiting, held[g].second) << "seed " << seed << " step " << step;
+      }
+      for (const Lanes::View& v : lanes.view()) ASSERT_LE(v.out, 2u);
+    }
+  }
+}
+
 TEST(Door, GivesUpIdleOnesBeyondReservesWhenDescriptorsRunOut) {
   DoorSettings s;
   s.most = 10;
@@ -671,6 +781,39 @@
   EXPECT_EQ(door.groupOf(2), 0u);
 }
 
+TEST(Ceiling, FallsByATenthOncePerWantAndClimbsByOneASecond) {
+  Ceiling c;
+  EXPECT_EQ(c.value(1s, 100), 100u);
+  c.ranShort(1s, 80, 10);
+  EXPECT_EQ(c.value(1s, 100), 70u);
+  c.ranShort(1100ms, 80, 10);  // the same want
+  EXPECT_EQ(c.value(1100ms, 100), 70u);
+  c.ranShort(2s, 65, 10);
+  EXPECT_EQ(c.value(2s, 100), 57u);
+  EXPECT_EQ(c.value(12500ms, 100), 67u);
+  for (int k = 0; k < 100; ++k) c.ranShort(std::chrono::seconds(20 + k), 60, 10);
+  EXPECT_EQ(c.value(119s, 100), 10u);  // what is reserved stays
+  EXPECT_EQ(c.value(1000s, 100), 100u);
+  EXPECT_FALSE(c.bound());
+}
+// A reserve is worth nothing if others have taken the descriptors behind it.
+TEST(Ceiling, KeepsReservesWithinWhatThereIs) {
+  DoorSettings s;
+  s.most = 100;
+  s.groups.resize(2);
+  s.groups[0].name = "desks";
+  s.groups[0].reserve = 10;
+  s.groups[1].name = "others";
+  Door door(s, networks({{"10.0.0.0/8", 0}}));
+  ConnectionId id = 0;
+  for (int k = 0; k < 60; ++k) EXPECT_TRUE(door.arrived(1s, ++id, ip("192.168.0.1")).admitted);
+  for (ConnectionId k = 1; k <= 50; ++k) door.idle(1s, k);
+  door.ceiling(40);
+  EXPECT_EQ(door.surplus(9s, 99).size(), 20u);
+  EXPECT_TRUE(door.arrived(9s, ++id, ip("10.0.0.1")).admitted);  // others make way: the reserve is owed
+  EXPECT_EQ(door.held(), 40u);
+}
+
 TEST(Spells, BeginAtTheFirstAndEndAfterACalm) {
   Spell s;
   EXPECT_EQ(s.at(1s, 0), Spell::Turn::None);
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -211,5 +211,82 @@
                                          Rogue{"twice", "double_effects"}, Rogue{"extra", "extra_answers"}),
                          [](const auto& i) { return std::string(i.param.mode); });
 
+// A small ship: the crowd, the desks that come back at once, a table that fills. What hangs on how fast the
+// machine is stays with the experiments in lab/experiments/admission.
+TEST(LabCrowd, MeetsADoorAndAFullTableWithoutABrokenRule) {
+  std::vector<Fault> faults;
+  const Experiment e = parseExperiment(R"(
+[experiment]
+discovery = registry
+duration = 4s
+warmup = 300ms
+inherited = 190
+descriptors = 300
+[fleet]
+groups = 1
+members = 3
+[load]
+rate = 20
+retries = 3
+address = 127.1.0.1
+addresses = 10
+[crowd app]
+rate = 200
+from = 300ms
+until = 3s
+address = 127.64.0.1
+addresses = 5000
+stay = 1s
+[crowd silent]
+rate = 50
+from = 300ms
+until = 2s
+address = 127.65.0.1
+way = silent
+returns = no
+[class read]
+work_least = 5ms
+work_most = 10ms
+data = bounded
+max_age = 5s
+repeats = safe
+aim = 900ms
+give_up = 2s
+[settings]
+limits.descriptors = 300
+admission.door = yes
+admission.requests = gradient
+admission_group desks.networks = 127.1.0.0/16
+admission_group desks.reserve = 10
+admission_group apps.networks = 127.64.0.0/10
+admission_group apps.connections_by_address = 4
+[script]
+1s reconnect 10
+2s reconnect 10
+[claims]
+crashes = 0
+extra_answers = 0
+second_copies = 0
+stale_reads = 0
+crowd_returned_early = 0
+load_outside = 0
+crowd_in > 0
+crowd_refused > 0
+load_admissions > 20
+)",
+                                       "ship", faults);
+  ASSERT_TRUE(faults.empty()) << faults.front().text();
+  char dir[] = "/tmp/sablespur-lab-XXXXXX";
+  ASSERT_NE(mkdtemp(dir), nullptr);
+  Run::Options o;
+  o.program = SABLESPUR_PROGRAM;
+  o.directory = dir;
+  lab::Run run(e, o);
+  const Outcome out = run.play();
+  std::filesystem::remove_all(dir);
+  for (const Outcome::Judged& j : out.claims)
+    EXPECT_TRUE(j.held) << j.claim.text << ", measured " << j.measured;
+}
+
 }  // namespace
 }  // namespace sablespur::lab
