--- a/src/app/status.cpp
+++ b/src/app/status.cpp
@@ -20,10 +20,11 @@
 
 using Json = nlohmann::ordered_json;
 
-constexpr std::size_t kAskers = 4;           // at once; more are closed
-constexpr timeval kPatience{2, 0};           // of one that does not read
-constexpr int kAskPatience = 5;              // seconds, of ours
-constexpr std::size_t kLongest = 16u << 20;  // of a document
+constexpr std::size_t kAskers = 4;                // at once; more are closed
+constexpr Time kPause = std::chrono::seconds(1);  // without a descriptor for one that asks
+constexpr timeval kPatience{2, 0};                // of one that does not read
+constexpr int kAskPatience = 5;                   // seconds, of ours
+constexpr std::size_t kLongest = 16u << 20;       // of a document
 
 sockaddr_un socketAddress(const std::string& path) {
   sockaddr_un a{};
@@ -68,6 +69,12 @@
         base, fd_, EV_READ | EV_PERSIST,
         [](evutil_socket_t, short, void* self) { static_cast<Server*>(self)->asked(); }, this));
     event_add(readable_.get(), nullptr);
+    again_.reset(event_new(
+        base, -1, 0,
+        [](evutil_socket_t, short, void* self) {
+          event_add(static_cast<Server*>(self)->readable_.get(), nullptr);
+        },
+        this));
   }
   ~Server() override {
     readable_.reset();
@@ -83,11 +90,7 @@
       // Guards against spinning where there is no descriptor: the socket stays readable.
       if (shortageOf(errno) != Shortage::None) {
         event_del(readable_.get());
-        const timeval pause{1, 0};
-        event_base_once(
-            base_, -1, EV_TIMEOUT,
-            [](evutil_socket_t, short, void* e) { event_add(static_cast<event*>(e), nullptr); },
-            readable_.get(), &pause);
+        startTimer(again_.get(), kPause);
       }
       return;
     }
@@ -113,7 +116,7 @@
   const Gate* const gate_;
   const Time started_;
   int fd_ = -1;
-  Event readable_;
+  Event readable_, again_;
   std::map<bufferevent*, BufferEvent> askers_;
 };
 
--- a/src/front/pg/session.cpp
+++ b/src/front/pg/session.cpp
@@ -201,7 +201,8 @@
   if (side_.bytea) wanted_.bytea = side_.bytea;
   described_ = true;
   mostRows_ = 0;
-  if (owner_.gate_) owner_.gate_->idle(place_);
+  // Amid a batch it is not: a Sync and its ReadyForQuery are still to come.
+  if (owner_.gate_ && !batch_) owner_.gate_->idle(place_);
   settle();
 }
 
@@ -630,6 +631,7 @@
   if (!hold(p.bytes())) return reject("53200", "too many prepared statements at once", true);
   if (!asked) {
     release();
+    if (owner_.gate_) batch_ ? owner_.gate_->busy(place_) : owner_.gate_->idle(place_);
     if (type == 'S') settle();
     return;
   }
--- a/tests/door_test.cpp
+++ b/tests/door_test.cpp
@@ -178,6 +178,23 @@
   )");
   unlink(path.c_str());
 }
+// Between an Execute and its Sync a client is not idle: its ReadyForQuery is owed.
+TEST(DoorStep, AClientAmidABatchIsNotAskedToMakeWay) {
+  Setting s = door("connections = 1\n");
+  s.clients = "extended_queries = yes\n";
+  Scenario t(s);
+  t.run(R"(
+    o1 speaks 3.0
+    o1 gets in
+    o1 sends 50 00000010 00 53454c45435420310000 00
+    o1 sends 48 00000004
+    c2 expect refused
+    o1 sends 53 00000004
+    o1 gets seen 1Z
+    c3 expect in
+    o1 gets closed
+  )");
+}
 // Who has no place may still call off what it has out on another connection.
 TEST(DoorStep, ACancelIsHeardThoughTheDoorIsFull) {
   Scenario t(door("connections = 1\n"));
