Tests of asking idle clients back cannot pass by the close of those that never ask

Cause: with the code that takes idle connections back after a reload taken out, the test still passed: its clients had asked nothing, and the two-second close ended them all the same.

Change: tests only; the clients ask first.

--- a/tests/door_test.cpp
+++ b/tests/door_test.cpp
@@ -70,7 +70,8 @@
 }
 TEST(DoorStep, WithoutAReserveAnIdleAppMakesWayForADesk) {
   Scenario t(door("connections = 6\n", "reserve = 2\nweight = 4\n"));
-  t.run(each("d", 1, 2, "$ from 127.1.0.#\n$ expect in") + each("c", 1, 4, "$ from 127.9.0.#\n$ expect in") +
+  t.run(each("d", 1, 2, "$ from 127.1.0.#\n$ send query\n$ expect empty") +
+        each("c", 1, 4, "$ from 127.9.0.#\n$ send query\n$ expect empty") +
         "c5 from 127.9.0.5\nc5 expect in\nc1 expect closed\n"  // within its own group: the longest idle one
         "d3 from 127.1.0.3\nd3 expect in\nc2 expect closed\n" +
         served("c3", "1") + served("d3", "2"));
@@ -100,9 +101,10 @@
           each("d", 1, 40, "$ from 127.1.0.#\n$ expect in"));
   }
 }
+// They have asked: what has not is closed after first_query anyway.
 TEST(DoorStep, AReloadThatLowersACapClosesWhatIsIdleAlone) {
   Scenario t(door("", "", "connections = 5\n"));
-  t.run(each("c", 1, 5, "$ from 127.9.0.#\n$ expect in") + R"(
+  t.run(each("c", 1, 5, "$ from 127.9.0.#\n$ send query\n$ expect empty") + R"(
     c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
     s2 expect query id=1
   )");
