--- a/include/knotstack/balancer.hpp
+++ b/include/knotstack/balancer.hpp
@@ -79,8 +79,9 @@
   int cls = 0;  // index into Settings::classes; anything else is refused
   GroupId group = 0;
   std::uint64_t session = 0;  // 0: none
-  float tokenMs = 0;          // tokens carried: milliseconds since the session's last commit; 0: none
-  Time deadline{};            // the client leaves then
+  float tokenMs = 0;  // milliseconds since the session's last commit, as far as it is told; 0: not told
+  Time ranAt{};       // an earlier request of the same key may have run, since then; 0: none has
+  Time deadline{};    // the client leaves then
 };
 
 enum class Result { Ok, Error, Full, Timeout, ConnectFailed, Reset, Cancelled, Moot, Miss };
--- a/src/app/cli.cpp
+++ b/src/app/cli.cpp
@@ -10,6 +10,7 @@
 #include "app/password.hpp"
 #include "app/serve.hpp"
 #include "app/status.hpp"
+#include "app/store.hpp"
 #include "config/config.hpp"
 
 namespace sablespur {
@@ -79,6 +80,20 @@
     hashing->add_option("--iterations", password.iterations, "of SCRAM")
         ->check(CLI::Range(4096, 1000000))
         ->capture_default_str();
+    StoreOptions store;
+    CLI::App* const storing = app.add_subcommand("store", "look after a store that no proxy has open");
+    storing->require_subcommand(1);
+    const auto storeCommand = [&](const char* name, const char* what) {
+      CLI::App* const c = storing->add_subcommand(name, what);
+      c->add_option("DIR", store.directory, "its directory")->required();
+      c->add_flag("--json", store.json, "as JSON");
+      return c;
+    };
+    CLI::App* const storeChecking =
+        storeCommand("check", "read every record; say by file and offset what is damaged, and exit 1");
+    CLI::App* const storeDumping = storeCommand("dump", "print every record, one a line");
+    CLI::App* const storeCompacting = storeCommand("compact", "give back the room of what is forgotten");
+    CLI::App* const storeCounting = storeCommand("stat", "count what is there");
     try {
       app.parse(argc, argv);
       if (checking->parsed() && !keys && path.empty()) throw CLI::RequiredError("FILE");
@@ -88,6 +103,10 @@
     if (checking->parsed() && keys) return std::fputs(settingsPage().c_str(), stdout) < 0;
     if (checking->parsed()) return check(path);
     if (hashing->parsed()) return makePassword(password);
+    if (storeChecking->parsed()) return storeCheck(store);
+    if (storeDumping->parsed()) return storeDump(store);
+    if (storeCompacting->parsed()) return storeCompact(store);
+    if (storeCounting->parsed()) return storeStat(store);
     const Config config = readSettings(path);
     if (asking->parsed()) return showStatus(config, status);
     if (listing->parsed()) return showMembers(config, members);
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -14,17 +14,30 @@
 #include "core/member_feed.hpp"
 #include "core/system.hpp"
 #include "core/workers.hpp"
+#include "front/keeper.hpp"
 #include "front/pg/clients.hpp"
 #include "log/log.hpp"
+#include "wire/pg/codec.hpp"
 
 namespace sablespur {
 namespace {
 
-std::unique_ptr<Gate> openAdmission(event_base* base, Engine& engine, const Config& c) {
+std::unique_ptr<Keeper> openStore(event_base* base, Engine& engine, const Config& c) {
+#ifdef SABLESPUR_STORE
+  // Guards against a limit on the size of files that ends the process: it is one more failing disk.
+  std::signal(SIGXFSZ, SIG_IGN);
+  return openKeeper(base, engine, c, pg::reader());
+#else
+  (void)base, (void)engine, (void)c;  // the settings' reader turns a store down where there is none
+  return nullptr;
+#endif
+}
+std::unique_ptr<Gate> openAdmission(event_base* base, Engine& engine, Entrance& next, const Config& c) {
 #ifdef SABLESPUR_ADMISSION
-  return openGate(base, engine, c);
+  return openGate(base, engine, next, c);
 #else
-  (void)base, (void)engine, (void)c;  // the settings' reader turns a door down where there is none
+  (void)base, (void)engine, (void)next,
+      (void)c;  // the settings' reader turns a door down where there is none
   return nullptr;
 #endif
 }
@@ -58,10 +71,13 @@
   Upstream upstream(base.get(), engine, workers, account, config);
   MemberFeed feed(base.get(), engine.clock(), engine, sourcePolicy(config));
   const std::unique_ptr<ListSource> source = openSource(base.get(), engine.clock(), feed, config);
-  const std::unique_ptr<Gate> gate = openAdmission(base.get(), engine, config);
-  Clients clients(base.get(), engine, workers, account, spare, gate.get(), config);
+  const std::unique_ptr<Keeper> keeper = openStore(base.get(), engine, config);
+  Entrance& entrance = keeper ? static_cast<Entrance&>(*keeper) : engine;
+  const std::unique_ptr<Gate> gate = openAdmission(base.get(), engine, entrance, config);
+  Clients clients(base.get(), engine, entrance, workers, account, spare, gate.get(), config);
   upstream.onShortage([&clients] { clients.shortage(); });
-  const std::unique_ptr<StatusServer> status = openStatus(base.get(), config, engine, account, gate.get());
+  const std::unique_ptr<StatusServer> status =
+      openStatus(base.get(), config, engine, account, gate.get(), keeper.get());
   bool running = true;
 
   struct Stop {
--- a/src/app/status.cpp
+++ b/src/app/status.cpp
@@ -38,8 +38,8 @@
 
 class Server final : public StatusServer {
  public:
-  Server(event_base* base, const Config& c, const Engine& e, const Account& a, const Gate* g)
-      : base_(base), config_(c), engine_(e), account_(a), gate_(g), started_(e.now()) {
+  Server(event_base* base, const Config& c, const Engine& e, const Account& a, const Gate* g, const Keeper* k)
+      : base_(base), config_(c), engine_(e), account_(a), gate_(g), keeper_(k), started_(e.now()) {
     const sockaddr_un at = socketAddress(c.statusSocket);
     const auto fail = [&](const char* what) {
       const std::string why = std::strerror(errno);
@@ -103,7 +103,8 @@
         b.get(), nullptr, [](bufferevent* of, void* self) { static_cast<Server*>(self)->askers_.erase(of); },
         [](bufferevent* of, short, void* self) { static_cast<Server*>(self)->askers_.erase(of); }, this);
     bufferevent_set_timeouts(b.get(), nullptr, &kPatience);
-    append(bufferevent_get_output(b.get()), statusJson(config_, account_, gate_, engine_.now() - started_));
+    append(bufferevent_get_output(b.get()),
+           statusJson(config_, account_, gate_, keeper_, engine_.now() - started_));
     bufferevent_enable(b.get(), EV_WRITE);
     bufferevent* const key = b.get();
     askers_.emplace(key, std::move(b));
@@ -114,6 +115,7 @@
   const Engine& engine_;
   const Account& account_;
   const Gate* const gate_;
+  const Keeper* const keeper_;
   const Time started_;
   int fd_ = -1;
   Event readable_, again_;
@@ -152,7 +154,7 @@
 
 }  // namespace
 
-std::string statusJson(const Config& c, const Account& a, const Gate* gate, Time up) {
+std::string statusJson(const Config& c, const Account& a, const Gate* gate, const Keeper* keeper, Time up) {
   Json page{{"name", c.name},
             {"up_s", up.count() / 1000000},
             {"descriptors",
@@ -161,6 +163,31 @@
               {"short_of_descriptors", a.shortages(Shortage::Descriptors)},
               {"short_of_memory", a.shortages(Shortage::Memory)}}},
             {"statement_bytes", {{"held", a.bytes()}, {"most", a.bytesMost()}, {"peak", a.bytesPeak()}}}};
+  page["store"] = nullptr;
+  if (keeper) {
+    const KeeperView k = keeper->view();
+    page["store"] = {{"directory", k.directory},
+                     {"state", k.state},
+                     {"why", k.why},
+                     {"start", k.epoch},
+                     {"keys", k.keys},
+                     {"sessions", k.sessions},
+                     {"bytes", k.bytes},
+                     {"operations", k.operations},
+                     {"commits", k.commits},
+                     {"largest_group", k.largestGroup},
+                     {"lost", k.lost},
+                     {"waiting", k.waiting},
+                     {"last_commit_ms", static_cast<double>(k.lastCommit.count()) / 1e3},
+                     {"longest_commit_ms", static_cast<double>(k.longestCommit.count()) / 1e3},
+                     {"verdicts",
+                      {{"run", k.ran},
+                       {"again", k.again},
+                       {"recorded", k.recorded},
+                       {"unknown", k.unknown},
+                       {"turned_away", k.turnedAway},
+                       {"not_durable", k.notDurable}}}};
+  }
   if (!gate) {
     page["door"] = nullptr;
     return page.dump(2, ' ', false, Json::error_handler_t::replace) + "\n";
@@ -218,6 +245,16 @@
         page.at("name").get<std::string>(), page.at("up_s").dump(), held("clients"), held("servers"),
         page.at("statement_bytes").at("held").dump(), page.at("statement_bytes").at("most").dump(),
         d.at("short_of_descriptors").dump(), d.at("short_of_memory").dump());
+    if (page.contains("store") && !page["store"].is_null()) {
+      const Json& k = page["store"];
+      out += fmt::format(
+          "store {}: {}{}{}, {} keys, {} sessions, {} commits of {} operations (longest {:.1f} ms)\n"
+          "keyed writes: {}\n",
+          k.at("directory").get<std::string>(), k.at("state").get<std::string>(),
+          k.at("why").get<std::string>().empty() ? "" : ": ", k.at("why").get<std::string>(),
+          k.at("keys").dump(), k.at("sessions").dump(), k.at("commits").dump(), k.at("operations").dump(),
+          k.at("longest_commit_ms").get<double>(), reasons(k.at("verdicts")));
+    }
     if (page.at("door").is_null()) return out + "no door: every client is alike\n";
     const Json& door = page["door"];
     out += fmt::format("\nthe door: {} of {} let in, {} addresses served before\n", door.at("held").dump(),
@@ -257,9 +294,9 @@
 }
 
 std::unique_ptr<StatusServer> openStatus(event_base* base, const Config& c, const Engine& e, const Account& a,
-                                         const Gate* g) {
+                                         const Gate* g, const Keeper* k) {
   if (c.statusSocket.empty()) return nullptr;
-  return std::make_unique<Server>(base, c, e, a, g);
+  return std::make_unique<Server>(base, c, e, a, g, k);
 }
 
 int showStatus(const Config& c, const StatusOptions& o) {
--- a/src/app/status.hpp
+++ b/src/app/status.hpp
@@ -7,6 +7,7 @@
 #include "core/account.hpp"
 #include "core/engine.hpp"
 #include "front/gate.hpp"
+#include "front/keeper.hpp"
 
 namespace sablespur {
 
@@ -18,10 +19,10 @@
 };
 // Null where there is no such key. Throws std::runtime_error where it cannot listen.
 std::unique_ptr<StatusServer> openStatus(event_base*, const Config&, const Engine&, const Account&,
-                                         const Gate*);
+                                         const Gate*, const Keeper*);
 
 // The document, and what a person reads of it.
-std::string statusJson(const Config&, const Account&, const Gate*, Time up);
+std::string statusJson(const Config&, const Account&, const Gate*, const Keeper*, Time up);
 std::string statusTable(const std::string& json);  // throws std::runtime_error where it is no status
 
 struct StatusOptions {
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -228,15 +228,15 @@
     const ClassSettings& c = classOf(r);
     if (c.need == Need::Fresh) r.commit = now;
     if (c.need != Need::Session) return;
-    if (s.tokensCarried) {
-      if (!(r.q.tokenMs > 0)) return;
-      // The age may have been rounded up: take the next f32 below it, so that the need is rounded up.
-      const double age = static_cast<double>(std::nextafterf(r.q.tokenMs, 0.0f)) * 1e3;
-      r.commit = now - Time(static_cast<std::int64_t>(std::min(age, static_cast<double>(now.count()))));
-    } else {
+    if (!s.tokensCarried) {
       const auto it = commits.find(r.q.session);
       r.commit = it != commits.end() ? it->second : groups[r.q.group].forgotten;
     }
+    if (!(r.q.tokenMs > 0)) return;
+    // The age may have been rounded up: take the next f32 below it, so that the need is rounded up.
+    const double age = static_cast<double>(std::nextafterf(r.q.tokenMs, 0.0f)) * 1e3;
+    r.commit = std::max(
+        r.commit, now - Time(static_cast<std::int64_t>(std::min(age, static_cast<double>(now.count())))));
   }
   // The share of recent samples that were new enough, 1 where the position proves it, below 0: leave it out.
   double stalenessFactor(const Member& m, const Group& g, Time need) const {
@@ -386,7 +386,8 @@
     if (!r.ran || c.effect == Effect::Safe) return true;
     if (c.effect == Effect::Unsafe || now >= r.ranAt + c.memory) return false;
     const Member* const first = find(r.ranWhere);
-    if (!first) return false;
+    // Where an earlier request of the key ran is not told, but that it was in this group.
+    if (!first) return r.ranWhere == 0 && c.scope != KeyScope::Zone;
     return c.scope == KeyScope::All || (c.scope == KeyScope::Zone ? first->listed.zone == m.listed.zone
                                                                   : first->listed.group == m.listed.group);
   }
@@ -875,6 +876,8 @@
   Open& r = c.open[q.id];
   r.q = q;
   r.arrived = now;
+  r.ran = q.ranAt > Time(0);
+  r.ranAt = q.ranAt;
   c.learnNeed(r);
   c.advance(r);
 }
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -49,6 +49,16 @@
   friend bool operator==(const DnsSdSettings&, const DnsSdSettings&);
 };
 
+// What outlives a crash; see src/store.
+struct StoreConfig {
+  std::string directory;
+  Time keep{}, keepSessions{};
+  std::size_t mostKeys = 0, mostSessions = 0, longestAnswer = 0;
+  Time patience{};                       // for a commit
+  Time comeBackLeast{}, comeBackMost{};  // told to those turned away while there is no store
+  bool setAside = false;                 // a damaged one; else the proxy does not start
+};
+
 struct Config {
   std::string name;
   Address listen, discovery;
@@ -84,6 +94,7 @@
   Time firstQuery = std::chrono::milliseconds(2000), halfMessage = std::chrono::milliseconds(1500),
        unreadAnswer = std::chrono::seconds(10);
   std::shared_ptr<const admission::Settings> admission;  // null: no door
+  std::shared_ptr<const StoreConfig> store;              // null: nothing is kept
   std::string statusSocket;                              // empty: none
   std::size_t descriptors = 0;                           // limits as they were given
   std::uint64_t memory = 0;
--- a/src/config/ini_config.cpp
+++ b/src/config/ini_config.cpp
@@ -255,6 +255,29 @@
     config_.known.reset = true;
     deriveBounds(config_, draft_.descriptors, draft_.memory);
     admission();
+    store();
+  }
+  void store() {
+    StoreConfig& c = draft_.store;
+    if (c.directory.empty()) return;
+#ifdef SABLESPUR_STORE
+    c.directory = beside(c.directory);
+    while (c.directory.size() > 1 && c.directory.back() == '/') c.directory.pop_back();
+    if (c.comeBackMost < c.comeBackLeast)
+      fault(keyLine("store", "come_back_most"), "[store] come_back_most",
+            {"it is below come_back_least", "raise it, or lower the other"});
+    for (std::size_t k = 0; k < config_.classes.size(); ++k) {
+      const knotstack::ClassSettings& s = config_.settings.classes[k];
+      if (s.effect != knotstack::Effect::Keyed || c.keep >= s.deadline + s.memory) continue;
+      fault(keyLine("store", "keep"), "[store] keep",
+            {"class " + config_.classes[k] + " may be asked for again after that",
+             "at least its give_up and repeats_dropped_for together"});
+    }
+    config_.store = std::make_shared<const StoreConfig>(c);
+#else
+    fault(keyLine("store", "directory"), "[store] directory",
+          {"this build has no store", "build with SABLESPUR_STORE"});
+#endif
   }
   std::string beside(const std::string& name) const {
     const std::size_t slash = path_.rfind('/');
@@ -384,7 +407,7 @@
   IniFile file_;
   std::vector<Fault> faults_;
   Config config_;
-  Draft draft_{config_, 0, 0, {}, {}, {}, {}, {}, {}, {}, {}};
+  Draft draft_{config_, 0, 0, {}, {}, {}, {}, {}, {}, {}, {}, {}};
 };
 
 }  // namespace
--- a/src/config/keys.cpp
+++ b/src/config/keys.cpp
@@ -58,6 +58,10 @@
        "Clients that the door knows apart, by network or by name. Whoever is in none belongs to `others`, "
        "which "
        "may have a section too."},
+      {"store", false,
+       "What outlives a crash: keyed writes and their outcomes, and what sessions have seen. Off unless it "
+       "has a "
+       "directory. Read at the start alone."},
       {"status", false, "Where `sablespur status` asks."},
       {"rules", false, "The figures of the rules that the proxy keeps."},
       {"goal", false, "What counts when not all can be served."},
@@ -466,6 +470,43 @@
            [](Draft& d, const KeyValue& v) { d.door.mostOpen = static_cast<std::size_t>(as<std::int64_t>(v)); },
            "Requests out or waiting at once, with `[admission] requests`; 0 is no cap of its own."},
 
+          {"store", "directory", Kind::Text, "", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.store.directory = word(v); },
+           "Of this proxy alone, on a disk that outlives it; by its path or beside this file. It is made if it is not "
+           "there. Empty: nothing is kept."},
+          {"store", "keep", Kind::Duration, "10min", kSecond, 24 * 30 * kHour, "",
+           [](Draft& d, const KeyValue& v) { d.store.keep = time(v); },
+           "A key is known for so long after the last word on it. One that comes later is taken for new, so this must "
+           "be longer than any client goes on asking: at least give_up and repeats_dropped_for of each keyed class "
+           "together."},
+          {"store", "keep_sessions", Kind::Duration, "10min", kSecond, 24 * 30 * kHour, "",
+           [](Draft& d, const KeyValue& v) { d.store.keepSessions = time(v); },
+           "What a session has seen is known for so long after it was last seen. What is forgotten raises the least "
+           "that any unknown session is shown."},
+          {"store", "keys", Kind::Count, "100000", 1, 1e9, "",
+           [](Draft& d, const KeyValue& v) { d.store.mostKeys = static_cast<std::size_t>(as<std::int64_t>(v)); },
+           "Keys known at once. Beyond that a write with a new key is turned away until one may be forgotten: keys a "
+           "second times keep must stay below it. About 500 bytes of disk each, and its answer."},
+          {"store", "sessions", Kind::Count, "100000", 1, 1e9, "",
+           [](Draft& d, const KeyValue& v) { d.store.mostSessions = static_cast<std::size_t>(as<std::int64_t>(v)); },
+           "Sessions known at once. Beyond that a new one raises the least that unknown sessions are shown."},
+          {"store", "answers", Kind::Size, "16KB", 0, 1 << 20, "",
+           [](Draft& d, const KeyValue& v) { d.store.longestAnswer = static_cast<std::size_t>(as<std::uint64_t>(v)); },
+           "Answers of keyed writes up to so long are kept for those that ask again; who asks for a longer one again "
+           "is told that it may have run."},
+          {"store", "patience", Kind::Duration, "250ms", kMillisecond, 60 * kSecond, "",
+           [](Draft& d, const KeyValue& v) { d.store.patience = time(v); },
+           "A commit that takes longer counts as a disk that hangs: keyed writes are turned away until it has ended."},
+          {"store", "come_back_least", Kind::Duration, "200ms", kMillisecond, kHour, "",
+           [](Draft& d, const KeyValue& v) { d.store.comeBackLeast = time(v); },
+           "Who is turned away for want of the store is told to come back after a random time between this"},
+          {"store", "come_back_most", Kind::Duration, "2s", kMillisecond, kHour, "",
+           [](Draft& d, const KeyValue& v) { d.store.comeBackMost = time(v); }, "and this."},
+          {"store", "damaged", Kind::Choice, "refuse", 0, 0, "refuse set_aside",
+           [](Draft& d, const KeyValue& v) { d.store.setAside = word(v) == "set_aside"; },
+           "A store that fails its checks at the start: the proxy does not start, or renames it to NAME.damaged-TIME "
+           "and begins a new one, which knows no key."},
+
           {"status", "socket", Kind::Text, "", 0, 0, "",
            [](Draft& d, const KeyValue& v) { d.config.statusSocket = word(v); },
            "The path of a local socket that only the proxy's own user may open. Empty: there is none."},
--- a/src/config/keys.hpp
+++ b/src/config/keys.hpp
@@ -65,6 +65,7 @@
   GroupName group;               // of the [group] at hand
   std::string usersFile, passwordFile;
   AdmissionDraft admission;
+  StoreConfig store;
   AdmissionGroupDraft door;  // of the [admission_group] at hand
 };
 
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -129,6 +129,7 @@
 
 void Engine::tell(Ended& e) {
   const auto it = held_.find(e.id);
+  if (witness_) witness_->ended(e.id, e.attempt, e.ending);
   knotstack::Outcome o;
   o.request = e.id;
   o.attempt = e.attempt;
@@ -202,6 +203,12 @@
   return it->second;
 }
 
+std::string Engine::nameOf(MemberId id) const {
+  for (const auto& [name, known] : ids_)
+    if (known == id) return name;
+  return "";
+}
+
 // ---- actions: recorded here, carried out at the end of the turn ---------------------------------------
 void Engine::send(RequestId id, MemberId member, Time until) {
   const auto it = held_.find(id);
@@ -210,6 +217,7 @@
   const int attempt = static_cast<int>(h.sent.size());
   h.sent.push_back(member);
   actions_.emplace_back([this, id, attempt, member, until, message = h.message] {
+    if (witness_) witness_->sent(id, attempt, nameOf(member));
     members_->send(id, attempt, member, until, message);
   });
 }
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -30,7 +30,8 @@
 struct Message {
   Buffer before, after;
   std::shared_ptr<const translate::Side>
-      from;  // what its writer said of itself; null: what everyone takes for granted
+      from;             // what its writer said of itself; null: what everyone takes for granted
+  std::string id, key;  // as its writer named it, and its idempotency key; empty: none
 };
 
 // What a member answered, as it came; the engine passes it on unseen.
@@ -49,6 +50,24 @@
   virtual void failed() = 0;
 };
 
+// Where requests come in: the engine, or what stands before it. Ids are the entrance's own.
+class Entrance {
+ public:
+  virtual ~Entrance() = default;
+  // Answered by the Requester, after this call has returned.
+  virtual RequestId request(Requester&, knotstack::Request, Message) = 0;  // the request's id is given here
+  virtual void left(RequestId) = 0;
+};
+
+struct Ending;
+// Whoever keeps account of attempts; called within a turn, before what comes of it is carried out.
+class Witness {
+ public:
+  virtual ~Witness() = default;
+  virtual void sent(RequestId, int attempt, const std::string& member) = 0;
+  virtual void ended(RequestId, int attempt, const Ending&) = 0;
+};
+
 // The way to the members. Each send ends in one Engine::ended, each probe in one Engine::probed; both come
 // after the call has returned.
 class Members {
@@ -84,15 +103,16 @@
 float secondsSince(Time zero, double unixSeconds);
 std::uint32_t millisecondsSince(Time zero, std::int64_t unixMs);  // below 2^30
 
-class Engine final : public ListTaker, knotstack::Sink {
+class Engine final : public Entrance, public ListTaker, knotstack::Sink {
  public:
   Engine(event_base*, const Config&);
   ~Engine() override;
-  void start(Members&, Lists&);  // tells the Balancer the list that the configuration holds
+  void witness(Witness* w) { witness_ = w; }  // null: none
+  void start(Members&, Lists&);               // tells the Balancer the list that the configuration holds
 
   // What has come in; it waits for the turn.
-  RequestId request(Requester&, knotstack::Request, Message);  // its id is given here
-  void left(RequestId);
+  RequestId request(Requester&, knotstack::Request, Message) override;
+  void left(RequestId) override;
   void connected(RequestId, int attempt);  // a new connection stands: may the attempt still go out?
   void ended(RequestId, int attempt, MemberId, Ending);
   void probed(MemberId, bool ok, const std::vector<double>& report);  // positions in Unix seconds
@@ -153,6 +173,7 @@
   void tellList(knotstack::ListKind, const InstanceList&);
   void rebase();
   MemberId idOf(const std::string& name);
+  std::string nameOf(MemberId) const;
 
   void send(RequestId, MemberId, Time until) override;
   void refuse(RequestId, Time retryAfter) override;
@@ -169,6 +190,7 @@
   Time zero_;  // positions are told to the Balancer from here on
   Members* members_ = nullptr;
   Lists* lists_ = nullptr;
+  Witness* witness_ = nullptr;
   std::vector<Incoming> events_;
   std::vector<std::function<void()>> actions_;  // recorded in the order in which they take effect
   std::unordered_map<RequestId, Held> held_;
--- a/src/front/gate.cpp
+++ b/src/front/gate.cpp
@@ -25,8 +25,9 @@
 
 class AdmissionGate final : public Gate {
  public:
-  AdmissionGate(event_base* base, Engine& engine, const Config& c)
+  AdmissionGate(event_base* base, Engine& engine, Entrance& next, const Config& c)
       : engine_(engine),
+        next_(next),
         classes_(c.settings.classes),
         s_(c.admission),
         door_(s_->door, s_->networks),
@@ -90,7 +91,7 @@
   }
 
   RequestId request(Requester& asker, knotstack::Request q, Message m, PlaceId place) override {
-    if (!requests_) return engine_.request(asker, q, std::move(m));
+    if (!requests_) return next_.request(asker, q, std::move(m));
     const RequestId key = ++lastKey_;
     auto e = std::make_unique<Entered>(*this, key, asker, q, std::move(m));
     e->arrived = engine_.now();
@@ -103,10 +104,10 @@
     return key;
   }
   void gone(RequestId key) override {
-    if (!requests_) return engine_.left(key);
+    if (!requests_) return next_.left(key);
     const auto it = entered_.find(key);
     if (it == entered_.end()) return;
-    if (it->second->inEngine != 0) engine_.left(it->second->inEngine);
+    if (it->second->inEngine != 0) next_.left(it->second->inEngine);
     entered_.erase(it);
     carryOut(requests_->left(engine_.now(), key));
   }
@@ -242,7 +243,7 @@
     e.went = engine_.now();
     // How long ago the session last wrote counts from now.
     if (e.q.tokenMs > 0) e.q.tokenMs += static_cast<float>((e.went - e.arrived).count()) / 1e3f;
-    e.inEngine = engine_.request(e, e.q, std::move(e.message));
+    e.inEngine = next_.request(e, e.q, std::move(e.message));
   }
   void refuse(RequestId key, Time comeBack) {
     refusals_.emplace_back(key, comeBack);
@@ -324,6 +325,7 @@
     IpAddress address;
   };
   Engine& engine_;
+  Entrance& next_;
   const std::vector<knotstack::ClassSettings> classes_;
   std::shared_ptr<const admission::Settings> s_;
   admission::Door door_;
@@ -341,9 +343,9 @@
 
 }  // namespace
 
-std::unique_ptr<Gate> openGate(event_base* base, Engine& engine, const Config& c) {
+std::unique_ptr<Gate> openGate(event_base* base, Engine& engine, Entrance& next, const Config& c) {
   if (!c.admission) return nullptr;
-  return std::make_unique<AdmissionGate>(base, engine, c);
+  return std::make_unique<AdmissionGate>(base, engine, next, c);
 }
 
 }  // namespace sablespur
--- a/src/front/gate.hpp
+++ b/src/front/gate.hpp
@@ -74,7 +74,7 @@
   // There is no descriptor: the idle connection that is asked back first makes way.
   virtual void shortage() = 0;
 
-  // As Engine::request and Engine::left; ids are the Gate's own. What is not let on is told by
+  // As Entrance::request and Entrance::left; ids are the Gate's own. What is not let on is told by
   // Requester::refused, after this call has returned.
   virtual RequestId request(Requester&, knotstack::Request, Message, PlaceId) = 0;
   virtual void gone(RequestId) = 0;
@@ -84,6 +84,7 @@
 };
 
 // Null where the settings have no door.
-std::unique_ptr<Gate> openGate(event_base*, Engine&, const Config&);
+// Requests that are let on go to the Entrance.
+std::unique_ptr<Gate> openGate(event_base*, Engine&, Entrance&, const Config&);
 
 }  // namespace sablespur
--- /dev/null
+++ b/src/front/keeper.cpp
@@ -0,0 +1,484 @@
+#include "front/keeper.hpp"
+
+#include <algorithm>
+#include <ctime>
+#include <filesystem>
+#include <random>
+#include <stdexcept>
+#include <unordered_map>
+#include <vector>
+
+#include "log/log.hpp"
+#include "store/writer.hpp"
+
+namespace sablespur {
+namespace {
+
+using knotstack::Effect;
+using knotstack::Need;
+using store::End;
+using store::Outcome;
+using store::Said;
+using store::Verdict;
+using store::Writer;
+
+constexpr Time kLook = std::chrono::milliseconds(10);  // at what waits for the disk
+constexpr Time kLeastWait = std::chrono::milliseconds(1);
+
+End endOf(const Ending& e) {
+  if (e.badStatement) return End::NeverRan;
+  switch (e.result) {
+    case Result::Ok:
+      return End::Ran;
+    case Result::Full:
+    case Result::ConnectFailed:
+    case Result::Moot:
+    case Result::Miss:
+      return End::NeverRan;
+    default:
+      return End::MayHaveRun;
+  }
+}
+
+store::LedgerSettings ledgerSettings(const StoreConfig& c) {
+  store::LedgerSettings s;
+  s.directory = c.directory;
+  s.keep = c.keep;
+  s.keepSessions = c.keepSessions;
+  s.mostKeys = c.mostKeys;
+  s.mostSessions = c.mostSessions;
+  s.longestAnswer = c.longestAnswer;
+  return s;
+}
+
+class StoreKeeper final : public Keeper, Witness {
+ public:
+  StoreKeeper(event_base* base, Engine& engine, const Config& c, const translate::AnswerReader& reader,
+              store::FileHook* hook)
+      : engine_(engine),
+        config_(*c.store),
+        classes_(c.settings.classes),
+        names_(c.classes),
+        tokensCarried_(c.settings.tokensCarried),
+        retryAfter_(c.settings.retryAfter),
+        reader_(reader),
+        random_(static_cast<std::mt19937::result_type>(c.seed)),
+        writer_(
+            base, ledgerSettings(config_),
+            [this](Writer::State s, const std::string& why) { changed(s, why); }, hook),
+        started_(engine.now()),
+        deliver_(event_new(
+            base, -1, 0,
+            [](evutil_socket_t, short, void* self) { static_cast<StoreKeeper*>(self)->deliver(); }, this)),
+        look_(event_new(
+            base, -1, EV_PERSIST,
+            [](evutil_socket_t, short, void* self) { static_cast<StoreKeeper*>(self)->look(); }, this)) {
+    engine_.witness(this);
+    if (writer_.state() == Writer::State::Up) {
+      opened();
+    } else {
+      changed(writer_.state(), writer_.why());
+    }
+  }
+  ~StoreKeeper() override { engine_.witness(nullptr); }
+
+  RequestId request(Requester& asker, knotstack::Request q, Message m) override {
+    const knotstack::ClassSettings& c = classes_[static_cast<std::size_t>(q.cls)];
+    const bool keyed = c.need == Need::Write && c.effect == Effect::Keyed && !m.key.empty();
+    const bool sessionRead = c.need == Need::Session && q.session != 0 && !tokensCarried_;
+    const bool sessionWrite = c.need == Need::Write && q.session != 0 && !tokensCarried_;
+    const RequestId id = ++lastId_;
+    Entered& e =
+        *entered_.emplace(id, std::make_unique<Entered>(*this, id, asker, q, std::move(m))).first->second;
+    e.keyed = keyed;
+    e.session = sessionRead || sessionWrite;
+    e.write = c.need == Need::Write;
+    e.arrived = engine_.now();
+    if (keyed) {
+      askForKey(e);
+    } else if (sessionRead && engine_.now() - started_ < config_.keepSessions) {
+      askForSession(e);
+    } else {
+      go(e);
+    }
+    return id;
+  }
+
+  void left(RequestId id) override {
+    const auto it = entered_.find(id);
+    if (it == entered_.end()) return;
+    Entered& e = *it->second;
+    if (e.inEngine != 0) {
+      engine_.left(e.inEngine);
+      byEngine_.erase(e.inEngine);
+    }
+    // The engine hears of it in its next turn, and may send once more before: once it has gone on, it may
+    // have run.
+    if (e.keyed && e.intended) writer_.note(store::NoteLeft{e.message.key, e.message.id, e.inEngine != 0});
+    if (e.keyed && e.waits == Waits::Intent) takeBack(e);
+    entered_.erase(it);
+  }
+
+  KeeperView view() const override {
+    KeeperView v = counts_;
+    const Writer::Figures f = writer_.figures();
+    v.directory = config_.directory;
+    v.state = writer_.state() == Writer::State::Up     ? (slow_ ? "slow" : "up")
+              : writer_.state() == Writer::State::Down ? "down"
+                                                       : "damaged";
+    v.why = writer_.why();
+    v.epoch = writer_.recovered().epoch;
+    v.keys = f.keys;
+    v.sessions = f.sessions;
+    v.operations = f.operations;
+    v.commits = f.commits;
+    v.largestGroup = f.largestGroup;
+    v.lost = f.lost;
+    v.bytes = f.bytesOnDisk;
+    v.lastCommit = f.lastCommit;
+    v.longestCommit = f.longestCommit;
+    v.waiting = writer_.waiting();
+    return v;
+  }
+
+ private:
+  enum class Waits { Nothing, Intent, Session, Outcome };
+  // A request between who asked and the engine.
+  struct Entered final : Requester {
+    Entered(StoreKeeper& k, RequestId i, Requester& a, const knotstack::Request& r, Message&& m)
+        : keeper(k), id(i), asker(a), q(r), message(std::move(m)) {}
+    void served(Answer a) override { keeper.served(*this, std::move(a)); }
+    void refused(Time retryAfter) override { keeper.refused(*this, retryAfter); }
+    void failed() override { keeper.failed(*this); }
+    // Of its attempts, those included that are still out.
+    bool mayHaveRun() const { return ran || out > 0; }
+
+    StoreKeeper& keeper;
+    const RequestId id;
+    Requester& asker;
+    knotstack::Request q;
+    Message message;  // its id and key, once it has gone on
+    RequestId inEngine = 0;
+    bool keyed = false, session = false, write = false, intended = false;
+    bool ran = false;  // an attempt that is over may have
+    int out = 0;
+    std::int64_t positionMs = 0;
+    Time arrived{}, since{};  // since: it waits
+    Waits waits = Waits::Nothing;
+    Writer::Ticket ticket;
+    Answer answer;  // while its outcome becomes durable
+  };
+
+  bool takesWrites() const { return writer_.state() == Writer::State::Up && !slow_; }
+  Time comeBack() {
+    if (!retryAfter_) return Time(0);
+    return Time(std::uniform_int_distribution<std::int64_t>(config_.comeBackLeast.count(),
+                                                            config_.comeBackMost.count())(random_));
+  }
+  void wait(Entered& e, Waits what) {
+    e.waits = what;
+    e.since = engine_.now();
+    if (!event_pending(look_.get(), EV_TIMEOUT, nullptr)) startTimer(look_.get(), kLook);
+  }
+
+  // ---- before it goes on -------------------------------------------------------------------------------
+  void askForKey(Entered& e) {
+    if (!takesWrites()) {
+      ++counts_.turnedAway;
+      return later(e, comeBack());
+    }
+    wait(e, Waits::Intent);
+    const knotstack::ClassSettings& c = classes_[static_cast<std::size_t>(e.q.cls)];
+    store::Asked a;
+    a.id = e.message.id;
+    a.key = e.message.key;
+    a.cls = names_[static_cast<std::size_t>(e.q.cls)];
+    a.group = e.q.group;
+    a.window = c.memory;
+    e.ticket = writer_.ask(store::AskKey{std::move(a)},
+                           [this, &e](bool durable, Said s) { judged(e, durable, std::move(s)); });
+  }
+  void judged(Entered& e, bool durable, Said s) {
+    e.ticket.reset();
+    e.waits = Waits::Nothing;
+    if (!durable || s.full) {
+      ++counts_.turnedAway;
+      Time wait = comeBack();
+      if (s.full && retryAfter_) wait = std::max(wait, s.wait);
+      return refuse(e, wait);
+    }
+    e.intended = true;
+    switch (s.verdict) {
+      case Verdict::Run:
+        ++counts_.ran;
+        return go(e);
+      case Verdict::Again:
+        ++counts_.again;
+        // Since when it may be out: from then the data servers' memory of it counts.
+        e.q.ranAt = std::max(engine_.now() - s.since, Time(1));
+        return go(e);
+      case Verdict::Recorded: {
+        ++counts_.recorded;
+        Answer a;
+        a.messages = newBuffer();
+        append(a.messages.get(), s.answer);
+        a.reader = &reader_;
+        writer_.note(store::NoteTold{e.message.key, e.message.id});
+        Requester& asker = e.asker;
+        entered_.erase(e.id);
+        return asker.served(std::move(a));
+      }
+      case Verdict::Unknown:
+        ++counts_.unknown;
+        writer_.note(store::NoteTold{e.message.key, e.message.id});
+        return fail(e);
+    }
+  }
+  void askForSession(Entered& e) {
+    if (!takesWrites()) {
+      unproved(e);
+      return go(e);
+    }
+    wait(e, Waits::Session);
+    e.ticket = writer_.ask(store::AskSession{e.q.session}, [this, &e](bool durable, const Said& s) {
+      e.ticket.reset();
+      e.waits = Waits::Nothing;
+      if (!durable) {
+        unproved(e);
+      } else if (s.positionMs > 0) {
+        sawUpTo(e, std::chrono::milliseconds(s.positionMs));
+      }
+      go(e);
+    });
+  }
+  void sawUpTo(Entered& e, Time position) {
+    e.q.tokenMs =
+        std::max(0.001f, static_cast<float>(static_cast<double>((engine_.now() - position).count()) / 1e3));
+  }
+  // What the session has seen is not known: nothing older than now will do.
+  void unproved(Entered& e) { sawUpTo(e, engine_.now()); }
+
+  void go(Entered& e) {
+    Message m{std::move(e.message.before), std::move(e.message.after), std::move(e.message.from), {}, {}};
+    e.inEngine = engine_.request(e, e.q, std::move(m));
+    byEngine_.emplace(e.inEngine, &e);
+  }
+
+  // ---- attempts ----------------------------------------------------------------------------------------
+  void sent(RequestId id, int attempt, const std::string& member) override {
+    const auto it = byEngine_.find(id);
+    if (it == byEngine_.end()) return;
+    Entered& e = *it->second;
+    ++e.out;
+    if (e.keyed) writer_.note(store::NoteSent{e.message.key, e.message.id, member, attempt});
+  }
+  void ended(RequestId id, int attempt, const Ending& ending) override {
+    const auto it = byEngine_.find(id);
+    if (it == byEngine_.end()) return;
+    Entered& e = *it->second;
+    const End end = endOf(ending);
+    e.out -= e.out > 0;
+    e.ran = e.ran || end != End::NeverRan;
+    if (ending.result == Result::Ok) e.positionMs = ending.positionMs;
+    if (e.keyed) writer_.note(store::NoteEnded{e.message.key, e.message.id, attempt, end});
+  }
+
+  // ---- how it ended ------------------------------------------------------------------------------------
+  void served(Entered& e, Answer a) {
+    byEngine_.erase(e.inEngine);
+    if (!e.keyed && e.session && !e.write && e.positionMs > 0)
+      writer_.note(store::NoteSeen{e.q.session, e.positionMs});
+    const bool problem = a.problem;
+    if (problem || (!e.keyed && !(e.session && e.write && e.positionMs > 0))) {
+      if (e.keyed) finish(e, problem && !e.ran ? Outcome::Refused : Outcome::Failed);
+      Requester& asker = e.asker;
+      entered_.erase(e.id);
+      return asker.served(std::move(a));
+    }
+    e.answer = std::move(a);
+    wait(e, Waits::Outcome);
+    const auto done = [this, &e](bool durable, const Said&) { recorded(e, durable); };
+    if (!e.keyed) {
+      e.ticket = writer_.ask(store::NoteSeen{e.q.session, e.positionMs}, done);
+      return;
+    }
+    evbuffer* const from = e.answer.messages.get();
+    const std::size_t length = evbuffer_get_length(from);
+    store::Finish f{
+        e.message.key, e.message.id, Outcome::Served, {}, e.positionMs, e.session ? e.q.session : 0, true};
+    if (length <= config_.longestAnswer) {
+      f.answer.resize(length);
+      evbuffer_copyout(from, f.answer.data(), length);
+    } else {
+      f.answer.assign(config_.longestAnswer + 1, '\0');  // too long to keep, whatever it is
+    }
+    e.ticket = writer_.ask(std::move(f), done);
+  }
+  void recorded(Entered& e, bool durable) {
+    e.ticket.reset();
+    e.waits = Waits::Nothing;
+    // Its answer is known here and would be lost by a crash: it is not given.
+    if (!durable) {
+      ++counts_.notDurable;
+      return fail(e);
+    }
+    if (e.keyed) writer_.note(store::NoteTold{e.message.key, e.message.id});
+    Requester& asker = e.asker;
+    Answer a = std::move(e.answer);
+    entered_.erase(e.id);
+    asker.served(std::move(a));
+  }
+  void refused(Entered& e, Time retryAfter) {
+    byEngine_.erase(e.inEngine);
+    if (e.keyed) finish(e, Outcome::Refused);
+    refuse(e, retryAfter);
+  }
+  void failed(Entered& e) {
+    byEngine_.erase(e.inEngine);
+    if (e.keyed) finish(e, Outcome::Failed);
+    fail(e);
+  }
+  void finish(const Entered& e, Outcome o) {
+    writer_.note(store::Finish{e.message.key, e.message.id, o, {}, 0, 0, e.mayHaveRun()});
+    writer_.note(store::NoteTold{e.message.key, e.message.id});
+  }
+  void refuse(Entered& e, Time wait) {
+    Requester& asker = e.asker;
+    entered_.erase(e.id);
+    asker.refused(wait);
+  }
+  void fail(Entered& e) {
+    Requester& asker = e.asker;
+    entered_.erase(e.id);
+    asker.failed();
+  }
+  // Its intent may become durable yet; nothing of it is ever sent.
+  void takeBack(const Entered& e) { writer_.note(store::NoteLeft{e.message.key, e.message.id, false}); }
+
+  // A requester is never answered within its own call.
+  void later(Entered& e, Time wait) {
+    refusals_.emplace_back(e.id, wait);
+    event_active(deliver_.get(), EV_TIMEOUT, 0);
+  }
+  void deliver() {
+    std::vector<std::pair<RequestId, Time>> all;
+    all.swap(refusals_);
+    for (const auto& [id, wait] : all)
+      if (const auto it = entered_.find(id); it != entered_.end()) refuse(*it->second, wait);
+  }
+
+  // ---- a disk that is slow -----------------------------------------------------------------------------
+  // Who has waited longer than the patience is answered, whatever becomes of the commit.
+  void look() {
+    const Time now = engine_.now();
+    const bool slow = writer_.oldest() > config_.patience;
+    if (slow != slow_) {
+      slow_ = slow;
+      if (slow)
+        logEvent(LogLevel::Warning, "store_slow", {{"waited_ms", writer_.oldest().count() / 1000}});
+      else
+        logEvent(LogLevel::Info, "store_in_time_again");
+    }
+    std::vector<RequestId> over;
+    bool any = slow_;
+    for (const auto& [id, e] : entered_) {
+      if (e->waits == Waits::Nothing) continue;
+      any = true;
+      if (now - e->since > config_.patience || now >= e->q.deadline) over.push_back(id);
+    }
+    for (const RequestId id : over) {
+      const auto it = entered_.find(id);
+      if (it == entered_.end()) continue;
+      Entered& e = *it->second;
+      const Waits waited = e.waits;
+      e.ticket.reset();
+      e.waits = Waits::Nothing;
+      if (waited == Waits::Intent) {
+        ++counts_.turnedAway;
+        takeBack(e);
+        refuse(e, comeBack());
+      } else if (waited == Waits::Session) {
+        unproved(e);
+        go(e);
+      } else {
+        ++counts_.notDurable;
+        fail(e);
+      }
+    }
+    if (!any) event_del(look_.get());
+  }
+  void changed(Writer::State s, const std::string& why) {
+    switch (s) {
+      case Writer::State::Up:
+        opened();
+        return;
+      case Writer::State::Down:
+        logEvent(LogLevel::Error, "store_down", {{"why", why}});
+        return;
+      case Writer::State::Damaged:
+        logEvent(LogLevel::Error, "store_damaged", {{"why", why}});
+    }
+  }
+  void opened() const {
+    const store::Recovered& r = writer_.recovered();
+    logEvent(LogLevel::Info, "store_opened",
+             {{"directory", config_.directory},
+              {"epoch", r.epoch},
+              {"keys", r.keys},
+              {"sessions", r.sessions},
+              {"unresolved", r.unresolved},
+              {"gap", r.gap}});
+    if (r.database.tornBytes > 0)
+      logEvent(
+          LogLevel::Warning, "store_end_torn",
+          {{"file", r.database.tornFile}, {"offset", r.database.tornAt}, {"bytes", r.database.tornBytes}});
+  }
+
+  Engine& engine_;
+  const StoreConfig config_;
+  const std::vector<knotstack::ClassSettings> classes_;
+  const std::vector<std::string> names_;
+  const bool tokensCarried_, retryAfter_;
+  const translate::AnswerReader& reader_;
+  std::mt19937 random_;
+  std::unordered_map<RequestId, std::unique_ptr<Entered>> entered_;
+  std::unordered_map<RequestId, Entered*> byEngine_;
+  std::vector<std::pair<RequestId, Time>> refusals_;  // to be told
+  KeeperView counts_;
+  bool slow_ = false;
+  RequestId lastId_ = 0;
+  Writer writer_;
+  const Time started_;
+  Event deliver_, look_;
+};
+
+// So that what is there can be looked at: nothing is thrown away.
+void setAside(const std::string& directory, const std::string& why) {
+  const std::string to = directory + ".damaged-" + std::to_string(std::time(nullptr));
+  std::error_code failed;
+  std::filesystem::rename(directory, to, failed);
+  if (failed)
+    throw std::runtime_error("key [store] directory: " + why +
+                             "; it cannot be set aside: " + failed.message());
+  logEvent(LogLevel::Error, "store_set_aside", {{"to", to}, {"why", why}});
+}
+
+}  // namespace
+
+std::unique_ptr<Keeper> openKeeper(event_base* base, Engine& engine, const Config& c,
+                                   const translate::AnswerReader& reader, store::FileHook* hook) {
+  if (!c.store) return nullptr;
+  try {
+    try {
+      return std::make_unique<StoreKeeper>(base, engine, c, reader, hook);
+    } catch (const store::StoreError& e) {
+      if (e.kind != store::StoreError::Kind::Damaged || !c.store->setAside) throw;
+      setAside(c.store->directory, e.what());
+      return std::make_unique<StoreKeeper>(base, engine, c, reader, hook);
+    }
+  } catch (const store::StoreError& e) {
+    throw std::runtime_error("key [store] directory: " + std::string(e.what()));
+  }
+}
+
+}  // namespace sablespur
--- a/src/front/pg/clients.cpp
+++ b/src/front/pg/clients.cpp
@@ -24,10 +24,11 @@
 
 }  // namespace
 
-Clients::Clients(event_base* base, Engine& engine, Workers& workers, Account& account, Spare& spare,
-                 Gate* gate, const Config& config)
+Clients::Clients(event_base* base, Engine& engine, Entrance& entrance, Workers& workers, Account& account,
+                 Spare& spare, Gate* gate, const Config& config)
     : base_(base),
       engine_(engine),
+      entrance_(entrance),
       workers_(workers),
       account_(account),
       gate_(gate),
@@ -57,9 +58,9 @@
 int Clients::port() const { return acceptor_->port(); }
 
 RequestId Clients::request(Requester& asker, const knotstack::Request& q, Message m, PlaceId place) {
-  return gate_ ? gate_->request(asker, q, std::move(m), place) : engine_.request(asker, q, std::move(m));
+  return gate_ ? gate_->request(asker, q, std::move(m), place) : entrance_.request(asker, q, std::move(m));
 }
-void Clients::left(RequestId id) { gate_ ? gate_->gone(id) : engine_.left(id); }
+void Clients::left(RequestId id) { gate_ ? gate_->gone(id) : entrance_.left(id); }
 
 // Unguessable, both the number that stands for a process and the secret.
 pg::Key Clients::newKey(Session& s, std::size_t length) {
--- a/src/front/pg/clients.hpp
+++ b/src/front/pg/clients.hpp
@@ -21,7 +21,7 @@
 class Clients {
  public:
   // `gate` may be null. Throws std::runtime_error where it cannot listen.
-  Clients(event_base*, Engine&, Workers&, Account&, Spare&, Gate* gate, const Config&);
+  Clients(event_base*, Engine&, Entrance&, Workers&, Account&, Spare&, Gate* gate, const Config&);
   ~Clients();
   // Serves on while new connections still come, then closes connections between requests and finishes what is
   // taken. `done` follows when no connection is left.
@@ -46,8 +46,9 @@
 
   event_base* const base_;
   Engine& engine_;
+  Entrance& entrance_;
   Workers& workers_;
-  // Requests go by the Gate where there is one.
+  // Requests go by the Gate where there is one, else straight to the Entrance.
   RequestId request(Requester&, const knotstack::Request&, Message, PlaceId);
   void left(RequestId);
 
--- /dev/null
+++ b/src/store/clock.cpp
@@ -0,0 +1,46 @@
+#include "store/clock.hpp"
+
+#include <time.h>
+
+#include <algorithm>
+#include <chrono>
+#include <fstream>
+
+namespace sablespur::store {
+
+MachineTime machineTime() {
+  // Read once: it changes with the machine's start alone.
+  static const std::string boot = [] {
+    std::string id;
+    std::ifstream("/proc/sys/kernel/random/boot_id") >> id;
+    return id;
+  }();
+  timespec t{};
+  clock_gettime(CLOCK_BOOTTIME, &t);
+  const auto wall = std::chrono::system_clock::now().time_since_epoch();
+  return {boot, static_cast<std::int64_t>(t.tv_sec) * 1000000 + t.tv_nsec / 1000,
+          std::chrono::duration_cast<std::chrono::milliseconds>(wall).count()};
+}
+
+LedgerClock::LedgerClock(const std::optional<ClockRecord>& last, const MachineTime& now)
+    : boot_(now.boot), bootUs_(now.us), base_(1), last_(base_) {
+  if (!last) return;
+  gapAt_ = last->gapAt;
+  // An empty name or a time before the record's is a machine that was set back (a snapshot): as good as
+  // another.
+  if (!now.boot.empty() && last->boot == now.boot && now.us >= last->bootUs) {
+    base_ = last->at + Time(now.us - last->bootUs);
+  } else {
+    gap_ = true;
+    gapAt_ = base_ = last->at + Time(1);
+  }
+  last_ = base_;
+}
+
+Time LedgerClock::at(const MachineTime& now) {
+  last_ = std::max(last_, base_ + Time(std::max<std::int64_t>(now.us - bootUs_, 0)));
+  return last_;
+}
+ClockRecord LedgerClock::record(const MachineTime& now) { return {at(now), boot_, now.us, gapAt_}; }
+
+}  // namespace sablespur::store
--- /dev/null
+++ b/src/store/clock.hpp
@@ -0,0 +1,38 @@
+// The ledger's clock: it never goes back, and no step of the wall clock moves it. Within one start of the
+// machine it counts the time since that start, suspension included, so it goes on through the proxy's own
+// restarts. How long a machine was off nobody can tell without trusting its wall clock: the clock then goes
+// on from where it stood, and what is older than that gap is taken for too old to be sent again, and too
+// young to be forgotten. Pure but for machineTime().
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "store/record.hpp"
+
+namespace sablespur::store {
+
+struct MachineTime {
+  std::string boot;     // names this start of the machine
+  std::int64_t us = 0;  // since then, CLOCK_BOOTTIME
+  std::int64_t wallMs = 0;
+};
+MachineTime machineTime();
+
+class LedgerClock {
+ public:
+  LedgerClock(const std::optional<ClockRecord>& last, const MachineTime& now);
+  bool gap() const { return gap_; }      // between the last record and now lies a time that is not known
+  Time gapAt() const { return gapAt_; }  // of the last gap; 0: there was none
+  Time at(const MachineTime&);           // never less than before
+  ClockRecord record(const MachineTime&);
+
+ private:
+  std::string boot_;
+  std::int64_t bootUs_;
+  Time base_, last_, gapAt_{};
+  bool gap_ = false;
+};
+
+}  // namespace sablespur::store
--- /dev/null
+++ b/src/store/database.cpp
@@ -0,0 +1,248 @@
+#include "store/database.hpp"
+
+#include <leveldb/cache.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstdarg>
+#include <cstring>
+#include <map>
+#include <vector>
+
+#include "store/inspect.hpp"
+
+namespace sablespur::store {
+namespace {
+
+using leveldb::Slice;
+using leveldb::Status;
+
+constexpr std::size_t kWriteBuffer = 1 << 20;  // as much is read again at a start
+constexpr std::size_t kCache = 1 << 20;
+constexpr const char *kLockFile = "OWNER", *kMarkFile = "DURABLE", *kTornFile = "TORN";
+// Two places, written in turn, so that a torn one leaves the other; each on a sector of its own.
+constexpr std::size_t kMarkPlaces = 2, kMarkStride = 512, kMarkBytes = 16;
+constexpr std::uint64_t kMarksPerSync = 1024;
+
+// LevelDB's own account would grow on the same disk.
+class Quiet final : public leveldb::Logger {
+ public:
+  void Logv(const char*, va_list) override {}
+};
+
+Slice slice(std::string_view s) { return {s.data(), s.size()}; }
+std::string_view view(const Slice& s) { return {s.data(), s.size()}; }
+std::uint64_t big64(std::string_view s) {
+  std::uint64_t v = 0;
+  for (std::size_t k = 0; k < 8; ++k) v = v << 8 | static_cast<unsigned char>(s[k]);
+  return v;
+}
+std::string mark(std::uint64_t commits) {
+  std::string m = commitNumber(commits);
+  return m + commitNumber(XXH3_64bits_withSeed(m.data(), m.size(), 0x5ab1e));
+}
+std::string baseName(const std::string& path) { return path.substr(path.rfind('/') + 1); }
+
+}  // namespace
+
+Database::Batch::Batch() {
+  batch_.Put(slice(kCommitKey), Slice("\0\0\0\0\0\0\0\0", kCommitBytes));  // filled in when it is committed
+}
+void Database::Batch::put(std::string_view key, std::string_view value) {
+  batch_.Put(slice(key), slice(value));
+  ++pairs_;
+}
+void Database::Batch::remove(std::string_view key) {
+  batch_.Delete(slice(key));
+  ++pairs_;
+}
+
+Database::Database(Files& files, const std::string& directory)
+    : files_(files),
+      dir_(directory),
+      cache_(leveldb::NewLRUCache(kCache)),
+      quiet_(std::make_unique<Quiet>()) {
+  files_.CreateDir(dir_);  // it may be there
+  if (const Status s = files_.LockFile(dir_ + "/" + kLockFile, &lock_); !s.ok()) {
+    const bool missing = !files_.FileExists(dir_ + "/" + kLockFile);
+    throw StoreError(missing ? StoreError::Kind::Failed : StoreError::Kind::Busy,
+                     missing ? "cannot be opened: " + s.ToString() : dir_ + " is open in another process");
+  }
+  try {
+    inspect();
+    leveldb::Options o;
+    o.env = &files_;
+    o.create_if_missing = true;
+    o.paranoid_checks = true;
+    o.write_buffer_size = kWriteBuffer;
+    o.max_open_files = 32;
+    o.max_file_size = 2 << 20;
+    o.block_cache = cache_.get();
+    o.info_log = quiet_.get();
+    leveldb::DB* db = nullptr;
+    const Status s = leveldb::DB::Open(o, dir_, &db);
+    db_.reset(db);
+    if (!s.ok()) fail(s, "opening");
+    const auto last = get(kCommitKey);
+    commits_ = last && last->size() >= kCommitBytes ? big64(*last) : 0;
+    if (commits_ < marked_)
+      throw StoreError(
+          StoreError::Kind::Damaged,
+          "commits up to " + std::to_string(marked_) + " had been durable, and the last one here is " +
+              std::to_string(commits_) +
+              (opened_.tornBytes > 0 ? "; the end of " + opened_.tornFile + " was torn at offset " +
+                                           std::to_string(opened_.tornAt)
+                                     : ""),
+          opened_.tornBytes > 0 ? opened_.tornFile : kMarkFile, opened_.tornAt);
+    opened_.commits = commits_;
+  } catch (...) {
+    db_.reset();
+    files_.UnlockFile(lock_);
+    throw;
+  }
+}
+Database::~Database() {
+  if (marked_ > 0) {
+    try {
+      writeMark(true);
+    } catch (const StoreError&) {  // it is only older then
+    }
+  }
+  db_.reset();
+  files_.UnlockFile(lock_);
+}
+
+// A writer that ended amid a commit leaves a ragged end, which is cut off: LevelDB would turn some forms of
+// it down. Whether what is cut had been durable, the mark tells once the rest is open.
+void Database::inspect() {
+  readMark();
+  std::vector<std::string> names;
+  if (const Status s = files_.list(dir_, names); !s.ok()) fail(s, "listing");
+  std::map<std::uint64_t, std::string> logs;
+  std::string current;
+  for (const std::string& n : names)
+    if (n.size() > 4 && n.compare(n.size() - 4, 4, ".log") == 0)
+      logs[std::strtoull(n.c_str(), nullptr, 10)] = n;
+  files_.read(dir_ + "/CURRENT", current);
+  while (!current.empty() && current.back() == '\n') current.pop_back();
+  std::uint64_t next = 0;
+  const auto look = [&](const std::string& name, LogKind kind, bool last) {
+    const std::string path = dir_ + "/" + name;
+    std::string bytes;
+    if (const Status s = files_.read(path, bytes); !s.ok()) fail(s, "reading");
+    const Inspected i = inspectLog(bytes, kind, next);
+    if (kind == LogKind::Batches) next = i.nextSequence;
+    if (!i.ragged) return;
+    if (i.laterAt || !last)
+      throw StoreError(
+          StoreError::Kind::Damaged,
+          name + " is damaged at offset " + std::to_string(i.whole) + ": " + i.why +
+              (i.laterAt ? ", and a later record stands whole at offset " + std::to_string(*i.laterAt)
+                         : ", and a later log follows"),
+          name, i.whole);
+    if (kind == LogKind::Batches && i.commit != 0 && i.commit < marked_)
+      throw StoreError(StoreError::Kind::Damaged,
+                       name + " is damaged at offset " + std::to_string(i.whole) + ": " + i.why +
+                           "; commits up to " + std::to_string(marked_) +
+                           " had been durable, and whole are those up to " + std::to_string(i.commit),
+                       name, i.whole);
+    opened_.tornFile = name;
+    opened_.tornAt = i.whole;
+    opened_.tornBytes = bytes.size() - i.whole;
+    // Kept for people, should what had been durable turn out to be missing.
+    files_.overwrite(dir_ + "/" + kTornFile, 0, std::string_view(bytes).substr(i.whole), false);
+    if (const Status s = files_.truncate(path, i.whole); !s.ok()) fail(s, "cutting off a torn end");
+  };
+  if (!current.empty() && std::find(names.begin(), names.end(), current) != names.end())
+    look(current, LogKind::Manifest, true);
+  for (auto it = logs.begin(); it != logs.end(); ++it)
+    look(it->second, LogKind::Batches, std::next(it) == logs.end());
+}
+
+void Database::readMark() {
+  std::string bytes;
+  if (!files_.read(dir_ + "/" + kMarkFile, bytes).ok()) return;  // none was written yet
+  for (std::size_t k = 0; k < kMarkPlaces; ++k) {
+    if (bytes.size() < k * kMarkStride + kMarkBytes) continue;
+    const std::string one = bytes.substr(k * kMarkStride, kMarkBytes);
+    const std::uint64_t commits = big64(one);
+    if (one == mark(commits)) marked_ = std::max(marked_, commits);
+  }
+}
+// After the commit that it tells of, so it never claims what is not there. Not durable each time, which would
+// cost as much as the commit: after the machine's death it may be older, and then tells less.
+void Database::writeMark(bool durable) {
+  const Status s =
+      files_.overwrite(dir_ + "/" + kMarkFile, commits_ % kMarkPlaces * kMarkStride, mark(commits_), durable);
+  if (!s.ok()) fail(s, "writing the mark");
+  marked_ = commits_;
+}
+
+void Database::commit(const Batch& b) {
+  leveldb::WriteBatch all = b.batch_;
+  // The number goes into the place that the batch's first pair keeps for it, and once more as what is read
+  // back: the first pair is what tells it to the inspector.
+  struct Numbered final : leveldb::WriteBatch::Handler {
+    explicit Numbered(std::uint64_t n) : number(commitNumber(n)) {}
+    void Put(const Slice& k, const Slice& v) override {
+      out.Put(k, view(k) == kCommitKey ? Slice(number) : v);
+    }
+    void Delete(const Slice& k) override { out.Delete(k); }
+    const std::string number;
+    leveldb::WriteBatch out;
+  } numbered(commits_ + 1);
+  all.Iterate(&numbered);
+  leveldb::WriteOptions w;
+  w.sync = true;
+  if (const Status s = db_->Write(w, &numbered.out); !s.ok()) fail(s, "committing");
+  ++commits_;
+  writeMark(++marksSinceSync_ % kMarksPerSync == 0);
+}
+
+std::optional<std::string> Database::get(std::string_view key) {
+  leveldb::ReadOptions r;
+  r.verify_checksums = true;
+  std::string value;
+  const Status s = db_->Get(r, slice(key), &value);
+  if (s.ok()) return value;
+  if (!s.IsNotFound()) fail(s, "reading");
+  return std::nullopt;
+}
+
+void Database::scan(std::string_view prefix, std::string_view from,
+                    const std::function<bool(std::string_view, std::string_view)>& each) {
+  leveldb::ReadOptions r;
+  r.verify_checksums = true;
+  r.fill_cache = false;
+  const std::unique_ptr<leveldb::Iterator> it(db_->NewIterator(r));
+  for (it->Seek(slice(std::max(prefix, from))); it->Valid(); it->Next()) {
+    if (view(it->key()).substr(0, prefix.size()) != prefix) break;
+    if (!each(view(it->key()), view(it->value()))) break;
+  }
+  if (!it->status().ok()) fail(it->status(), "reading");
+}
+
+void Database::compact() { db_->CompactRange(nullptr, nullptr); }
+
+std::uint64_t Database::bytesOnDisk() const {
+  std::vector<std::string> names;
+  std::uint64_t sum = 0;
+  if (!files_.list(dir_, names).ok()) return 0;
+  for (const std::string& n : names) {
+    std::uint64_t size = 0;
+    if (n != "." && n != ".." && files_.GetFileSize(dir_ + "/" + n, &size).ok()) sum += size;
+  }
+  return sum;
+}
+
+void Database::fail(const Status& s, const char* doing) {
+  if (!s.IsCorruption() && !s.IsInvalidArgument())
+    throw StoreError(StoreError::Kind::Failed, std::string(doing) + ": " + s.ToString());
+  const Files::LastRead at = files_.lastRead();
+  throw StoreError(StoreError::Kind::Damaged,
+                   baseName(at.path) + " is damaged in the " + std::to_string(at.length) +
+                       " bytes from offset " + std::to_string(at.offset) + " (" + s.ToString() + ")",
+                   baseName(at.path), at.offset);
+}
+
+}  // namespace sablespur::store
--- /dev/null
+++ b/src/store/inspect.cpp
@@ -0,0 +1,143 @@
+#include "store/inspect.hpp"
+
+#include <boost/crc.hpp>
+
+namespace sablespur::store {
+namespace {
+
+constexpr std::size_t kBlock = 32768, kHeader = 7;  // log_format.md
+enum Type { kZero = 0, kFull = 1, kFirst = 2, kMiddle = 3, kLast = 4 };
+
+std::uint32_t little32(const char* p) {
+  std::uint32_t v = 0;
+  for (int k = 3; k >= 0; --k) v = v << 8 | static_cast<unsigned char>(p[k]);
+  return v;
+}
+std::uint64_t little64(const char* p) {
+  return little32(p) | static_cast<std::uint64_t>(little32(p + 4)) << 32;
+}
+
+struct Fragment {
+  Type type = kZero;
+  std::string_view payload;
+  const char* why = nullptr;  // null: it is whole
+};
+
+Fragment fragmentAt(std::string_view bytes, std::size_t at) {
+  Fragment f;
+  const std::size_t room = kBlock - at % kBlock;
+  if (bytes.size() - at < kHeader) return f.why = "the file ends within a header", f;
+  const char* const p = bytes.data() + at;
+  const std::size_t length =
+      static_cast<unsigned char>(p[4]) | static_cast<std::size_t>(static_cast<unsigned char>(p[5])) << 8;
+  const int type = static_cast<unsigned char>(p[6]);
+  if (type == kZero && length == 0) return f.why = "zeros in place of a record", f;
+  if (type < kFull || type > kLast) return f.why = "no such type of record", f;
+  if (kHeader + length > room) return f.why = "a length beyond its block", f;
+  if (bytes.size() - at - kHeader < length) return f.why = "the file ends within a record", f;
+  if (maskedCrc(bytes.substr(at + kHeader - 1, length + 1)) != little32(p))
+    return f.why = "a checksum does not fit", f;
+  f.type = static_cast<Type>(type);
+  f.payload = bytes.substr(at + kHeader, length);
+  return f;
+}
+
+struct Batch {
+  std::uint64_t sequence = 0, count = 0, commit = 0;
+};
+// write_batch.cc: sequence (8), count (4), then the pairs.
+std::optional<Batch> batchOf(std::string_view record) {
+  if (record.size() < 12) return std::nullopt;
+  Batch b{little64(record.data()), little32(record.data() + 8), 0};
+  if (b.count == 0) return std::nullopt;
+  const std::string head =
+      std::string("\x01", 1) + static_cast<char>(kCommitKey.size()) + std::string(kCommitKey);
+  const std::size_t value = 12 + head.size() + 1;  // its length is one byte
+  if (record.substr(12, head.size()) == head && record.size() >= value + kCommitBytes)
+    for (std::size_t k = 0; k < kCommitBytes; ++k)
+      b.commit = b.commit << 8 | static_cast<unsigned char>(record[value + k]);
+  return b;
+}
+
+struct Whole {
+  std::string record;
+  std::size_t end = 0;
+  const char* why = nullptr;
+};
+// The record that begins at `at`, put together from its fragments.
+Whole recordAt(std::string_view bytes, std::size_t at) {
+  Whole w;
+  for (bool first = true;; first = false) {
+    // What is left of a block is filled with zeros where no header fits.
+    if (const std::size_t room = kBlock - at % kBlock; room < kHeader) at = std::min(at + room, bytes.size());
+    const Fragment f = fragmentAt(bytes, at);
+    if (f.why) return w.why = f.why, w;
+    if (first != (f.type == kFull || f.type == kFirst)) return w.why = "a record's parts are out of order", w;
+    w.record += f.payload;
+    at += kHeader + f.payload.size();
+    if (f.type == kFull || f.type == kLast) return w.end = at, w;
+  }
+}
+
+}  // namespace
+
+std::string commitNumber(std::uint64_t n) {
+  std::string s;
+  for (int shift = 56; shift >= 0; shift -= 8) s.push_back(static_cast<char>(n >> shift));
+  return s;
+}
+
+std::uint32_t maskedCrc(std::string_view bytes) {
+  boost::crc_optimal<32, 0x1EDC6F41, 0xFFFFFFFF, 0xFFFFFFFF, true, true> crc;  // CRC-32C
+  crc.process_bytes(bytes.data(), bytes.size());
+  const std::uint32_t c = crc.checksum();
+  return (c >> 15 | c << 17) + 0xa282ead8u;
+}
+
+Inspected inspectLog(std::string_view bytes, LogKind kind, std::uint64_t sequence) {
+  Inspected i;
+  i.nextSequence = sequence;
+  std::size_t at = 0;
+  const auto fits = [&](const Batch& b) { return i.nextSequence == 0 || b.sequence == i.nextSequence; };
+  while (at < bytes.size()) {
+    const std::size_t room = kBlock - at % kBlock;
+    if (room < kHeader && bytes.size() - at <= room &&
+        bytes.substr(at).find_first_not_of('\0') == std::string_view::npos)
+      break;  // a block's filling is all that is left
+    const Whole w = recordAt(bytes, at);
+    i.why = w.why ? w.why : "";
+    if (!w.why && kind == LogKind::Batches) {
+      const auto b = batchOf(w.record);
+      if (!b)
+        i.why = "a record that is no batch";
+      else if (!fits(*b))
+        i.why = "a batch out of sequence";
+      else if (b->commit == 0)
+        i.why = "a batch without its number";
+      if (*i.why == '\0') {
+        i.nextSequence = b->sequence + b->count;
+        i.commit = b->commit;
+      }
+    }
+    if (*i.why != '\0') break;
+    ++i.records;
+    i.whole = at = w.end;
+  }
+  if (*i.why == '\0') return i;
+  i.ragged = true;
+  // Any byte may begin a later record: the length by which it would be found may be what is damaged.
+  for (std::size_t p = i.whole + 1; p + kHeader <= bytes.size() && !i.laterAt; ++p) {
+    const int type = static_cast<unsigned char>(bytes[p + 6]);
+    if (type != kFull && type != kFirst) continue;
+    const Whole w = recordAt(bytes, p);
+    if (w.why) continue;
+    if (kind == LogKind::Batches) {
+      const auto b = batchOf(w.record);
+      if (!b || b->commit <= i.commit || (i.nextSequence != 0 && b->sequence < i.nextSequence)) continue;
+    }
+    i.laterAt = p;
+  }
+  return i;
+}
+
+}  // namespace sablespur::store
--- /dev/null
+++ b/src/store/inspect.hpp
@@ -0,0 +1,39 @@
+// Reads a LevelDB log (leveldb/doc/log_format.md) apart from LevelDB, since LevelDB takes a length that
+// points beyond the end for the end: a bit flipped there silently loses what follows. Here each end is told
+// from damage. Pure: bytes in, findings out.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace sablespur::store {
+
+// The first pair of each batch: the number of the commit, counted from the store's beginning.
+constexpr std::string_view kCommitKey = "!commit";
+constexpr std::size_t kCommitBytes = 8;  // its value begins with it, big-endian
+std::string commitNumber(std::uint64_t);
+
+enum class LogKind { Batches, Manifest };
+
+struct Inspected {
+  std::uint64_t whole = 0;         // bytes from the beginning that are whole records
+  std::uint64_t records = 0;       // in them
+  std::uint64_t commit = 0;        // of the last of them; 0: none (LogKind::Batches)
+  std::uint64_t nextSequence = 0;  // LevelDB's, that the next batch has to begin with; 0: any
+  // What follows is no whole record, from `whole` on.
+  bool ragged = false;
+  const char* why = "";  // the first thing that is wrong with it
+  // Beyond it stands a record that is whole, and later. Each commit is durable before the next is begun, so
+  // what is ragged had been durable once: that is damage, and no writer's death.
+  std::optional<std::uint64_t> laterAt;
+};
+
+// `sequence`: the first batch has to begin with it (of the log before); 0: any.
+Inspected inspectLog(std::string_view bytes, LogKind, std::uint64_t sequence = 0);
+
+// LevelDB's checksum of a record's type and payload, or of a table's block and type.
+std::uint32_t maskedCrc(std::string_view);
+
+}  // namespace sablespur::store
--- /dev/null
+++ b/src/store/record.cpp
@@ -0,0 +1,194 @@
+#include "store/record.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace sablespur::store {
+namespace {
+
+using nlohmann::json;
+
+json::binary_t bytes(const std::string& s) { return json::binary_t({s.begin(), s.end()}); }
+std::string text(const json& j) {
+  const auto& b = j.get_binary();
+  return {b.begin(), b.end()};
+}
+std::string pack(const json& j) {
+  std::string out;
+  json::to_cbor(j, out);
+  return out;
+}
+json unpack(std::string_view s, const char* type) {
+  json j = json::from_cbor(s.begin(), s.end(), true, false);
+  if (j.is_discarded() || !j.is_object() || j.value("t", "") != type)
+    throw std::runtime_error(std::string("no record of type ") + type);
+  const int version = j.value("v", 0);
+  if (version > kRecordVersion)
+    throw NewerRecord("a record of version " + std::to_string(version) + "; this program knows " +
+                      std::to_string(kRecordVersion));
+  if (version < 1) throw std::runtime_error("a record without a version");
+  return j;
+}
+// What nlohmann throws for a wrong type tells nothing of the record.
+template <typename Read>
+auto reading(std::string_view s, const char* type, Read read) {
+  try {
+    return read(unpack(s, type));
+  } catch (const json::exception& e) {
+    throw std::runtime_error(std::string("a malformed record of type ") + type + ": " + e.what());
+  }
+}
+Time us(const json& j, const char* key) { return Time(j.at(key).get<std::int64_t>()); }
+template <typename E>
+E choice(const json& j, int most) {
+  const int n = j.get<int>();
+  if (n < 0 || n > most) throw std::runtime_error("a value that is not known: " + std::to_string(n));
+  return static_cast<E>(n);
+}
+
+}  // namespace
+
+bool KeyRecord::effectPossible() const {
+  if (outcome == Outcome::Served || outcome == Outcome::None || mayHaveRun) return true;
+  return std::any_of(attempts.begin(), attempts.end(),
+                     [](const Attempt& a) { return a.end != End::NeverRan; });
+}
+
+std::string encode(const KeyRecord& r) {
+  json attempts = json::array();
+  for (const Attempt& a : r.attempts)
+    attempts.push_back({a.id, a.number, a.member, a.at.count(), static_cast<int>(a.end)});
+  json j{{"t", "key"},
+         {"v", kRecordVersion},
+         {"g", r.group},
+         {"c", r.cls},
+         {"a", r.asked.count()},
+         {"w", r.window.count()},
+         {"x", r.expires.count()},
+         {"u", r.wallMs},
+         {"e", r.epoch},
+         {"s", std::move(attempts)},
+         {"m", r.mayHaveRun},
+         {"o", static_cast<int>(r.outcome)},
+         {"p", r.positionMs},
+         {"owed", r.owed},
+         {"given", r.given}};
+  if (r.answered) j["answer"] = bytes(r.answer);
+  return pack(j);
+}
+KeyRecord decodeKey(std::string_view s) {
+  return reading(s, "key", [](const json& j) {
+    KeyRecord r;
+    r.group = j.at("g").get<std::uint32_t>();
+    r.cls = j.at("c").get<std::string>();
+    r.asked = us(j, "a");
+    r.window = us(j, "w");
+    r.expires = us(j, "x");
+    r.wallMs = j.at("u").get<std::int64_t>();
+    r.epoch = j.at("e").get<std::uint64_t>();
+    r.outcome = choice<Outcome>(j.at("o"), 3);
+    r.positionMs = j.at("p").get<std::int64_t>();
+    if (j.contains("answer")) {
+      r.answered = true;
+      r.answer = text(j.at("answer"));
+    }
+    r.mayHaveRun = j.at("m").get<bool>();
+    r.owed = j.at("owed").get<std::vector<std::string>>();
+    r.given = j.at("given").get<std::vector<std::string>>();
+    for (const json& a : j.at("s"))
+      r.attempts.push_back({a.at(0).get<std::string>(), a.at(1).get<int>(), a.at(2).get<std::string>(),
+                            Time(a.at(3).get<std::int64_t>()), choice<End>(a.at(4), 3)});
+    return r;
+  });
+}
+
+std::string encode(const SessionRecord& r) {
+  return pack({{"t", "session"}, {"v", kRecordVersion}, {"p", r.positionMs}, {"x", r.expires.count()}});
+}
+SessionRecord decodeSession(std::string_view s) {
+  return reading(s, "session", [](const json& j) {
+    return SessionRecord{j.at("p").get<std::int64_t>(), us(j, "x")};
+  });
+}
+
+std::string encode(const EpochRecord& r) {
+  return pack({{"t", "epoch"},
+               {"v", kRecordVersion},
+               {"n", r.number},
+               {"a", r.began.count()},
+               {"gap", r.gap},
+               {"u", r.wallMs},
+               {"boot", r.boot}});
+}
+EpochRecord decodeEpoch(std::string_view s) {
+  return reading(s, "epoch", [](const json& j) {
+    EpochRecord r;
+    r.number = j.at("n").get<std::uint64_t>();
+    r.began = us(j, "a");
+    r.gap = j.at("gap").get<bool>();
+    r.wallMs = j.at("u").get<std::int64_t>();
+    r.boot = j.at("boot").get<std::string>();
+    return r;
+  });
+}
+
+std::string encode(const ClockRecord& r) {
+  return pack({{"t", "clock"},
+               {"v", kRecordVersion},
+               {"a", r.at.count()},
+               {"boot", r.boot},
+               {"b", r.bootUs},
+               {"gap", r.gapAt.count()}});
+}
+ClockRecord decodeClock(std::string_view s) {
+  return reading(s, "clock", [](const json& j) {
+    return ClockRecord{us(j, "a"), j.at("boot").get<std::string>(), j.at("b").get<std::int64_t>(),
+                       us(j, "gap")};
+  });
+}
+
+std::string encode(const Totals& r) {
+  return pack({{"t", "totals"}, {"v", kRecordVersion}, {"k", r.keys}, {"s", r.sessions}, {"f", r.floorMs}});
+}
+Totals decodeTotals(std::string_view s) {
+  return reading(s, "totals", [](const json& j) {
+    return Totals{j.at("k").get<std::uint64_t>(), j.at("s").get<std::uint64_t>(),
+                  j.at("f").get<std::int64_t>()};
+  });
+}
+
+const char* name(End e) {
+  constexpr const char* kNames[] = {"out", "ran", "may_have_run", "never_ran"};
+  return kNames[static_cast<int>(e)];
+}
+const char* name(Outcome o) {
+  constexpr const char* kNames[] = {"none", "served", "failed", "refused"};
+  return kNames[static_cast<int>(o)];
+}
+
+json toJson(const KeyRecord& r) {
+  json attempts = json::array();
+  for (const Attempt& a : r.attempts)
+    attempts.push_back({{"id", a.id},
+                        {"attempt", a.number},
+                        {"member", a.member},
+                        {"at_us", a.at.count()},
+                        {"end", name(a.end)}});
+  json j{{"group", r.group},
+         {"class", r.cls},
+         {"asked_us", r.asked.count()},
+         {"asked_unix_ms", r.wallMs},
+         {"window_us", r.window.count()},
+         {"expires_us", r.expires.count()},
+         {"epoch", r.epoch},
+         {"attempts", attempts},
+         {"effect_possible", r.effectPossible()},
+         {"outcome", name(r.outcome)},
+         {"owed", r.owed},
+         {"given", r.given}};
+  if (r.outcome == Outcome::Served) j["position_unix_ms"] = r.positionMs;
+  if (r.answered) j["answer_bytes"] = r.answer.size();
+  return j;
+}
+
+}  // namespace sablespur::store
--- /dev/null
+++ b/src/store/writer.cpp
@@ -0,0 +1,296 @@
+#include "store/writer.hpp"
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <chrono>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <system_error>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace sablespur::store {
+namespace {
+
+constexpr std::size_t kLargestGroup = 1024;  // bounds how long one commit can take
+constexpr Time kRetryLeast = std::chrono::milliseconds(100), kRetryMost = std::chrono::seconds(5);
+constexpr Time kLastWait = std::chrono::seconds(1);
+constexpr std::size_t kMostTakenBack = 100000;
+// Notes wait so long for a commit that somebody waits for, and then have one of their own.
+constexpr Time kNoteWait = std::chrono::milliseconds(50);
+
+Time monotonic() {
+  return std::chrono::duration_cast<Time>(std::chrono::steady_clock::now().time_since_epoch());
+}
+
+}  // namespace
+
+// Outlives the Writer where the disk hangs: its thread cannot be ended then.
+struct Writer::Shared {
+  struct Piece {
+    Operation operation;
+    Done done;  // empty: a note
+    std::weak_ptr<Wanted> wanted;
+    Time since{};
+  };
+  struct Result {
+    Done done;
+    std::weak_ptr<Wanted> wanted;
+    bool durable;
+    Said said;
+  };
+  struct Change {
+    State state;
+    std::string why;
+    Recovered recovered;
+  };
+
+  explicit Shared(const LedgerSettings& s, FileHook* hook)
+      : settings(s), files(hook), wake(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+    if (wake < 0) throw std::system_error(errno, std::generic_category(), "eventfd");
+  }
+  ~Shared() { close(wake); }
+
+  const LedgerSettings settings;
+  Files files;
+  const int wake;
+  mutable std::mutex mutex;
+  std::condition_variable more, ended;
+  std::deque<Piece> waiting;
+  std::size_t asked = 0;     // of those that wait, somebody waits for
+  Time began{};              // the commit under way
+  std::vector<Piece> group;  // under way
+  std::vector<Result> results;
+  std::vector<Change> changes;
+  bool stop = false, over = false;
+  Figures figures;
+  std::unique_ptr<Ledger> ledger;  // the thread's, once it runs
+
+  // The loop's copies.
+  State state = State::Down;
+  std::string why;
+  Recovered recovered;
+
+  void tell() const {
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const ssize_t n = write(wake, &one, sizeof one);
+  }
+};
+
+Writer::Writer(event_base* base, const LedgerSettings& s, Changed changed, FileHook* hook)
+    : changed_(std::move(changed)), shared_(std::make_shared<Shared>(s, hook)) {
+  try {
+    shared_->ledger = std::make_unique<Ledger>(shared_->files, s);
+    shared_->state = State::Up;
+    shared_->recovered = shared_->ledger->recovered();
+  } catch (const StoreError& e) {
+    if (e.kind != StoreError::Kind::Failed) throw;
+    shared_->why = e.what();
+  }
+  woken_.reset(event_new(
+      base, shared_->wake, EV_READ | EV_PERSIST,
+      [](evutil_socket_t, short, void* self) { static_cast<Writer*>(self)->finished(); }, this));
+  event_add(woken_.get(), nullptr);
+  std::thread([shared = shared_] { serve(shared); }).detach();
+}
+
+Writer::~Writer() {
+  std::unique_lock<std::mutex> lock(shared_->mutex);
+  shared_->stop = true;
+  shared_->more.notify_all();
+  // A disk that hangs must not keep the process from ending.
+  shared_->ended.wait_for(lock, kLastWait, [this] { return shared_->over; });
+}
+
+Writer::Ticket Writer::ask(Operation o, Done done) {
+  auto ticket = std::make_shared<Wanted>();
+  {
+    const std::lock_guard<std::mutex> lock(shared_->mutex);
+    shared_->waiting.push_back({std::move(o), std::move(done), ticket, monotonic()});
+    ++shared_->asked;
+  }
+  shared_->more.notify_one();
+  return ticket;
+}
+void Writer::note(Operation o) {
+  {
+    const std::lock_guard<std::mutex> lock(shared_->mutex);
+    shared_->waiting.push_back({std::move(o), {}, {}, monotonic()});
+    // Its thread sleeps while there is nothing; once it is awake it looks after notes by itself.
+    if (shared_->waiting.size() != 1 && shared_->waiting.size() != kLargestGroup) return;
+  }
+  shared_->more.notify_one();
+}
+
+void Writer::serve(const std::shared_ptr<Shared>& shared) {
+  Shared& s = *shared;
+  // Intents that were lost and never sent: once the disk is back they are taken back, lest a key that came
+  // while it failed be held for one that may have run.
+  std::deque<Operation> takeBack;
+  Time retry = kRetryLeast;
+  State state = s.state;
+  std::unique_lock<std::mutex> lock(s.mutex);
+  const auto turn = [&](State to, const std::string& why) {
+    state = to;
+    s.changes.push_back({to, why, s.ledger ? s.ledger->recovered() : Recovered{}});
+    s.tell();
+  };
+  const auto lose = [&](std::vector<Shared::Piece>& pieces) {
+    for (Shared::Piece& p : pieces) {
+      ++s.figures.lost;
+      if (const auto* const a = std::get_if<AskKey>(&p.operation); a && takeBack.size() < kMostTakenBack)
+        takeBack.emplace_back(NoteLeft{a->asked.key, a->asked.id, false});
+      if (p.done) s.results.push_back({std::move(p.done), p.wanted, false, {}});
+    }
+    pieces.clear();
+    s.tell();
+  };
+  for (;;) {
+    const auto something = [&] { return s.stop || !s.waiting.empty(); };
+    const auto ready = [&] { return s.stop || s.asked > 0 || s.waiting.size() >= kLargestGroup; };
+    if (state == State::Up) {
+      s.more.wait(lock, something);
+      if (!ready()) {
+        const Time waited = monotonic() - s.waiting.front().since;
+        if (waited < kNoteWait) s.more.wait_for(lock, kNoteWait - waited, ready);
+      }
+    } else {
+      s.more.wait_for(lock, retry, something);
+    }
+    if (s.stop && (s.waiting.empty() || state != State::Up)) break;
+    if (state != State::Up) {
+      std::vector<Shared::Piece> all(std::make_move_iterator(s.waiting.begin()),
+                                     std::make_move_iterator(s.waiting.end()));
+      s.waiting.clear();
+      s.asked = 0;
+      if (!all.empty()) {
+        lose(all);
+        if (state == State::Damaged) continue;
+        // Not at each operation that comes: the disk is tried at its own pace.
+        s.more.wait_for(lock, retry, [&] { return s.stop; });
+        if (s.stop) break;
+      }
+      if (state == State::Damaged) continue;
+      lock.unlock();
+      std::string why;
+      bool damaged = false;
+      try {
+        s.ledger.reset();
+        s.ledger = std::make_unique<Ledger>(s.files, s.settings);
+        if (!takeBack.empty()) {
+          s.ledger->apply(std::vector<Operation>(takeBack.begin(), takeBack.end()));
+          takeBack.clear();
+        }
+      } catch (const StoreError& e) {
+        s.ledger.reset();
+        why = e.what();
+        damaged = e.kind == StoreError::Kind::Damaged || e.kind == StoreError::Kind::Newer;
+      }
+      lock.lock();
+      if (why.empty()) {
+        retry = kRetryLeast;
+        turn(State::Up, "");
+      } else if (damaged) {
+        turn(State::Damaged, why);
+      } else {
+        retry = std::min(2 * retry, kRetryMost);
+      }
+      continue;
+    }
+    const std::size_t n = std::min(s.waiting.size(), kLargestGroup);
+    s.group.assign(std::make_move_iterator(s.waiting.begin()),
+                   std::make_move_iterator(s.waiting.begin() + static_cast<std::ptrdiff_t>(n)));
+    s.waiting.erase(s.waiting.begin(), s.waiting.begin() + static_cast<std::ptrdiff_t>(n));
+    for (const Shared::Piece& p : s.group) s.asked -= p.done != nullptr;
+    s.began = monotonic();
+    lock.unlock();
+    std::vector<Operation> operations;
+    operations.reserve(n);
+    for (const Shared::Piece& p : s.group) operations.push_back(p.operation);
+    std::vector<Said> said;
+    std::string why;
+    bool damaged = false;
+    const Time began = monotonic();
+    const std::uint64_t commits = s.ledger->commits();
+    try {
+      said = s.ledger->apply(operations);
+    } catch (const StoreError& e) {
+      why = e.what();
+      damaged = e.kind == StoreError::Kind::Damaged || e.kind == StoreError::Kind::Newer;
+    }
+    const Time took = monotonic() - began;
+    const std::uint64_t bytes = why.empty() && s.ledger->commits() % 256 == 0 ? s.ledger->bytesOnDisk() : 0;
+    lock.lock();
+    if (!why.empty()) {
+      lose(s.group);
+      turn(damaged ? State::Damaged : State::Down, why);
+      continue;
+    }
+    Figures& f = s.figures;
+    f.operations += n;
+    f.commits += s.ledger->commits() - commits;
+    f.largestGroup = std::max<std::uint64_t>(f.largestGroup, n);
+    f.keys = s.ledger->totals().keys;
+    f.sessions = s.ledger->totals().sessions;
+    if (bytes > 0) f.bytesOnDisk = bytes;
+    f.lastCommit = took;
+    f.longestCommit = std::max(f.longestCommit, took);
+    bool anyone = false;
+    for (std::size_t k = 0; k < n; ++k)
+      if (s.group[k].done) {
+        s.results.push_back({std::move(s.group[k].done), s.group[k].wanted, true, std::move(said[k])});
+        anyone = true;
+      }
+    s.group.clear();
+    if (anyone) s.tell();
+  }
+  lock.unlock();
+  s.ledger.reset();
+  lock.lock();
+  s.over = true;
+  s.ended.notify_all();
+}
+
+void Writer::finished() {
+  std::uint64_t count = 0;
+  [[maybe_unused]] const ssize_t n = read(shared_->wake, &count, sizeof count);
+  std::vector<Shared::Result> results;
+  std::vector<Shared::Change> changes;
+  {
+    const std::lock_guard<std::mutex> lock(shared_->mutex);
+    results.swap(shared_->results);
+    changes.swap(shared_->changes);
+  }
+  for (Shared::Change& c : changes) {
+    shared_->state = c.state;
+    shared_->why = c.why;
+    if (c.state == State::Up) shared_->recovered = c.recovered;
+    if (changed_) changed_(c.state, c.why);
+  }
+  // Each is looked at when its turn comes: one result may end what waits for the next.
+  for (Shared::Result& r : results)
+    if (!r.wanted.expired()) r.done(r.durable, std::move(r.said));
+}
+
+Writer::State Writer::state() const { return shared_->state; }
+const std::string& Writer::why() const { return shared_->why; }
+const Recovered& Writer::recovered() const { return shared_->recovered; }
+Time Writer::oldest() const {
+  const std::lock_guard<std::mutex> lock(shared_->mutex);
+  return shared_->group.empty() ? Time(0) : monotonic() - shared_->began;
+}
+std::size_t Writer::waiting() const {
+  const std::lock_guard<std::mutex> lock(shared_->mutex);
+  return shared_->waiting.size() + shared_->group.size();
+}
+Writer::Figures Writer::figures() const {
+  const std::lock_guard<std::mutex> lock(shared_->mutex);
+  return shared_->figures;
+}
+
+}  // namespace sablespur::store
--- /dev/null
+++ b/src/store/writer.hpp
@@ -0,0 +1,62 @@
+// The ledger on a thread of its own. Operations that come while a commit is under way go into the next one
+// together (group commit), so a slow disk makes for larger groups and not for a longer queue.
+//
+// The loop never waits for it. What is asked brings one call back in the loop: carried out and durable, or
+// lost. Lost means that nothing may rely on it; it may be on the disk all the same. A disk that fails is
+// opened again by itself, at first after kRetryLeast, at last every kRetryMost; until then everything is lost
+// at once.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/event.hpp"
+#include "store/ledger.hpp"
+
+namespace sablespur::store {
+
+class Writer {
+ public:
+  enum class State { Up, Down, Damaged };
+  // Called in the loop when the state changes: why it is down, or nothing.
+  using Changed = std::function<void(State, const std::string& why)>;
+  using Done = std::function<void(bool durable, Said)>;
+  // Whoever holds this still wants the answer; once it is gone `Done` is not called. The operation stands.
+  struct Wanted {};
+  using Ticket = std::shared_ptr<Wanted>;
+
+  // Opens the ledger before it returns. Throws StoreError but for Failed, which leaves it Down and trying.
+  Writer(event_base*, const LedgerSettings&, Changed, FileHook* = nullptr);
+  ~Writer();  // carries out what waits, within a second
+  Writer(const Writer&) = delete;
+
+  [[nodiscard]] Ticket ask(Operation, Done);
+  void note(Operation);  // nobody waits for it; it is lost while the store is down
+
+  State state() const;
+  const std::string& why() const;
+  const Recovered& recovered() const;  // of the last opening
+  // How long the commit under way has taken, and how many operations wait; for the loop's bounds.
+  Time oldest() const;
+  std::size_t waiting() const;
+
+  struct Figures {
+    std::uint64_t operations = 0, commits = 0, lost = 0, largestGroup = 0, keys = 0, sessions = 0,
+                  bytesOnDisk = 0;
+    Time lastCommit{}, longestCommit{};
+  };
+  Figures figures() const;
+
+ private:
+  struct Shared;
+  static void serve(const std::shared_ptr<Shared>&);
+  void finished();
+  Changed changed_;
+  std::shared_ptr<Shared> shared_;
+  Event woken_;
+};
+
+}  // namespace sablespur::store
--- a/src/wire/pg/pg.cpp
+++ b/src/wire/pg/pg.cpp
@@ -157,6 +157,8 @@
       c.id = value;
     } else if (name == "c") {
       c.cls = value;
+    } else if (name == "k") {
+      c.key = value;
     } else if (name == "d") {
       if (!toNumber(value, c.waitMs)) c.fault = "d is no number of milliseconds";
       c.waitAt = eq + 1;
--- a/src/wire/pg/pg.hpp
+++ b/src/wire/pg/pg.hpp
@@ -55,7 +55,7 @@
 
 // What the comment at the end of a statement says. Offsets count from the start of the text given.
 struct Comment {
-  std::string_view id, cls;
+  std::string_view id, cls, key;           // key: empty where there is none
   std::uint32_t waitMs = 0;                // d
   std::size_t waitAt = 0, waitLength = 0;  // where its digits stand; 0 digits: it has none
   std::uint32_t cluster = 0;
--- a/tests/door_test.cpp
+++ b/tests/door_test.cpp
@@ -346,8 +346,8 @@
   s.clients = "unread_answer = 300ms\n";
   s.more = socket.section();
   Scenario t(s);
-  // Whoever is asked answers. With one server alone, one late answer sets it aside, the others let the requests
-  // time out, and the short errors never fill the sockets' buffers.
+  // Whoever is asked answers. With one server alone, one late answer sets it aside, the others let the
+  // requests time out, and the short errors never fill the sockets' buffers.
   for (const char* server : {"s1", "s2"})
     t.run(std::string(server) + " serves " + std::string(60000, 'v') + "\n");
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -68,7 +68,7 @@
     q.cls = cls;
     q.group = 3;
     q.deadline = engine.now() + std::chrono::seconds(5);
-    const RequestId id = engine.request(asker, q, Message{newBuffer(), newBuffer(), nullptr});
+    const RequestId id = engine.request(asker, q, Message{newBuffer(), newBuffer(), nullptr, {}, {}});
     engine.turn();
     return id;
   }
@@ -89,7 +89,7 @@
   knotstack::Request q;
   q.group = 3;
   q.deadline = engine.now() + std::chrono::seconds(5);
-  engine.request(asker, q, Message{newBuffer(), newBuffer(), nullptr});
+  engine.request(asker, q, Message{newBuffer(), newBuffer(), nullptr, {}, {}});
   EXPECT_TRUE(members.sent.empty());
   EXPECT_TRUE(engine.pending());
   engine.turn();
@@ -178,7 +178,7 @@
   knotstack::Request q;
   q.group = 3;
   q.deadline = fresh.now() + std::chrono::seconds(5);
-  fresh.request(asker, q, Message{newBuffer(), newBuffer(), nullptr});
+  fresh.request(asker, q, Message{newBuffer(), newBuffer(), nullptr, {}, {}});
   fresh.turn();
   EXPECT_TRUE(members.sent.empty());
   fresh.probed(1, false, {});
--- /dev/null
+++ b/tests/keeper_test.cpp
@@ -0,0 +1,479 @@
+// What of a keyed write is durable before what: the keeper between fake members and a fake asker, with a disk
+// that hangs and fails by order; and the whole program, ended by SIGKILL and started anew on its store.
+#include "front/keeper.hpp"
+
+#include <gtest/gtest.h>
+#include <sys/resource.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <filesystem>
+#include <fstream>
+#include <mutex>
+#include <thread>
+
+#include "scenario.hpp"
+#include "store/ledger.hpp"
+#include "store_run.hpp"
+#include "wire/pg/codec.hpp"
+
+namespace sablespur::test {
+namespace {
+
+namespace fs = std::filesystem;
+using store::FileOp;
+
+// A disk whose syncs can be held up, and that can be told to fail.
+class Disk final : public store::FileHook {
+ public:
+  Fate before(FileOp op, const std::string&, std::string_view, std::uint64_t, const std::string&) override {
+    std::unique_lock<std::mutex> lock(mutex_);
+    syncs_ += op == FileOp::Sync;
+    if (op == FileOp::Sync) freed_.wait(lock, [this] { return !held_; });
+    return {failing_ ? leveldb::Status::IOError("no space left", "made to fail") : leveldb::Status::OK(), 0};
+  }
+  void hold(bool on) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    held_ = on;
+    freed_.notify_all();
+  }
+  void fail(bool on) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    failing_ = on;
+  }
+  std::size_t syncs() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return syncs_;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::condition_variable freed_;
+  bool held_ = false, failing_ = false;
+  std::size_t syncs_ = 0;
+};
+
+struct FakeMembers : Members {
+  struct Sent {
+    RequestId id;
+    int attempt;
+    MemberId member;
+  };
+  std::vector<Sent> sent;
+  void listed(MemberId, const Address&, bool) override {}
+  void send(RequestId id, int attempt, MemberId m, Time, std::shared_ptr<const Message>) override {
+    sent.push_back({id, attempt, m});
+  }
+  void start(RequestId, int, bool) override {}
+  void cancel(RequestId, int) override {}
+  void probe(MemberId) override {}
+  void forget(MemberId) override {}
+};
+struct FakeLists : Lists {
+  void watch(std::uint64_t) override {}
+};
+struct Asker : Requester {
+  std::string got;
+  Time wait{};
+  void served(Answer answer) override {
+    got += "served ";
+    got.append(reinterpret_cast<const char*>(evbuffer_pullup(answer.messages.get(), -1)),
+               evbuffer_get_length(answer.messages.get()));
+  }
+  void refused(Time t) override {
+    got += "refused";
+    wait = t;
+  }
+  void failed() override { got += "failed"; }
+};
+
+struct KeeperTest : testing::Test {
+  const Folder folder;
+  EventBase base{event_base_new()};
+  Config config =
+      parseConfig(configuration({}, 1, {11, 12}));  // class 1: keyed writes, repeats dropped for 9 s
+  Disk disk;
+  FakeMembers members;
+  FakeLists lists;
+  std::unique_ptr<Engine> engine;
+  std::unique_ptr<Keeper> keeper;
+  int ids = 0;
+
+  KeeperTest() {
+    StoreConfig s;
+    s.directory = folder.path + "/store";
+    s.keep = std::chrono::minutes(1);
+    s.keepSessions = std::chrono::minutes(1);
+    s.mostKeys = s.mostSessions = 1000;
+    s.longestAnswer = 1000;
+    s.patience = std::chrono::milliseconds(100);
+    s.comeBackLeast = std::chrono::milliseconds(10);
+    s.comeBackMost = std::chrono::milliseconds(20);
+    config.store = std::make_shared<const StoreConfig>(s);
+    open();
+  }
+  ~KeeperTest() override { disk.hold(false); }
+  void open() {
+    keeper.reset();
+    engine = std::make_unique<Engine>(base.get(), config);
+    engine->start(members, lists);
+    keeper = openKeeper(base.get(), *engine, config, pg::reader(), &disk);
+    engine->turn();
+    for (const MemberId m : {1, 2})
+      engine->probed(m, true, {static_cast<double>(engine->now().count()) / 1e6, m == 1 ? 1.0 : 0.0, 0.0});
+    engine->turn();
+    members.sent.clear();
+  }
+  void crash() {
+    // Whatever was not durable is lost with the object; nothing is written on the way out but what waits.
+    open();
+  }
+  template <typename Done>
+  bool until(Done done) {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (!done()) {
+      if (std::chrono::steady_clock::now() > end) return false;
+      event_base_loop(base.get(), EVLOOP_NONBLOCK);
+      engine->turn();
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return true;
+  }
+  RequestId ask(Asker& a, const std::string& key, int cls = 1, std::uint64_t session = 0) {
+    knotstack::Request q;
+    q.cls = cls;
+    q.group = 3;
+    q.session = session;
+    q.deadline = engine->now() + std::chrono::seconds(8);
+    return keeper->request(a, q,
+                           Message{newBuffer(), newBuffer(), nullptr, "id" + std::to_string(++ids), key});
+  }
+  void answer(const FakeMembers::Sent& s, const std::string& text, Result result = Result::Ok) {
+    Ending e;
+    e.result = result;
+    e.role = Role::Primary;
+    e.positionMs = engine->now().count() / 1000;
+    e.answer.messages = newBuffer();
+    append(e.answer.messages.get(), text);
+    e.answer.reader = &pg::reader();
+    engine->ended(s.id, s.attempt, s.member, std::move(e));
+  }
+};
+
+TEST_F(KeeperTest, NothingIsSentBeforeItsIntentIsDurableAndNothingToldBeforeItsOutcomeIs) {
+  Asker a;
+  disk.hold(true);
+  const std::size_t before = disk.syncs();
+  ask(a, "k1");
+  ASSERT_TRUE(until([&] { return disk.syncs() > before; })) << "the commit is under way";
+  for (int k = 0; k < 5; ++k) engine->turn();
+  EXPECT_TRUE(members.sent.empty());
+  disk.hold(false);
+  ASSERT_TRUE(until([&] { return members.sent.size() == 1; }));
+  disk.hold(true);
+  answer(members.sent[0], "the row");
+  const std::size_t then = disk.syncs();
+  ASSERT_TRUE(until([&] { return disk.syncs() > then; }));
+  EXPECT_EQ(a.got, "");
+  disk.hold(false);
+  ASSERT_TRUE(until([&] { return !a.got.empty(); }));
+  EXPECT_EQ(a.got, "served the row");
+  Asker b;
+  ask(b, "k1");
+  ASSERT_TRUE(until([&] { return !b.got.empty(); }));
+  EXPECT_EQ(b.got, "served the row");
+  EXPECT_EQ(members.sent.size(), 1u) << "it does not run again";
+}
+TEST_F(KeeperTest, ReadsAndWritesWithoutAKeyWaitForNoDisk) {
+  disk.hold(true);
+  Asker held, read, plain;
+  ask(held, "k1");
+  ask(read, "", 0);
+  ask(plain, "", 1);
+  engine->turn();
+  EXPECT_EQ(members.sent.size(), 2u);
+}
+TEST_F(KeeperTest, ADiskThatHangsHasWritesRefusedAndTheyNeverGoOutLater) {
+  disk.hold(true);
+  Asker a, b, read;
+  ask(a, "k1");
+  ASSERT_TRUE(until([&] { return !a.got.empty(); }));
+  EXPECT_EQ(a.got, "refused");
+  EXPECT_GE(a.wait, std::chrono::milliseconds(10));
+  ask(b, "k2");
+  ASSERT_TRUE(until([&] { return !b.got.empty(); })) << "at once now: the disk is known to hang";
+  EXPECT_EQ(b.got, "refused");
+  EXPECT_EQ(keeper->view().state, "slow");
+  ask(read, "", 0);
+  engine->turn();
+  EXPECT_EQ(members.sent.size(), 1u) << "reads go on";
+  disk.hold(false);
+  ASSERT_TRUE(until([&] { return keeper->view().state == "up"; }));
+  Asker again;
+  ask(again, "k1");
+  ASSERT_TRUE(until([&] { return members.sent.size() == 2; })) << "what was turned away may come again";
+  EXPECT_EQ(a.got, "refused");
+}
+TEST_F(KeeperTest, AnOutcomeThatDoesNotBecomeDurableIsNotTold) {
+  Asker a;
+  ask(a, "k1");
+  ASSERT_TRUE(until([&] { return members.sent.size() == 1; }));
+  disk.fail(true);
+  answer(members.sent[0], "the row");
+  ASSERT_TRUE(until([&] { return !a.got.empty(); }));
+  EXPECT_EQ(a.got, "failed");
+  disk.fail(false);
+  ASSERT_TRUE(until([&] { return keeper->view().state == "up"; }));
+  Asker b;
+  ask(b, "k1");
+  ASSERT_TRUE(until([&] { return members.sent.size() == 2 || !b.got.empty(); }));
+  EXPECT_EQ(b.got, "") << "within the window it goes again: the data servers drop it";
+}
+TEST_F(KeeperTest, ADiskThatFailsIsOpenedAgainByItself) {
+  disk.fail(true);
+  Asker a, b;
+  ask(a, "k1");
+  ASSERT_TRUE(until([&] { return !a.got.empty(); }));
+  EXPECT_EQ(a.got, "refused");
+  EXPECT_EQ(keeper->view().state, "down");
+  ask(b, "k2");
+  ASSERT_TRUE(until([&] { return !b.got.empty(); }));
+  EXPECT_EQ(b.got, "refused");
+  EXPECT_TRUE(members.sent.empty());
+  disk.fail(false);
+  ASSERT_TRUE(until([&] { return keeper->view().state == "up"; }));
+  Asker c;
+  ask(c, "k1");
+  ASSERT_TRUE(until([&] { return members.sent.size() == 1; }));
+  answer(members.sent[0], "the row");
+  ASSERT_TRUE(until([&] { return !c.got.empty(); }));
+  EXPECT_EQ(c.got, "served the row");
+}
+// A key that came while the disk failed never was sent: long after, too, it is not taken for one that may
+// have run.
+TEST_F(KeeperTest, WhatWasTurnedAwayLeavesNoIntentBehind) {
+  disk.hold(true);
+  Asker a;
+  ask(a, "k1");
+  ASSERT_TRUE(until([&] { return !a.got.empty(); }));
+  disk.hold(false);
+  ASSERT_TRUE(until([&] { return keeper->view().state == "up" && keeper->view().waiting == 0; }));
+  keeper.reset();
+  store::Files files;
+  store::LedgerSettings s;
+  s.directory = config.store->directory;
+  store::MachineTime later = store::machineTime();
+  later.us += 60000000;
+  store::Ledger ledger(files, s, [&] { return later; });
+  EXPECT_EQ(ledger.apply({store::AskKey{{"x", "k1", "write", 3, kWindow}}})[0].verdict, store::Verdict::Run);
+}
+TEST_F(KeeperTest, AnIntentOfBeforeTheCrashGoesAgainWithinItsWindow) {
+  Asker a, b;
+  ask(a, "k1");
+  ASSERT_TRUE(until([&] { return members.sent.size() == 1; }));
+  crash();
+  EXPECT_EQ(a.got, "");
+  ask(b, "k1");
+  ASSERT_TRUE(until([&] { return members.sent.size() == 1; }));
+  EXPECT_EQ(keeper->view().again, 1u);
+  // Since it may have run before, the module never refuses it as one that is harmless to try.
+  answer(members.sent[0], "", Result::Full);
+  engine->turn();
+  EXPECT_NE(b.got, "refused");
+}
+TEST_F(KeeperTest, AClientThatLeavesMidwayLeavesAKeyThatMayHaveRun) {
+  Asker a, b;
+  const RequestId id = ask(a, "k1");
+  ASSERT_TRUE(until([&] { return members.sent.size() == 1; }));
+  keeper->left(id);
+  engine->turn();
+  ask(b, "k1");
+  ASSERT_TRUE(until([&] { return members.sent.size() == 2; }));
+  EXPECT_EQ(keeper->view().again, 1u);
+  EXPECT_EQ(a.got, "");
+}
+TEST_F(KeeperTest, OneThatLeavesWhileItsIntentIsWrittenIsNeverSent) {
+  Asker a;
+  disk.hold(true);
+  const RequestId id = ask(a, "k1");
+  until([&] { return keeper->view().waiting > 0; });
+  keeper->left(id);
+  disk.hold(false);
+  ASSERT_TRUE(until([&] { return keeper->view().waiting == 0; }));
+  EXPECT_TRUE(members.sent.empty());
+  EXPECT_EQ(a.got, "");
+}
+
+// ---- the whole program --------------------------------------------------------------------------------
+struct ProgramTest : testing::Test {
+  const Folder folder;
+  Setting setting(const std::string& window = "9s") {
+    Setting s;
+    s.ini = true;
+    s.more = "[class brief]\ndata = write\nrepeats = keyed\nrepeats_dropped_for = " + window +
+             "\naim = 2s\ngive_up = 5s\n[store]\ndirectory = " + folder.path + "/store\n";
+    return s;
+  }
+};
+using StoreStep = ProgramTest;
+
+TEST_F(StoreStep, ARepeatIsAnsweredFromTheRecordAfterACrash) {
+  Scenario t(setting());
+  t.run(R"(
+    c1 send query INSERT 1 /* id=1,c=brief,d=4000,k=K1,cluster=3 */
+    s1 expect query id=1
+    s1 send row one
+    c1 expect row one
+    c1 send query INSERT 1 /* id=2,c=brief,d=4000,k=K1,cluster=3 */
+    c1 expect row one
+    proxy crash
+    proxy expect log event=store_opened directory=)" +
+        folder.path + R"(/store epoch=2 keys=1 sessions=0 unresolved=0
+    c2 send query INSERT 1 /* id=3,c=brief,d=4000,k=K1,cluster=3 */
+    c2 expect row one
+    c2 send query INSERT 1 /* id=4,c=brief,d=4000,k=K2,cluster=3 */
+    s1 expect query id=4
+    s1 send row two
+    c2 expect row two
+  )");
+}
+TEST_F(StoreStep, WhatWasOutAtTheCrashGoesAgainWithinTheWindowAndNotAfter) {
+  Scenario t(setting("1500ms"));
+  t.run(R"(
+    c1 send query INSERT 1 /* id=1,c=brief,d=4000,k=K1,cluster=3 */
+    s1 expect query id=1
+    c2 send query INSERT 1 /* id=2,c=write,d=4000,k=K2,cluster=3 */
+    s1 expect query id=2
+    proxy crash
+    proxy expect log unresolved=2
+    c3 send query INSERT 1 /* id=3,c=write,d=4000,k=K2,cluster=3 */
+    s1 expect query id=3
+    s1 send row two
+    c3 expect row two
+  )");
+  std::this_thread::sleep_for(std::chrono::milliseconds(1600));
+  t.run(R"(
+    c4 send query INSERT 1 /* id=4,c=brief,d=4000,k=K1,cluster=3 */
+    c4 expect error 40003
+    c4 send query INSERT 1 /* id=5,c=brief,d=4000,k=K3,cluster=3 */
+    s1 expect query id=5
+  )");
+}
+TEST_F(StoreStep, ADiskThatIsFullRefusesKeyedWritesUntilThereIsRoom) {
+  Scenario t(setting());
+  const auto room = [&](rlim_t bytes) {
+    const rlimit limit{bytes, RLIM_INFINITY};
+    ASSERT_EQ(prlimit(t.pid(), RLIMIT_FSIZE, &limit, nullptr), 0);
+  };
+  t.run("c1 expect in\n");
+  room(0);
+  t.run(R"(
+    c1 send query INSERT 1 /* id=1,c=brief,d=4000,k=K1,cluster=3 */
+    c1 expect error 53300
+    proxy expect log event=store_down
+    c1 send query INSERT 1 /* id=2,c=brief,d=4000,k=K2,cluster=3 */
+    c1 expect error 53300
+  )" + std::string("c1 send query SELECT 1 /* id=3,c=read,d=4000,cluster=3 */\ns2 expect query id=3\n"
+                   "s2 send row read\nc1 expect row read\n"));
+  EXPECT_EQ(t.logged("event=store_down"), 1u);
+  room(RLIM_INFINITY);
+  t.run(R"(
+    proxy expect log event=store_opened directory=)" +
+        folder.path + R"(/store epoch=2
+    c1 send query INSERT 1 /* id=4,c=brief,d=4000,k=K1,cluster=3 */
+    s1 expect query id=4
+    s1 send row one
+    c1 expect row one
+  )");
+}
+
+struct Told {
+  int status;
+  std::string text;
+};
+Told command(const std::vector<std::string>& arguments) {
+  int out = -1;
+  const int pid = spawn("/nowhere", 0, out, arguments);
+  Told t{};
+  char bytes[4096];
+  for (ssize_t n; (n = ::read(out, bytes, sizeof bytes)) > 0;)
+    t.text.append(bytes, static_cast<std::size_t>(n));
+  close(out);
+  int status = 0;
+  waitpid(pid, &status, 0);
+  t.status = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  return t;
+}
+TEST_F(StoreStep, ADamagedStoreIsNamedByTheCommandAndKeepsTheProxyFromStarting) {
+  const std::string dir = folder.path + "/store";
+  {
+    Scenario t(setting());
+    t.run(R"(
+      c1 send query INSERT 1 /* id=1,c=brief,d=4000,k=K1,cluster=3 */
+      s1 expect query id=1
+      s1 send row one
+      c1 expect row one
+      c1 send query INSERT 1 /* id=2,c=brief,d=4000,k=K2,cluster=3 */
+      s1 expect query id=2
+    )");
+    const Told busy = command({"store", "check", dir});
+    EXPECT_EQ(busy.status, 1);
+    EXPECT_NE(busy.text.find("open in another process"), std::string::npos) << busy.text;
+  }
+  const Told good = command({"store", "check", dir});
+  EXPECT_EQ(good.status, 0) << good.text;
+  EXPECT_NE(good.text.find("good; 2 keys"), std::string::npos) << good.text;
+  EXPECT_NE(command({"store", "dump", dir}).text.find("key K1 "), std::string::npos);
+  EXPECT_NE(command({"store", "dump", "--json", dir}).text.find("\"outcome\":\"served\""), std::string::npos);
+  EXPECT_NE(command({"store", "stat", dir}).text.find("unresolved"), std::string::npos);
+  EXPECT_EQ(command({"store", "compact", dir}).status, 0);
+  EXPECT_EQ(command({"store", "check", folder.path}).status, 1) << "no store stands there, and none is made";
+  std::string table;
+  for (const auto& f : fs::directory_iterator(dir))
+    if (f.path().extension() == ".ldb") table = f.path().string();
+  ASSERT_FALSE(table.empty());
+  {
+    std::fstream f(table, std::ios::in | std::ios::out | std::ios::binary);
+    f.seekp(20);
+    f.put('\x55');
+  }
+  const Told bad = command({"store", "check", "--json", dir});
+  EXPECT_EQ(bad.status, 1);
+  EXPECT_NE(bad.text.find("\"kind\":\"damaged\""), std::string::npos) << bad.text;
+  EXPECT_NE(bad.text.find(fs::path(table).filename().string()), std::string::npos) << bad.text;
+  std::ofstream(folder.path + "/n0.ini") << settingsFile(setting(), 1, {11, 12});
+  const Told start = command({"serve", "--config", folder.path + "/n0.ini"});
+  EXPECT_EQ(start.status, 1);
+  EXPECT_NE(start.text.find("key [store] directory"), std::string::npos) << start.text;
+}
+TEST_F(StoreStep, ADamagedStoreIsSetAsideWhereTheSettingsSaySo) {
+  const std::string dir = folder.path + "/store";
+  Setting s = setting();
+  s.more += "damaged = set_aside\n";
+  {
+    Scenario t(s);
+    t.run("c1 expect in\n");
+  }
+  std::ofstream(dir + "/CURRENT") << "MANIFEST-000099\n";
+  Scenario t(s);
+  t.run(R"(
+    proxy expect log event=store_set_aside
+    c1 send query INSERT 1 /* id=1,c=brief,d=4000,k=K1,cluster=3 */
+    s1 expect query id=1
+  )");
+  std::size_t aside = 0;
+  for (const auto& f : fs::directory_iterator(folder.path))
+    aside += f.path().filename().string().rfind("store.damaged-", 0) == 0;
+  EXPECT_EQ(aside, 1u);
+}
+TEST_F(StoreStep, SettingsThatWouldForgetTooEarlyAreTurnedDown) {
+  Setting s = setting("4s");
+  s.more += "keep = 5s\n";
+  std::ofstream(folder.path + "/n0.ini") << settingsFile(s, 1, {11, 12});
+  const Told t = command({"check", folder.path + "/n0.ini"});
+  EXPECT_EQ(t.status, 1);
+  EXPECT_NE(t.text.find("[store] keep"), std::string::npos) << t.text;
+}
+
+}  // namespace
+}  // namespace sablespur::test
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -165,20 +165,25 @@
   configPath_ = path;
   close(file);
   configure(listPort);
+  launch();
+}
+
+void Scenario::launch() {
   using Arguments = std::vector<std::string>;
-  pid_ = spawn(configPath_, setting.descriptors, err_,
-               setting.ini || setting.dnssd ? Arguments{"serve", "--config", configPath_} : Arguments{},
-               setting.inherited);
+  const std::size_t from = log_.size();
+  pid_ = spawn(configPath_, setting_.descriptors, err_,
+               setting_.ini || setting_.dnssd ? Arguments{"serve", "--config", configPath_} : Arguments{},
+               setting_.inherited);
   at_ = "start";
-  until([&] { return log_.find(" port=") != std::string::npos && log_.back() == '\n'; }, "a port");
-  port_ = std::atoi(log_.c_str() + log_.find(" port=") + 6);
-  if (setting.dnssd) {
+  until([&] { return log_.find(" port=", from) != std::string::npos && log_.back() == '\n'; }, "a port");
+  port_ = std::atoi(log_.c_str() + log_.find(" port=", from) + 6);
+  if (setting_.dnssd) {
     run("proxy expect log event=member name=s-" + std::to_string(servers_.size()));
     return;
   }
   run(R"(
     list expect watch after=)" +
-      std::string(setting.ini ? "0" : "5") + R"(
+      std::string(setting_.ini ? "0" : "5") + R"(
     list send line {"generation":5,"reset":false,"instances":[]}
   )");
 }
@@ -721,6 +726,14 @@
     kill(pid_, SIGHUP);
     return;
   }
+  if (verb == "crash") {  // at any moment, and it is started anew on what it left behind
+    kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+    close(err_);
+    for (auto& [name, c] : clients_) close(c.fd);
+    clients_.clear();
+    return launch();
+  }
   if (rest == "quiet") {
     const auto cpu = [&] {
       std::ifstream stat("/proc/" + std::to_string(pid_) + "/stat");
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -79,6 +79,7 @@
   // clients that run beside, as threads or processes.
   void serveUntil(const std::function<bool()>& done);
   int port() const { return port_; }
+  int pid() const { return pid_; }
   // Replaces the sections of Setting::more and sends SIGHUP.
   void reload(const std::string& more);
   std::string status(bool json = false);              // what `sablespur status` prints, both streams
@@ -115,6 +116,7 @@
     Connection* current = nullptr;
   };
   void configure(int listPort) const;
+  void launch();
   void step(const std::string& line);
   void client(Connection&, const std::string& verb, const std::string& what, const std::string& rest);
   struct Desk {
--- /dev/null
+++ b/tests/store_model_test.cpp
@@ -0,0 +1,288 @@
+// The protocol between intent, send, outcome and answer, checked exhaustively: two requests of one key, every
+// order of their steps, of the ledger's commits, of what becomes of attempts and of time, and a crash at any
+// point. The rules are the ledger's own (store/rules.hpp); the module is a few lines that send as often as it
+// may.
+//
+// Leaving out one of the protocol's waits has to break a promise: the checker is tried on those, too.
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <unordered_set>
+#include <variant>
+#include <vector>
+
+#include "store/ledger.hpp"
+
+namespace sablespur::test {
+namespace {
+
+using namespace store;
+
+constexpr int kWindow = 2, kLastTick = 4, kAttempts = 2, kCrashes = 1;
+
+struct Protocol {
+  bool intentFirst = true;   // no send before the intent is durable
+  bool outcomeFirst = true;  // no answer before the outcome is durable
+  bool windowKept = true;    // the module is told since when an earlier request may be out
+  bool strictNotes = true;   // the last word tells whether an attempt may have run
+};
+
+enum class Stage { Idle, Asking, Going, Finishing, Over };
+struct Request {
+  Stage stage = Stage::Idle;
+  bool intended = false;
+  int ranAt = -1;  // of an earlier request; -1: none
+  int sends = 0;
+  int out = -1;      // its attempt under way, by index
+  bool ran = false;  // an attempt that is over may have run
+  int firstRan = -1;
+};
+struct Sent {
+  int at = 0;
+  bool mayHaveRun = true;
+};
+using Queued = std::variant<AskKey, NoteSent, NoteEnded, Finish, NoteTold, NoteLeft>;
+
+struct State {
+  int now = 0, crashes = 0;
+  std::optional<KeyRecord> durable;
+  std::deque<Queued> queue;
+  Request r[2];
+  std::vector<Sent> sent;
+  bool acknowledged = false;  // a client was told that it was served
+  std::string broken;
+
+  std::string print() const {
+    std::string s = std::to_string(now) + "," + std::to_string(crashes) + (acknowledged ? "A" : "-");
+    if (durable) s += encode(*durable);
+    s += "|";
+    for (const Queued& q : queue) {
+      s += std::to_string(q.index());
+      std::visit(
+          [&](const auto& o) {
+            using T = std::decay_t<decltype(o)>;
+            if constexpr (std::is_same_v<T, AskKey>)
+              s += o.asked.id;
+            else
+              s += o.id;
+            if constexpr (std::is_same_v<T, NoteEnded>)
+              s += std::to_string(static_cast<int>(o.end)) + std::to_string(o.attempt);
+            if constexpr (std::is_same_v<T, Finish>)
+              s += std::to_string(static_cast<int>(o.outcome)) + (o.mayHaveRun ? "m" : "");
+            if constexpr (std::is_same_v<T, NoteLeft>) s += o.mayHaveRun ? "m" : "";
+          },
+          q);
+    }
+    for (const Request& q : r)
+      s += "|" + std::to_string(static_cast<int>(q.stage)) + (q.intended ? "i" : "") +
+           std::to_string(q.ranAt) + "," + std::to_string(q.sends) + "," + std::to_string(q.out) +
+           (q.ran ? "r" : "") + std::to_string(q.firstRan);
+    for (const Sent& t : sent) s += ";" + std::to_string(t.at) + (t.mayHaveRun ? "m" : "");
+    return s;
+  }
+};
+
+Time ticks(int n) { return std::chrono::seconds(n); }
+
+class Checker {
+ public:
+  explicit Checker(Protocol p) : p_(p) {}
+  std::string run() {
+    visit(State());
+    return broken_;
+  }
+  std::size_t states() const { return seen_.size(); }
+
+ private:
+  static std::string id(int k) { return k == 0 ? "a" : "b"; }
+
+  void visit(State s) {
+    std::vector<State> open{std::move(s)};
+    while (!open.empty() && broken_.empty()) {
+      State at = std::move(open.back());
+      open.pop_back();
+      if (!seen_.insert(at.print()).second) continue;
+      const auto next = [&](State to) {
+        if (!to.broken.empty() && broken_.empty()) broken_ = to.broken + " after " + at.print();
+        open.push_back(std::move(to));
+      };
+      steps(at, next);
+    }
+  }
+
+  template <typename Next>
+  void steps(const State& s, Next next) {
+    if (s.now < kLastTick) {
+      State t = s;
+      ++t.now;
+      next(std::move(t));
+    }
+    if (!s.queue.empty()) next(commit(s));
+    if (s.crashes < kCrashes) next(crash(s));
+    for (int k = 0; k < 2; ++k) {
+      const Request& q = s.r[k];
+      if (q.stage == Stage::Idle) next(ask(s, k));
+      if (q.stage == Stage::Asking && !p_.intentFirst && q.out < 0) next(send(s, k));
+      if (q.stage == Stage::Going) {
+        if (q.out < 0 && maySend(s, q)) next(send(s, k));
+        if (q.out < 0) next(giveUp(s, k));
+        if (q.out >= 0)
+          for (const End e : {End::Ran, End::MayHaveRun, End::NeverRan}) next(end(s, k, e));
+        next(leave(s, k));
+      }
+      if (q.stage == Stage::Asking || q.stage == Stage::Finishing) next(leave(s, k));
+    }
+  }
+
+  State ask(State s, int k) {
+    s.r[k].stage = Stage::Asking;
+    s.queue.push_back(AskKey{{id(k), "key", "order", 3, ticks(kWindow)}});
+    return s;
+  }
+  // As Balancer::mayTake has it.
+  bool maySend(const State& s, const Request& q) const {
+    if (q.sends >= kAttempts) return false;
+    int since = q.firstRan;
+    if (q.ranAt >= 0 && p_.windowKept) since = since < 0 ? q.ranAt : std::min(since, q.ranAt);
+    return since < 0 || s.now < since + kWindow;
+  }
+  State send(State s, int k) {
+    Request& q = s.r[k];
+    q.out = static_cast<int>(s.sent.size());
+    for (const Sent& earlier : s.sent)
+      if (earlier.mayHaveRun && s.now - earlier.at >= kWindow)
+        s.broken = "a key is sent " + std::to_string(s.now - earlier.at) + " ticks after it may have run";
+    s.sent.push_back({s.now, true});
+    s.queue.push_back(NoteSent{"key", id(k), "s-1", q.sends});
+    ++q.sends;
+    return s;
+  }
+  State end(State s, int k, End e) {
+    Request& q = s.r[k];
+    Sent& t = s.sent[static_cast<std::size_t>(q.out)];
+    s.queue.push_back(NoteEnded{"key", id(k), q.sends - 1, e});
+    t.mayHaveRun = e != End::NeverRan;
+    if (e != End::NeverRan) {
+      q.ran = true;
+      if (q.firstRan < 0) q.firstRan = t.at;
+    }
+    q.out = -1;
+    if (e != End::Ran) return s;
+    s.queue.push_back(Finish{"key", id(k), Outcome::Served, "row", 0, 0, true});
+    q.stage = Stage::Finishing;
+    if (!p_.outcomeFirst) answer(s, k);
+    return s;
+  }
+  void answer(State& s, int k) {
+    s.acknowledged = true;
+    s.r[k].stage = Stage::Over;
+    s.queue.push_back(NoteTold{"key", id(k)});
+  }
+  // The module's last word: refused where nothing may have run, else failed.
+  State giveUp(State s, int k) {
+    Request& q = s.r[k];
+    const bool ran = q.ran || (q.ranAt >= 0 && p_.windowKept);
+    s.queue.push_back(
+        Finish{"key", id(k), ran ? Outcome::Failed : Outcome::Refused, "", 0, 0, p_.strictNotes && q.ran});
+    s.queue.push_back(NoteTold{"key", id(k)});
+    q.stage = Stage::Over;
+    return s;
+  }
+  State leave(State s, int k) {
+    Request& q = s.r[k];
+    if (q.stage == Stage::Asking)
+      s.queue.push_back(NoteLeft{"key", id(k), false});
+    else
+      s.queue.push_back(NoteLeft{"key", id(k), true});
+    q.stage = Stage::Over;
+    return s;  // an attempt that is out may run still
+  }
+  State crash(State s) {
+    ++s.crashes;
+    s.queue.clear();
+    for (Request& q : s.r)
+      if (q.stage != Stage::Idle) q.stage = Stage::Over;
+    return s;
+  }
+
+  // One operation at a time: every group is a run of these.
+  State commit(State s) {
+    const Queued q = s.queue.front();
+    s.queue.pop_front();
+    const Time now = ticks(s.now), keep = ticks(100);
+    if (const auto* const a = std::get_if<AskKey>(&q)) {
+      const Judged j = judge(s.durable ? &*s.durable : nullptr, a->asked, now, Time(0));
+      s.durable = opened(s.durable, a->asked, j, now, keep, 1, 0);
+      Request& r = s.r[a->asked.id == "a" ? 0 : 1];
+      if (r.stage != Stage::Asking) return s;  // it has left
+      r.intended = true;
+      if (s.acknowledged && (j.verdict == Verdict::Run || j.verdict == Verdict::Again))
+        s.broken = "a key whose answer was told may run again";
+      switch (j.verdict) {
+        case Verdict::Run:
+          r.stage = Stage::Going;
+          break;
+        case Verdict::Again:
+          r.stage = Stage::Going;
+          r.ranAt = s.now - static_cast<int>(j.since / ticks(1));
+          break;
+        case Verdict::Recorded:
+          r.stage = Stage::Over;
+          s.queue.push_back(NoteTold{"key", a->asked.id});
+          break;
+        case Verdict::Unknown:
+          r.stage = Stage::Over;
+          s.queue.push_back(NoteTold{"key", a->asked.id});
+      }
+      return s;
+    }
+    KeyRecord& d = *s.durable;
+    if (const auto* const o = std::get_if<NoteSent>(&q)) {
+      sent(d, {o->id, o->attempt, o->member, now, End::Out});
+    } else if (const auto* const e = std::get_if<NoteEnded>(&q)) {
+      ended(d, e->id, e->attempt, e->end);
+    } else if (const auto* const f = std::get_if<Finish>(&q)) {
+      d.mayHaveRun = d.mayHaveRun || f->mayHaveRun;
+      finished(d, f->id, f->outcome, now, keep);
+      if (f->outcome == Outcome::Served) {
+        d.answered = true;
+        d.answer = f->answer;
+        const int k = f->id == "a" ? 0 : 1;
+        if (s.r[k].stage == Stage::Finishing) answer(s, k);
+      }
+    } else if (const auto* const t = std::get_if<NoteTold>(&q)) {
+      told(d, t->id);
+    } else if (const auto* const l = std::get_if<NoteLeft>(&q)) {
+      d.mayHaveRun = d.mayHaveRun || l->mayHaveRun;
+      left(d, l->id);
+    }
+    return s;
+  }
+
+  const Protocol p_;
+  std::unordered_set<std::string> seen_;
+  std::string broken_;
+};
+
+TEST(StoreModel, NoOrderOfStepsAndNoCrashBreaksAPromise) {
+  Checker c{Protocol()};
+  EXPECT_EQ(c.run(), "");
+  EXPECT_GT(c.states(), 10000u);
+  RecordProperty("states", static_cast<int>(c.states()));
+}
+TEST(StoreModel, WithoutOneOfTheWaitsAPromiseBreaks) {
+  Protocol p;
+  p.intentFirst = false;
+  EXPECT_NE(Checker(p).run(), "") << "sent before the intent is durable";
+  p = {};
+  p.outcomeFirst = false;
+  EXPECT_NE(Checker(p).run(), "") << "answered before the outcome is durable";
+  p = {};
+  p.windowKept = false;
+  EXPECT_NE(Checker(p).run(), "") << "the module does not know of the earlier request";
+}
+
+}  // namespace
+}  // namespace sablespur::test
--- /dev/null
+++ b/tests/store_test.cpp
@@ -0,0 +1,538 @@
+// The store: what it holds through ends, damage and failing disks. The sweep's whole run is
+// build/sablespur-store-sweep.
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <pcg_random.hpp>
+
+#include "store/inspect.hpp"
+#include "store_run.hpp"
+#include "store_sweep.hpp"
+
+namespace sablespur::test {
+namespace {
+
+using namespace store;
+namespace fs = std::filesystem;
+
+std::string slurp(const std::string& path) {
+  std::ifstream f(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(f), {}};
+}
+void spit(const std::string& path, const std::string& bytes) {
+  std::ofstream(path, std::ios::binary) << bytes;
+}
+
+struct StoreTest : ::testing::Test {
+  const Folder folder;
+  const std::string dir = folder.path + "/store";
+  Recorder recorder{dir};
+  Files files{&recorder};
+  TestTime time;
+  LedgerSettings settings;
+
+  StoreTest() {
+    settings.directory = dir;
+    settings.longestAnswer = 200;
+  }
+  std::unique_ptr<Ledger> open() {
+    return std::make_unique<Ledger>(files, settings, [this] { return time(); });
+  }
+  Said ask(Ledger& l, const std::string& key, const std::string& id, std::uint32_t group = 3) {
+    return l.apply({AskKey{{id, key, "order", group, kWindow}}})[0];
+  }
+  void serve(Ledger& l, const std::string& key, const std::string& id, const std::string& answer) {
+    l.apply({Finish{key, id, Outcome::Served, answer, 17, 0, true}, NoteTold{key, id}});
+  }
+  std::string theLog() {
+    for (const auto& f : fs::directory_iterator(dir))
+      if (f.path().extension() == ".log" && fs::file_size(f) > 0) return f.path().string();
+    return "";
+  }
+  StoreError error() {
+    try {
+      open();
+    } catch (const StoreError& e) {
+      return e;
+    }
+    return StoreError(StoreError::Kind::Failed, "it opened");
+  }
+};
+
+// ---- keys through an end ------------------------------------------------------------------------------
+TEST_F(StoreTest, AKeyThatWasServedIsAnsweredFromTheRecord) {
+  auto l = open();
+  EXPECT_EQ(ask(*l, "k1", "a").verdict, Verdict::Run);
+  serve(*l, "k1", "a", "the row");
+  l.reset();
+  time.pass(std::chrono::seconds(60));
+  l = open();
+  const Said s = ask(*l, "k1", "b");
+  EXPECT_EQ(s.verdict, Verdict::Recorded);
+  EXPECT_EQ(s.answer, "the row");
+  EXPECT_EQ(s.positionMs, 17);
+  EXPECT_EQ(ask(*l, "k1", "c", 4).verdict, Verdict::Unknown) << "of another group";
+}
+TEST_F(StoreTest, AnAnswerTooLongToKeepIsAnHonestFailure) {
+  auto l = open();
+  ask(*l, "k1", "a");
+  serve(*l, "k1", "a", std::string(201, 'x'));
+  EXPECT_EQ(ask(*l, "k1", "b").verdict, Verdict::Unknown);
+}
+TEST_F(StoreTest, AnIntentWithoutOutcomeMayGoAgainWithinItsWindowAlone) {
+  auto l = open();
+  ask(*l, "k1", "a");
+  ask(*l, "k2", "b");
+  l.reset();
+  time.pass(std::chrono::milliseconds(1500));
+  l = open();
+  EXPECT_EQ(l->recovered().unresolved, 2u);
+  const Said s = ask(*l, "k1", "c");
+  EXPECT_EQ(s.verdict, Verdict::Again);
+  EXPECT_GE(s.since, std::chrono::milliseconds(1500));
+  EXPECT_EQ(ask(*l, "k1", "d", 4).verdict, Verdict::Unknown) << "in another group nobody knows the key";
+  time.pass(std::chrono::milliseconds(500));
+  EXPECT_EQ(ask(*l, "k2", "e").verdict, Verdict::Unknown);
+  EXPECT_EQ(ask(*l, "k1", "f").verdict, Verdict::Unknown) << "the window counts from the first send of all";
+}
+TEST_F(StoreTest, WhatNeverRanMayRunAnew) {
+  auto l = open();
+  ask(*l, "k1", "a");
+  l->apply({NoteSent{"k1", "a", "s-1", 0}, NoteEnded{"k1", "a", 0, End::NeverRan},
+            Finish{"k1", "a", Outcome::Refused, "", 0, 0, false}, NoteTold{"k1", "a"}});
+  l.reset();
+  time.pass(std::chrono::seconds(5));
+  l = open();
+  EXPECT_EQ(ask(*l, "k1", "b").verdict, Verdict::Run);
+}
+// Notes may be lost while the disk fails; the last word tells whether an attempt may have run all the same.
+TEST_F(StoreTest, ALostNoteMakesNoKeyFree) {
+  auto l = open();
+  ask(*l, "k1", "a");
+  l->apply({Finish{"k1", "a", Outcome::Refused, "", 0, 0, true}, NoteTold{"k1", "a"}});
+  time.pass(std::chrono::seconds(5));
+  EXPECT_EQ(ask(*l, "k1", "b").verdict, Verdict::Unknown);
+}
+TEST_F(StoreTest, TwoRequestsOfAKeyAtOnceLeaveItOpenUntilBothHaveEnded) {
+  auto l = open();
+  EXPECT_EQ(ask(*l, "k1", "a").verdict, Verdict::Run);
+  EXPECT_EQ(ask(*l, "k1", "b").verdict, Verdict::Again);
+  l->apply({Finish{"k1", "b", Outcome::Refused, "", 0, 0, false}, NoteTold{"k1", "b"}});
+  EXPECT_EQ(ask(*l, "k1", "c").verdict, Verdict::Again) << "a may be out still";
+  serve(*l, "k1", "a", "the row");
+  l->apply({Finish{"k1", "c", Outcome::Failed, "", 0, 0, true}});
+  EXPECT_EQ(ask(*l, "k1", "d").verdict, Verdict::Recorded) << "a failure does not undo what was served";
+}
+TEST_F(StoreTest, TenThousandOpenIntentsAreJudgedOneByOneAfterTheCrash) {
+  auto l = open();
+  std::vector<Operation> all;
+  for (int k = 0; k < 10000; ++k)
+    all.emplace_back(AskKey{{"id" + std::to_string(k), "k" + std::to_string(k), "order", 3, kWindow}});
+  l->apply(all);
+  l.reset();
+  time.pass(std::chrono::seconds(1));
+  l = open();
+  EXPECT_EQ(l->recovered().unresolved, 10000u);
+  for (int k = 0; k < 10000; k += 97)
+    EXPECT_EQ(ask(*l, "k" + std::to_string(k), "x").verdict, Verdict::Again);
+  time.pass(std::chrono::seconds(1));
+  for (int k = 1; k < 10000; k += 97)
+    EXPECT_EQ(ask(*l, "k" + std::to_string(k), "x").verdict, Verdict::Unknown);
+}
+
+// ---- the clock ----------------------------------------------------------------------------------------
+TEST_F(StoreTest, TheWallClockSetBackOrForthMakesNoKeyYoungAndNoneForgotten) {
+  for (const int hours : {-1, 1, 24 * 365}) {
+    const std::string key = "k" + std::to_string(hours);
+    auto l = open();
+    ask(*l, key, "a");
+    ask(*l, key + "served", "b");
+    serve(*l, key + "served", "b", "row");
+    l.reset();
+    time.pass(std::chrono::seconds(3));
+    time.wallMs += hours * 3600 * 1000ll;
+    l = open();
+    EXPECT_EQ(ask(*l, key, "c").verdict, Verdict::Unknown) << hours;
+    EXPECT_EQ(ask(*l, key + "served", "d").verdict, Verdict::Recorded) << hours;
+  }
+}
+// How long a machine was off is not known: for sending again it was long, for forgetting it was no time at
+// all.
+TEST_F(StoreTest, AfterTheMachinesOwnStartNothingIsYoungAndNothingIsForgotten) {
+  settings.keep = std::chrono::seconds(10);
+  auto l = open();
+  ask(*l, "k1", "a");
+  ask(*l, "k2", "b");
+  serve(*l, "k2", "b", "row");
+  l.reset();
+  time.boot = "boot-2";
+  time.us = 5000;
+  time.wallMs += 3600 * 1000;
+  l = open();
+  EXPECT_TRUE(l->recovered().gap);
+  EXPECT_EQ(ask(*l, "k1", "c").verdict, Verdict::Unknown);
+  EXPECT_EQ(ask(*l, "k2", "d").verdict, Verdict::Recorded);
+  EXPECT_EQ(ask(*l, "k3", "e").verdict, Verdict::Run);
+  EXPECT_EQ(ask(*l, "k3", "f").verdict, Verdict::Again) << "after the gap ages are known again";
+}
+TEST_F(StoreTest, AMachineSetBackToASnapshotCountsAsAnother) {
+  auto l = open();
+  time.pass(std::chrono::seconds(100));
+  ask(*l, "k1", "a");
+  l.reset();
+  time.us -= 50000000;
+  l = open();
+  EXPECT_TRUE(l->recovered().gap);
+  EXPECT_EQ(ask(*l, "k1", "b").verdict, Verdict::Unknown);
+}
+
+// ---- bounds -------------------------------------------------------------------------------------------
+TEST_F(StoreTest, StaysLevelWhileKeysAreAlwaysNew) {
+  settings.keep = std::chrono::seconds(10);
+  settings.keepSessions = std::chrono::seconds(10);
+  auto l = open();
+  std::uint64_t most = 0;
+  for (int k = 0; k < 3000; ++k) {
+    const std::string key = "k" + std::to_string(k);
+    ask(*l, key, "a");
+    l->apply({Finish{key, "a", Outcome::Served, "row", 1000 + k, static_cast<std::uint64_t>(k + 1), true}});
+    time.pass(std::chrono::milliseconds(50));
+    most = std::max(most, l->totals().keys);
+  }
+  EXPECT_LE(most, 201u);
+  EXPECT_LE(l->totals().sessions, 201u);
+  l.reset();
+  const Census c = check(files, dir);
+  EXPECT_LE(c.pairs, 4 * 201u + 8);
+}
+TEST_F(StoreTest, WithoutRoomNewKeysAreTurnedAwayAndTheOldOnesStand) {
+  settings.mostKeys = 3;
+  settings.keep = std::chrono::seconds(10);
+  auto l = open();
+  for (const char* k : {"k1", "k2", "k3"}) EXPECT_EQ(ask(*l, k, "a").verdict, Verdict::Run);
+  time.pass(std::chrono::seconds(4));
+  const Said s = ask(*l, "k4", "b");
+  EXPECT_TRUE(s.full);
+  EXPECT_EQ(s.wait, std::chrono::seconds(6));
+  EXPECT_EQ(ask(*l, "k1", "c").verdict, Verdict::Unknown) << "it is known still";
+  time.pass(std::chrono::seconds(7));
+  EXPECT_TRUE(ask(*l, "k4", "d").full || ask(*l, "k4", "e").verdict == Verdict::Run);
+}
+TEST_F(StoreTest, SessionsGoOnWhereTheyWereAndForgettingMakesThemStricter) {
+  settings.keepSessions = std::chrono::seconds(10);
+  auto l = open();
+  l->apply({NoteSeen{7, 5000}, NoteSeen{7, 4000}, NoteSeen{8, 6000}});
+  l.reset();
+  time.pass(std::chrono::seconds(1));
+  l = open();
+  EXPECT_EQ(l->apply({AskSession{7}})[0].positionMs, 5000) << "never back";
+  EXPECT_EQ(l->apply({AskSession{9}})[0].positionMs, 0);
+  time.pass(std::chrono::seconds(10));
+  l->apply({NoteSeen{10, 10}});
+  EXPECT_EQ(l->apply({AskSession{9}})[0].positionMs, 6000) << "the newest of those forgotten";
+  settings.mostSessions = 1;
+  l.reset();
+  l = open();
+  l->apply({NoteSeen{11, 9000}});
+  EXPECT_EQ(l->apply({AskSession{11}})[0].positionMs, 9000);
+  EXPECT_EQ(l->apply({AskSession{12}})[0].positionMs, 9000) << "no room: it counts for all";
+}
+
+// ---- ends and damage ----------------------------------------------------------------------------------
+TEST_F(StoreTest, TwoProcessesDoNotShareADirectory) {
+  const auto l = open();
+  const pid_t child = fork();
+  if (child == 0) _exit(error().kind == StoreError::Kind::Busy ? 17 : 1);
+  int status = 0;
+  waitpid(child, &status, 0);
+  EXPECT_EQ(WEXITSTATUS(status), 17);
+}
+TEST_F(StoreTest, ATornFinalRecordThatHoldsAKeyIsCutOff) {
+  auto l = open();
+  ask(*l, "k1", "a");
+  const std::string before = slurp(theLog()), mark = slurp(dir + "/DURABLE");
+  ask(*l, "k2", "b");
+  const std::string after = slurp(theLog());
+  l.reset();
+  for (std::size_t n = before.size() + 1; n < after.size(); n += 7) {
+    fs::remove_all(dir + "-copy");
+    fs::copy(dir, dir + "-copy");
+    spit(dir + "-copy/" + fs::path(theLog()).filename().string(), after.substr(0, n));
+    spit(dir + "-copy/DURABLE", mark);
+    LedgerSettings s = settings;
+    s.directory = dir + "-copy";
+    Files plain;
+    Ledger copy(plain, s, [this] { return time(); });
+    EXPECT_EQ(copy.recovered().database.tornAt, before.size());
+    EXPECT_EQ(copy.recovered().database.tornBytes, n - before.size());
+    EXPECT_EQ(ask(copy, "k1", "c").verdict, Verdict::Again);
+    EXPECT_EQ(ask(copy, "k2", "d").verdict, Verdict::Run) << "it never was durable, so it never was sent";
+  }
+}
+TEST_F(StoreTest, ABitFlippedInTheMiddleIsReportedWithItsOffset) {
+  auto l = open();
+  std::vector<std::size_t> ends;
+  for (int k = 0; k < 5; ++k) {
+    ends.push_back(slurp(theLog()).size());
+    ask(*l, "k" + std::to_string(k), "a");
+  }
+  const std::string log = theLog(), good = slurp(log);
+  l.reset();
+  for (std::size_t at = ends[1]; at < ends[3]; ++at) {
+    std::string bad = good;
+    bad[at] = static_cast<char>(bad[at] ^ 0x10);
+    spit(log, bad);
+    const StoreError e = error();
+    ASSERT_EQ(e.kind, StoreError::Kind::Damaged) << at << ": " << e.what();
+    EXPECT_EQ(e.file, fs::path(log).filename().string());
+    EXPECT_EQ(e.offset, at < ends[2] ? ends[1] : ends[2]) << at;
+  }
+  spit(log, good);
+  EXPECT_NO_THROW(open());
+}
+// The mark is older after the machine's end, and then it does not tell: the records that follow do.
+TEST_F(StoreTest, DamageIsFoundWithoutTheMarkWhereLaterRecordsStand) {
+  auto l = open();
+  ask(*l, "k1", "a");
+  const std::size_t at = slurp(theLog()).size();
+  ask(*l, "k2", "b");
+  ask(*l, "k3", "c");
+  const std::string log = theLog();
+  l.reset();
+  std::string bytes = slurp(log);
+  bytes[at + 5] = '\x7f';  // a length that ends beyond the file, which LevelDB takes for the file's end
+  spit(log, bytes);
+  fs::remove(dir + "/DURABLE");
+  const StoreError e = error();
+  EXPECT_EQ(e.kind, StoreError::Kind::Damaged);
+  EXPECT_EQ(e.offset, at);
+}
+TEST_F(StoreTest, AnEndThatIsMissingIsReportedThoughWhatIsLeftIsWhole) {
+  auto l = open();
+  ask(*l, "k1", "a");
+  const std::size_t size = slurp(theLog()).size();
+  ask(*l, "k2", "b");
+  const std::string log = theLog();
+  l.reset();
+  fs::resize_file(log, size);
+  const StoreError e = error();
+  EXPECT_EQ(e.kind, StoreError::Kind::Damaged);
+  EXPECT_NE(std::string(e.what()).find("had been durable"), std::string::npos) << e.what();
+  EXPECT_EQ(error().kind, StoreError::Kind::Damaged) << "and not forgotten by having been looked at";
+}
+TEST_F(StoreTest, AFlippedBitInATableIsFoundByTheCheck) {
+  auto l = open();
+  for (int k = 0; k < 50; ++k) ask(*l, "k" + std::to_string(k), "a");
+  l.reset();
+  compact(files, dir);
+  std::string table;
+  for (const auto& f : fs::directory_iterator(dir))
+    if (f.path().extension() == ".ldb") table = f.path().string();
+  ASSERT_FALSE(table.empty());
+  const std::string good = slurp(table);
+  std::size_t named = 0;
+  for (std::size_t at = 0; at < good.size(); at += 37) {
+    std::string bad = good;
+    bad[at] = static_cast<char>(bad[at] ^ 1);
+    spit(table, bad);
+    try {
+      check(files, dir);
+    } catch (const StoreError& e) {
+      EXPECT_EQ(e.kind, StoreError::Kind::Damaged);
+      EXPECT_EQ(e.file, fs::path(table).filename().string()) << e.what();
+      ++named;
+    }
+  }
+  // The footer's padding alone may change and nothing be lost.
+  EXPECT_GE(named + 2, (good.size() + 36) / 37);
+}
+TEST_F(StoreTest, ARecordOfALaterVersionIsTurnedDown) {
+  open().reset();
+  {
+    Database db(files, dir);
+    Database::Batch b;
+    std::string r;
+    nlohmann::json::to_cbor({{"t", "key"}, {"v", kRecordVersion + 1}}, r);
+    b.put("kfuture", r);
+    db.commit(b);
+  }
+  auto l = open();
+  try {
+    ask(*l, "future", "a");
+    FAIL() << "it was read";
+  } catch (const StoreError& e) {
+    EXPECT_EQ(e.kind, StoreError::Kind::Newer) << e.what();
+  }
+}
+// Cut, dropped, spoilt: a drawn part of the sweep.
+TEST(StoreSweep, EveryEndKeepsWhatWasPromisedAndDamageIsNeverSilent) {
+  const SweepResult r = sweep(0.1, 20261201, 2);
+  EXPECT_EQ(r.silent, 0u) << r.first;
+  EXPECT_EQ(r.damagedCuts, 0u) << r.first;
+  EXPECT_EQ(r.withoutOffset, 0u);
+  EXPECT_GT(r.cuts, 1000u);
+  EXPECT_GT(r.losses, 10u);
+  EXPECT_GT(r.sectors, 10u);
+  EXPECT_GT(r.flips, 10u);
+  EXPECT_GT(r.reported, 0u);
+}
+// A check that cannot fail would prove nothing.
+TEST(StoreSweep, BrokenPromisesAreSeen) {
+  const Folder folder;
+  TestTime time;
+  Files files;
+  Life life(files, folder.path + "/a", time);
+  live(life, time);
+  LedgerSettings s;
+  s.directory = folder.path + "/b";
+  Ledger other(files, s, [&] { return time(); });
+  EXPECT_NE(broken(life.facts(), other, time), "");
+  Facts one;
+  one.sessions[1] = 5;
+  EXPECT_NE(broken(one, other, time), "");
+}
+
+// ---- a disk that fails --------------------------------------------------------------------------------
+// Each operation of the life fails in turn, once or from then on, with none or a part of its bytes written.
+TEST(StoreFaults, EveryOperationMayFailAndNothingPromisedIsLost) {
+  std::size_t operations = 0;
+  {
+    const Folder folder;
+    Recorder r(folder.path + "/store");
+    Files files(&r);
+    TestTime time;
+    Life life(files, folder.path + "/store", time);
+    live(life, time);
+    operations = r.count();
+  }
+  ASSERT_GT(operations, 200u);
+  std::size_t failures = 0;
+  for (std::size_t n = 0; n < operations; ++n)
+    for (const bool lasting : {false, true}) {
+      const Folder folder;
+      Recorder r(folder.path + "/store");
+      r.failAt(n, lasting, n % 3 * 5);
+      Files files(&r);
+      TestTime time;
+      Life life(files, folder.path + "/store", time);
+      bool threw = false;
+      try {
+        live(life, time);
+      } catch (const StoreError& e) {
+        threw = true;
+        EXPECT_EQ(e.kind, StoreError::Kind::Failed) << n << ": " << e.what();
+      }
+      life.close();
+      EXPECT_TRUE(r.failed()) << n;
+      failures += threw;
+      r.mend();
+      try {
+        life.open();
+        EXPECT_EQ(broken(life.facts(), life.ledger(), time), "") << n;
+      } catch (const StoreError& e) {
+        ADD_FAILURE() << "operation " << n << (lasting ? ", lasting" : "") << ": " << e.what();
+      }
+    }
+  EXPECT_GT(failures, operations / 2);
+}
+TEST_F(StoreTest, ASyncThatFailsOnceLeavesNothingTakenForDurable) {
+  auto l = open();
+  ask(*l, "k1", "a");
+  const std::size_t n = recorder.count();
+  recorder.failAt(n + 1, false);  // the append, then its sync
+  EXPECT_THROW(ask(*l, "k2", "b"), StoreError);
+  EXPECT_THROW(ask(*l, "k3", "c"), StoreError) << "until it is opened again";
+  l.reset();
+  recorder.mend();
+  l = open();
+  EXPECT_EQ(ask(*l, "k1", "d").verdict, Verdict::Again);
+  EXPECT_EQ(ask(*l, "k3", "e").verdict, Verdict::Run);
+}
+TEST_F(StoreTest, ADiskThatIsFullAmidAGroupLosesTheGroupWhole) {
+  auto l = open();
+  ask(*l, "k0", "a");
+  recorder.failAt(recorder.count(), true, 40);
+  std::vector<Operation> group;
+  for (int k = 1; k < 20; ++k)
+    group.emplace_back(AskKey{{"a", "k" + std::to_string(k), "order", 3, kWindow}});
+  EXPECT_THROW(l->apply(group), StoreError);
+  l.reset();
+  EXPECT_EQ(error().kind, StoreError::Kind::Failed) << "it is full still";
+  recorder.mend();
+  l = open();
+  EXPECT_EQ(ask(*l, "k0", "b").verdict, Verdict::Again);
+  for (int k = 1; k < 20; ++k) EXPECT_EQ(ask(*l, "k" + std::to_string(k), "b").verdict, Verdict::Run);
+}
+
+// ---- records ------------------------------------------------------------------------------------------
+TEST(Records, ComeBackAsTheyWere) {
+  KeyRecord r;
+  r.group = 7;
+  r.cls = "order";
+  r.asked = Time(5);
+  r.window = kWindow;
+  r.expires = Time(99);
+  r.wallMs = 1767225600000;
+  r.epoch = 3;
+  r.attempts = {{"a", 1, "s-9", Time(6), End::MayHaveRun}};
+  r.mayHaveRun = true;
+  r.outcome = Outcome::Served;
+  r.answered = true;
+  r.answer = std::string("\0\xff row", 6);
+  r.positionMs = -1;
+  r.owed = {"x"};
+  r.given = {"y", "z"};
+  const KeyRecord back = decodeKey(encode(r));
+  EXPECT_EQ(toJson(back).dump(), toJson(r).dump());
+  EXPECT_EQ(back.answer, r.answer);
+  EXPECT_EQ(back.positionMs, -1);
+  EXPECT_EQ(back.mayHaveRun, true);
+}
+TEST(Records, WhatIsNoRecordIsTurnedDown) {
+  KeyRecord r;
+  r.attempts = {{"a", 1, "s-9", Time(6), End::Out}};
+  const std::string good = encode(r);
+  for (std::size_t n = 0; n < good.size(); ++n)
+    EXPECT_THROW(decodeKey(good.substr(0, n)), std::runtime_error) << n;
+  EXPECT_THROW(decodeKey(encode(Totals{})), std::runtime_error);
+  pcg64 random(1);
+  for (int k = 0; k < 3000; ++k) {
+    std::string bad = good;
+    bad[random() % bad.size()] = static_cast<char>(random());
+    try {
+      decodeKey(bad);
+    } catch (const std::runtime_error&) {
+    }
+  }
+}
+// Files as each version wrote them are read by this one.
+TEST(Records, KeptFilesOfEachVersionAreRead) {
+  for (int version = 1; version <= kRecordVersion; ++version) {
+    const Folder folder;
+    fs::copy(std::string(SABLESPUR_SOURCE) + "/tests/data/store-" + std::to_string(version),
+             folder.path + "/store");
+    Files files;
+    const Census c = check(files, folder.path + "/store");
+    EXPECT_EQ(c.keys, 4u);
+    EXPECT_EQ(c.sessions, 1u);
+    EXPECT_EQ(c.unresolved, 1u);
+    LedgerSettings s;
+    s.directory = folder.path + "/store";
+    TestTime time;
+    time.pass(std::chrono::seconds(60));
+    Ledger l(files, s, [&] { return time(); });
+    const auto ask = [&](const char* key) { return l.apply({AskKey{{"x", key, "order", 3, kWindow}}})[0]; };
+    EXPECT_EQ(ask("served").answer, "the row");
+    EXPECT_EQ(ask("open").verdict, Verdict::Unknown);
+    EXPECT_EQ(ask("refused").verdict, Verdict::Run);
+    EXPECT_EQ(ask("failed").verdict, Verdict::Unknown);
+    EXPECT_EQ(l.apply({AskSession{5}})[0].positionMs, 1767225600001);
+  }
+}
+
+}  // namespace
+}  // namespace sablespur::test
