Kill proxies on their stores in the lab; measure the store; count open keys

The store was proved by tests of its own alone; its issue asks for proof under load, for prices, and for a bounded start.

The lab's clients ask again for writes whose outcome they do not know; auditors count acknowledged writes that never took effect, and take a recorded answer for one. Stand-ins judge a repeat by when it was sent to them: judged by when it was done, one that had waited in a queue counted against the proxy. Open keys are counted rather than looked for at a start. Notes are bounded while a disk hangs. A fuzz target for logs and records; a test that ends a writing process by SIGKILL.

--- /dev/null
+++ b/fuzz/store.cpp
@@ -0,0 +1,36 @@
+// The store's logs and records, as they may come back from a disk.
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "fuzz/target.hpp"
+#include "store/inspect.hpp"
+#include "store/record.hpp"
+
+using namespace sablespur::store;
+
+int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  const std::string_view text(reinterpret_cast<const char*>(data), size);
+  for (const LogKind kind : {LogKind::Batches, LogKind::Manifest}) {
+    const Inspected i = inspectLog(text, kind);
+    if (i.whole > size || (i.laterAt && (!i.ragged || *i.laterAt <= i.whole || *i.laterAt >= size)))
+      std::abort();
+    // What is left once the ragged end is cut off is whole, and the same.
+    const Inspected again = inspectLog(text.substr(0, i.whole), kind);
+    if (again.ragged || again.records != i.records || again.commit != i.commit) std::abort();
+  }
+  try {
+    const KeyRecord r = decodeKey(text);
+    if (encode(decodeKey(encode(r))) != encode(r)) std::abort();
+    toJson(r);
+  } catch (const std::runtime_error&) {
+  }
+  for (const auto decode :
+       {+[](std::string_view s) { decodeSession(s); }, +[](std::string_view s) { decodeEpoch(s); },
+        +[](std::string_view s) { decodeClock(s); }, +[](std::string_view s) { decodeTotals(s); }})
+    try {
+      decode(text);
+    } catch (const std::runtime_error&) {
+    }
+  return 0;
+}
--- a/lab/audit.hpp
+++ b/lab/audit.hpp
@@ -54,7 +54,7 @@
   void probe(Time) { ++probes_; }
 
   // Of the clients: every request ends in one of these, once.
-  void request(Time at, const std::string& id);
+  void request(Time at, const std::string& id, const std::string& key = {});
   void answer(Time at, const std::string& id, Got, const std::string& value, Time latency, bool onTime,
               double worth, double earned);
   void hit(const char* what) { ++hits_[what]; }  // something happened that an experiment wants to see
@@ -104,8 +104,10 @@
   std::map<int, Time> withdrawnAt_;
   std::unordered_map<std::string, std::vector<Out>> open_;  // attempts by id
   std::unordered_map<std::uint64_t, std::string> idOf_;
-  std::unordered_map<std::string, Time> waiting_;  // requests without an answer
-  std::unordered_map<std::string, Time> effects_;  // by key
+  std::unordered_map<std::string, Time> waiting_;      // requests without an answer
+  std::unordered_map<std::string, Time> effects_;      // by key
+  std::unordered_map<std::string, std::string> keys_;  // of requests, by id
+  std::set<std::string> acknowledged_;  // keys of which a client was told that they were served
   std::vector<std::pair<Time, std::string>> overlaps_;
   std::vector<Send> sends_;
   std::vector<Answer> answers_;
--- a/lab/experiment.cpp
+++ b/lab/experiment.cpp
@@ -166,6 +166,10 @@
     bool loop = false;
     apply(s, {{"rate", number(c.rate)},
               {"retries", count(c.retries)},
+              {"asks_again", count(c.asksAgain)},
+              {"doubles", share(c.doubles)},
+              {"again_least", time(c.againLeast)},
+              {"again_most", time(c.againMost)},
               {"loop", put(loop, readFlag)},
               {"value_bytes", count(c.valueBytes)},
               {"version", text(version)},
@@ -174,6 +178,8 @@
               {"addresses", count(c.addresses)},
               {"server", text(server)}});
     if (c.addresses < 1) fault(s.line, s.title() + " addresses", "it is out of range", "write 1 or more");
+    if (c.againMost < c.againLeast)
+      fault(s.line, s.title() + " again_most", "it is below again_least", "raise it, or lower the other");
     c.loop = loop;
     c.version = versionOf(version);
     if (s.name.empty()) {
--- a/lab/fleet.hpp
+++ b/lab/fleet.hpp
@@ -134,7 +134,8 @@
   void lostPrimary(int group);
   void takeOver(int group);
   // What a write answers; it takes effect unless its key was seen within the class's time.
-  std::string write(int group, const ClassModel&, const std::string& key, const std::string& value, Time now);
+  std::string write(int group, const ClassModel&, const std::string& key, const std::string& value,
+                    Time arrived, Time now);
 
   Context& c_;
   Audit& audit_;
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -5,9 +5,13 @@
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
+#include <cerrno>
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
 #include <filesystem>
+#include <string>
+#include <vector>
 
 #include "lab/report.hpp"
 #include "lab/run.hpp"
@@ -53,9 +57,22 @@
 from 20s every 20s until 3600s publish s-4
 )";
 
-std::string proxyBeside(const char* self) {
-  const fs::path p = fs::path(self).parent_path() / "sablespur";
-  return fs::exists(p) ? p.string() : "sablespur";
+std::string beside(const char* self, const char* name) {
+  const fs::path p = fs::path(self).parent_path() / name;
+  return fs::exists(p) ? p.string() : name;
+}
+std::string proxyBeside(const char* self) { return beside(self, "sablespur"); }
+
+// A program of its own: it needs the store's code, which nothing else here may share.
+int storeSweep(const char* self, const std::vector<std::string>& options) {
+  std::vector<std::string> words{beside(self, "sablespur-store-sweep")};
+  words.insert(words.end(), options.begin(), options.end());
+  std::vector<char*> argv;
+  for (std::string& w : words) argv.push_back(w.data());
+  argv.push_back(nullptr);
+  execvp(argv[0], argv.data());
+  std::fprintf(stderr, "sablespur-lab: %s cannot be started: %s\n", argv[0], std::strerror(errno));
+  return 1;
 }
 
 int complain(const std::vector<sablespur::Fault>& faults) {
@@ -135,8 +152,12 @@
   listing->add_option("--dir", dir, "where they are")->capture_default_str();
   CLI::App* const demo = app.add_subcommand("demo", "a few servers, a proxy, clients; Ctrl-C ends it");
   demo->add_option("--proxy", program, "the proxy's program")->capture_default_str();
+  CLI::App* const sweeping = app.add_subcommand(
+      "store-sweep", "end a ledger's life at every byte, spoil its sectors, look at what opens again");
+  sweeping->allow_extras();  // its own options: --share, --seed, --threads
   CLI11_PARSE(app, argc, argv);
   try {
+    if (sweeping->parsed()) return storeSweep(argv[0], sweeping->remaining());
     if (listing->parsed()) return list(dir);
     std::vector<sablespur::Fault> faults;
     Experiment e = demo->parsed() ? parseExperiment(kDemo, "demo", faults) : readExperiment(file, faults);
--- a/lab/run.cpp
+++ b/lab/run.cpp
@@ -68,6 +68,10 @@
     const std::size_t place = text.find(section + "\n");
     text.insert(place + section.size() + 1, line + "\n");
   }
+  // What each proxy has of its own: {proxy} is its number.
+  const std::string mine = "{proxy}";
+  for (std::size_t at = 0; (at = text.find(mine, at)) != std::string::npos;)
+    text.replace(at, mine.size(), std::to_string(k + 1));
   return text;
 }
 
--- a/src/store/ledger.cpp
+++ b/src/store/ledger.cpp
@@ -12,8 +12,7 @@
 // Forgotten in one commit: each commit makes room for what it brings, so the store stays level under any
 // load.
 constexpr std::size_t kForgetBase = 32, kForgetByOperation = 2;
-constexpr std::size_t kEpochs = 64;                   // kept for people
-constexpr std::uint64_t kUnresolvedCounted = 100000;  // bounds the start
+constexpr std::size_t kEpochs = 64;  // kept for people
 
 std::string number(std::uint64_t n) {
   std::string s;
@@ -91,21 +90,9 @@
   recovered_.epoch = last + 1;
   recovered_.keys = totals_.keys;
   recovered_.sessions = totals_.sessions;
+  recovered_.unresolved = totals_.open;
   recovered_.gap = clock_.gap();
   recovered_.database = db_.opened();
-  // Those that the last epoch asked stand near the end of the expiry index; looking at all keys would make
-  // the start as long as the store.
-  if (last > 0) {
-    std::uint64_t seen = 0;
-    db_.scan("x", expiryKey(clock_.at(machine_()), ""), [&](std::string_view key, std::string_view) {
-      if (++seen > kUnresolvedCounted) return false;
-      if (key.size() < 10 || key[9] != 'k') return true;
-      const std::string of(key.substr(9));
-      const auto value = db_.get(of);
-      if (value && decodedRecord(of, *value, decodeKey).outcome == Outcome::None) ++recovered_.unresolved;
-      return true;
-    });
-  }
   const MachineTime m = machine_();
   Database::Batch b;
   b.put(kFormat, std::to_string(kFormatVersion));
@@ -139,6 +126,9 @@
     if (!c.changed) continue;
     const std::string of = keyKey(key);
     g.changed = true;
+    const bool open = c.record->outcome == Outcome::None;
+    totals_.open += open && !c.wasOpen;
+    totals_.open -= c.wasOpen && !open;
     if (c.indexed && *c.indexed != c.record->expires) g.batch.remove(expiryKey(*c.indexed, of));
     if (!c.indexed || *c.indexed != c.record->expires) g.batch.put(expiryKey(c.record->expires, of), "");
     g.batch.put(of, encode(*c.record));
@@ -165,6 +155,7 @@
     if (const auto value = db_.get(keyKey(key))) {
       it->second.record = decodedRecord(keyKey(key), *value, decodeKey);
       it->second.indexed = it->second.record->expires;
+      it->second.wasOpen = it->second.record->outcome == Outcome::None;
     }
   }
   return it->second;
@@ -294,6 +285,8 @@
       const auto it = g.keys.find(of.substr(1));
       if (it != g.keys.end() && it->second.changed) return true;  // it has just been given more time
       totals_.keys -= totals_.keys > 0;
+      const auto value = db_.get(of);
+      totals_.open -= value && decodedRecord(of, *value, decodeKey).outcome == Outcome::None;
     } else {
       const auto it = g.sessions.find(readNumber(std::string_view(of).substr(1)));
       if (it != g.sessions.end() && it->second.changed) return true;
@@ -349,7 +342,7 @@
   if (entries != c.keys + c.sessions) damaged("entries that expire and records differ in number");
   if (const auto t = db.get(kTotals)) {
     const Totals totals = decodedRecord(kTotals, *t, decodeTotals);
-    if (totals.keys != c.keys || totals.sessions != c.sessions)
+    if (totals.keys != c.keys || totals.sessions != c.sessions || totals.open != c.unresolved)
       damaged("counted are " + std::to_string(totals.keys) + " keys and " + std::to_string(totals.sessions) +
               " sessions, and there are " + std::to_string(c.keys) + " and " + std::to_string(c.sessions));
   }
--- a/src/store/ledger.hpp
+++ b/src/store/ledger.hpp
@@ -108,7 +108,7 @@
   struct Cached {
     std::optional<KeyRecord> record;
     std::optional<Time> indexed;  // the expiry under which it stands on disk
-    bool changed = false;
+    bool changed = false, wasOpen = false;
   };
   struct CachedSession {
     std::optional<SessionRecord> record;
--- a/src/store/record.cpp
+++ b/src/store/record.cpp
@@ -148,12 +148,21 @@
 }
 
 std::string encode(const Totals& r) {
-  return pack({{"t", "totals"}, {"v", kRecordVersion}, {"k", r.keys}, {"s", r.sessions}, {"f", r.floorMs}});
+  return pack({{"t", "totals"},
+               {"v", kRecordVersion},
+               {"k", r.keys},
+               {"s", r.sessions},
+               {"o", r.open},
+               {"f", r.floorMs}});
 }
 Totals decodeTotals(std::string_view s) {
   return reading(s, "totals", [](const json& j) {
-    return Totals{j.at("k").get<std::uint64_t>(), j.at("s").get<std::uint64_t>(),
-                  j.at("f").get<std::int64_t>()};
+    Totals t;
+    t.keys = j.at("k").get<std::uint64_t>();
+    t.sessions = j.at("s").get<std::uint64_t>();
+    t.open = j.at("o").get<std::uint64_t>();
+    t.floorMs = j.at("f").get<std::int64_t>();
+    return t;
   });
 }
 
--- a/src/store/record.hpp
+++ b/src/store/record.hpp
@@ -73,7 +73,7 @@
 };
 
 struct Totals {
-  std::uint64_t keys = 0, sessions = 0;
+  std::uint64_t keys = 0, sessions = 0, open = 0;  // open: keys without an outcome
   std::int64_t floorMs = 0;  // the newest position among the sessions that were forgotten
 };
 
--- a/src/store/writer.cpp
+++ b/src/store/writer.cpp
@@ -21,6 +21,8 @@
 constexpr Time kRetryLeast = std::chrono::milliseconds(100), kRetryMost = std::chrono::seconds(5);
 constexpr Time kLastWait = std::chrono::seconds(1);
 constexpr std::size_t kMostTakenBack = 100000;
+constexpr std::size_t kMostNotes =
+    65536;  // guards the memory while a disk hangs: a note that is lost makes nobody freer
 // Notes wait so long for a commit that somebody waits for, and then have one of their own.
 constexpr Time kNoteWait = std::chrono::milliseconds(50);
 
@@ -120,6 +122,10 @@
 void Writer::note(Operation o) {
   {
     const std::lock_guard<std::mutex> lock(shared_->mutex);
+    if (shared_->waiting.size() >= kMostNotes) {
+      ++shared_->figures.lost;
+      return;
+    }
     shared_->waiting.push_back({std::move(o), {}, {}, monotonic()});
     // Its thread sleeps while there is nothing; once it is awake it looks after notes by itself.
     if (shared_->waiting.size() != 1 && shared_->waiting.size() != kLargestGroup) return;
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -1,6 +1,7 @@
 // The store: what it holds through ends, damage and failing disks. The sweep's whole run is
 // build/sablespur-store-sweep.
 #include <gtest/gtest.h>
+#include <signal.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -468,6 +469,52 @@
   for (int k = 1; k < 20; ++k) EXPECT_EQ(ask(*l, "k" + std::to_string(k), "b").verdict, Verdict::Run);
 }
 
+// A process that writes all the while is ended by SIGKILL at moments drawn by seed; what it had been promised
+// by then it has told through a pipe.
+TEST(StoreKill, AtAnyMomentUnderLoadNothingPromisedIsLost) {
+  pcg64 random(20261201);
+  std::size_t promised = 0;
+  for (int round = 0; round < 12; ++round) {
+    const Folder folder;
+    int ends[2];
+    ASSERT_EQ(pipe(ends), 0);
+    const pid_t child = fork();
+    if (child == 0) {
+      Files files;
+      LedgerSettings s;
+      s.directory = folder.path + "/store";
+      Ledger ledger(files, s, [] { return TestTime()(); });
+      for (int k = 0;; ++k) {
+        const std::string key = "k" + std::to_string(k);
+        ledger.apply({AskKey{{"a", key, "order", 3, kWindow}}});
+        ledger.apply({Finish{key, "a", Outcome::Served,
+                             key + std::string(static_cast<std::size_t>(k % 900), '.'), 0, 0, true}});
+        if (write(ends[1], &k, sizeof k) != sizeof k) _exit(1);
+      }
+    }
+    close(ends[1]);
+    const int until = static_cast<int>(random() % 300);
+    int last = -1;
+    for (int k = 0; last < until && read(ends[0], &k, sizeof k) == sizeof k;) last = k;
+    kill(child, SIGKILL);
+    waitpid(child, nullptr, 0);
+    for (int k = 0; read(ends[0], &k, sizeof k) == sizeof k;) last = k;
+    close(ends[0]);
+    Files files;
+    LedgerSettings s;
+    s.directory = folder.path + "/store";
+    Ledger ledger(files, s, [] { return TestTime()(); });
+    for (int k = 0; k <= last; ++k) {
+      const std::string key = "k" + std::to_string(k);
+      const Said said = ledger.apply({AskKey{{"b", key, "order", 3, kWindow}}})[0];
+      ASSERT_EQ(said.verdict, Verdict::Recorded) << key << " of " << last;
+      ASSERT_EQ(said.answer.substr(0, key.size()), key);
+      ++promised;
+    }
+  }
+  EXPECT_GT(promised, 500u);
+}
+
 // ---- records ------------------------------------------------------------------------------------------
 TEST(Records, ComeBackAsTheyWere) {
   KeyRecord r;
