Find a manifest older than the log; keep a store's descriptors; count windows from the asking

A CURRENT that names an older manifest: LevelDB takes the log for all there is, and throws away the tables that this manifest does not know; the mark does not see it, since the log's own number is the newest. The inspector now reads the manifest and compares. A file that is named and missing is damage, no disk that may come back. The time of a slow commit was added to a key's window: it is counted from when the key was asked for (the new test fails without that). LevelDB may hold 74 descriptors, which nothing kept for it: they and 6 MB come off the bounds where there is a store. Ids and keys are copied only where there is a store.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -50,9 +50,10 @@
   Config c = given;
   const std::size_t allowed = descriptorsAllowed(given.descriptors);
   if (allowed >= given.descriptors) return c;
-  if (allowed < kLeastDescriptors)
+  if (allowed < leastDescriptors(c.store != nullptr))
     throw std::runtime_error("key descriptors: the system allows this process " + std::to_string(allowed) +
-                             ", and " + std::to_string(kLeastDescriptors) + " are needed (ulimit -n)");
+                             ", and " + std::to_string(leastDescriptors(c.store != nullptr)) +
+                             " are needed (ulimit -n)");
   logEvent(LogLevel::Warning, "descriptors_limited", {{"wanted", given.descriptors}, {"allowed", allowed}});
   deriveBounds(c, allowed, given.memory);
   return c;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -10,6 +10,7 @@
 // The process itself: code, the loop, the listener, discovery, standard streams, connections about to be
 // closed.
 constexpr std::size_t kOwnDescriptors = 24, kOwnMemory = std::size_t{12} << 20;
+constexpr std::size_t kStoreMemory = std::size_t{6} << 20;  // as measured, and as much again
 // A client that asks nothing large: what is read ahead and an answer that it has not read yet.
 constexpr std::size_t kClientMemory = 96 << 10;
 
@@ -27,13 +28,14 @@
 void deriveBounds(Config& c, std::size_t descriptors, std::uint64_t memory) {
   c.descriptors = descriptors;
   c.memory = memory;
-  const std::size_t free = static_cast<std::size_t>(memory) - kOwnMemory;
-  c.clientConnections = std::min((descriptors - kOwnDescriptors) * 45 / 100, free / 2 / kClientMemory);
+  const std::size_t free = static_cast<std::size_t>(memory) - kOwnMemory - (c.store ? kStoreMemory : 0);
+  const std::size_t connections = descriptors - kOwnDescriptors - (c.store ? kStoreDescriptors : 0);
+  c.clientConnections = std::min(connections * 45 / 100, free / 2 / kClientMemory);
   // The side of the clients holds a third of the descriptors at most. Below that, so that room is made here
   // before it has none left to ask on.
   c.askingClients = std::min(c.clientConnections, descriptors / 4);
   c.largeStatements = free / 4;
-  c.serverConnections = descriptors - kOwnDescriptors - (descriptors - kOwnDescriptors) * 45 / 100;
+  c.serverConnections = connections - connections * 45 / 100;
 }
 
 bool operator==(const DnsSdSettings& a, const DnsSdSettings& b) {
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -106,7 +106,14 @@
 constexpr std::uint64_t kLeastMemory = 24u << 20, kMostMemory = std::uint64_t{1} << 40;
 constexpr std::size_t kLeastDescriptors = 128, kMostDescriptors = 1 << 20;
 
-// Fills the bounds from limits within the above.
+// What a store may have open: LevelDB's own least. Comes on top of the above.
+constexpr std::size_t kStoreDescriptors = 74;
+// The descriptors that these settings can do with.
+inline std::size_t leastDescriptors(bool store) {
+  return kLeastDescriptors + (store ? kStoreDescriptors : 0);
+}
+
+// Fills the bounds from limits within the above. What is kept for a store counts, so that is settled before.
 void deriveBounds(Config&, std::size_t descriptors, std::uint64_t memory);
 
 // All that is wrong, in the order of the lines; what() is the first and how many more there are, in one line.
--- a/src/config/ini_config.cpp
+++ b/src/config/ini_config.cpp
@@ -253,9 +253,9 @@
       config_.seed = std::uint64_t{random()} << 32 | random();
     }
     config_.known.reset = true;
+    store();
     deriveBounds(config_, draft_.descriptors, draft_.memory);
     admission();
-    store();
   }
   void store() {
     StoreConfig& c = draft_.store;
@@ -273,6 +273,10 @@
             {"class " + config_.classes[k] + " may be asked for again after that",
              "at least its give_up and repeats_dropped_for together"});
     }
+    if (draft_.descriptors < leastDescriptors(true))
+      fault(keyLine("limits", "descriptors"), "[limits] descriptors",
+            {std::to_string(draft_.descriptors) + " are too few beside a store",
+             "write at least " + std::to_string(leastDescriptors(true))});
     config_.store = std::make_shared<const StoreConfig>(c);
 #else
     fault(keyLine("store", "directory"), "[store] directory",
--- a/src/front/keeper.cpp
+++ b/src/front/keeper.cpp
@@ -244,8 +244,10 @@
         return go(e);
       case Verdict::Again:
         ++counts_.again;
-        // Since when it may be out: from then the data servers' memory of it counts.
-        e.q.ranAt = std::max(engine_.now() - s.since, Time(1));
+        // Since when it may be out: from then the data servers' memory of it counts. The ledger looked after
+        // this was asked, so counted from there it is no later than it was; counted from now, a slow commit
+        // would add to it.
+        e.q.ranAt = std::max(e.since - s.since, Time(1));
         return go(e);
       case Verdict::Recorded: {
         ++counts_.recorded;
--- a/src/front/pg/session.cpp
+++ b/src/front/pg/session.cpp
@@ -710,7 +710,11 @@
         pg::parseKey({start, static_cast<std::size_t>(std::max<ev_ssize_t>(got, 0))});
     if (!key.empty()) q.session = std::max<std::uint64_t>(fnv1a(key), 1);
   }
-  Message message{newBuffer(), std::move(statement), told_, id, std::string(comment.key)};
+  Message message{newBuffer(), std::move(statement), told_, {}, {}};
+  if (owner_.config_.store) {
+    message.id = id;
+    message.key = comment.key;
+  }
   if (comment.waitLength > 0) {
     evbuffer_remove_buffer(message.after.get(), message.before.get(), length - n + comment.waitAt);
     evbuffer_drain(message.after.get(), comment.waitLength);
--- a/src/store/database.cpp
+++ b/src/store/database.cpp
@@ -125,13 +125,25 @@
       logs[std::strtoull(n.c_str(), nullptr, 10)] = n;
   files_.read(dir_ + "/CURRENT", current);
   while (!current.empty() && current.back() == '\n') current.pop_back();
-  std::uint64_t next = 0;
+  std::uint64_t next = 0, reached = 0, firstLog = 0;
   const auto look = [&](const std::string& name, LogKind kind, bool last) {
     const std::string path = dir_ + "/" + name;
     std::string bytes;
     if (const Status s = files_.read(path, bytes); !s.ok()) fail(s, "reading");
     const Inspected i = inspectLog(bytes, kind, next);
-    if (kind == LogKind::Batches) next = i.nextSequence;
+    if (kind == LogKind::Manifest) {
+      reached = i.lastSequence;
+      firstLog = i.logNumber;
+    } else {
+      // LevelDB would take the logs for all there is, and throw away the tables that this manifest does not
+      // know.
+      if (next == 0 && i.firstSequence > reached + 1)
+        throw StoreError(StoreError::Kind::Damaged,
+                         current + " is older than " + name + ": it ends at " + std::to_string(reached) +
+                             ", and the log begins with " + std::to_string(i.firstSequence),
+                         current);
+      next = i.nextSequence;
+    }
     if (!i.ragged) return;
     if (i.laterAt || !last)
       throw StoreError(
@@ -156,7 +168,7 @@
   if (!current.empty() && std::find(names.begin(), names.end(), current) != names.end())
     look(current, LogKind::Manifest, true);
   for (auto it = logs.begin(); it != logs.end(); ++it)
-    look(it->second, LogKind::Batches, std::next(it) == logs.end());
+    if (it->first >= firstLog) look(it->second, LogKind::Batches, std::next(it) == logs.end());
 }
 
 void Database::readMark() {
@@ -236,9 +248,13 @@
 }
 
 void Database::fail(const Status& s, const char* doing) {
+  const Files::LastRead at = files_.lastRead();
+  // A file that is named and not there was there once.
+  if (s.IsNotFound())
+    throw StoreError(StoreError::Kind::Damaged, baseName(at.path) + " is missing (" + s.ToString() + ")",
+                     baseName(at.path));
   if (!s.IsCorruption() && !s.IsInvalidArgument())
     throw StoreError(StoreError::Kind::Failed, std::string(doing) + ": " + s.ToString());
-  const Files::LastRead at = files_.lastRead();
   throw StoreError(StoreError::Kind::Damaged,
                    baseName(at.path) + " is damaged in the " + std::to_string(at.length) +
                        " bytes from offset " + std::to_string(at.offset) + " (" + s.ToString() + ")",
--- a/src/store/files.cpp
+++ b/src/store/files.cpp
@@ -153,6 +153,7 @@
   return open(path, O_APPEND, to);
 }
 Status Files::NewSequentialFile(const std::string& path, leveldb::SequentialFile** to) {
+  remember(path, 0, 0);
   leveldb::SequentialFile* file = nullptr;
   const Status s = target()->NewSequentialFile(path, &file);
   *to = s.ok() ? new Streamed(*this, path, std::unique_ptr<leveldb::SequentialFile>(file)) : nullptr;
@@ -174,8 +175,9 @@
     const Descriptor fd_;
   };
   *to = nullptr;
+  remember(path, 0, 0);
   Descriptor fd(::open(path.c_str(), O_RDONLY | O_CLOEXEC));
-  if (!fd) return failed(path);
+  if (!fd) return errno == ENOENT ? Status::NotFound(path, std::strerror(errno)) : failed(path);
   *to = new Random(*this, path, std::make_unique<Plain>(path, std::move(fd)));
   return Status::OK();
 }
--- a/src/store/inspect.cpp
+++ b/src/store/inspect.cpp
@@ -59,6 +59,60 @@
   return b;
 }
 
+// version_edit.cc: tags and their values, all as varints or strings with their length before them. False: it
+// is none.
+bool readEdit(std::string_view r, Inspected& to) {
+  const auto varint = [&](std::uint64_t& v) {
+    v = 0;
+    for (int shift = 0; shift < 64 && !r.empty(); shift += 7) {
+      const auto byte = static_cast<unsigned char>(r.front());
+      r.remove_prefix(1);
+      v |= static_cast<std::uint64_t>(byte & 0x7f) << shift;
+      if (byte < 0x80) return true;
+    }
+    return false;
+  };
+  const auto string = [&] {
+    std::uint64_t n = 0;
+    if (!varint(n) || n > r.size()) return false;
+    r.remove_prefix(n);
+    return true;
+  };
+  std::uint64_t tag = 0, v = 0;
+  while (!r.empty()) {
+    if (!varint(tag)) return false;
+    bool ok = false;
+    switch (tag) {
+      case 1:  // comparator
+        ok = string();
+        break;
+      case 2:
+        ok = varint(to.logNumber);
+        break;
+      case 3:  // next file
+      case 9:  // previous log
+        ok = varint(v);
+        break;
+      case 4:
+        ok = varint(to.lastSequence);
+        break;
+      case 5:  // level, where compaction goes on
+        ok = varint(v) && string();
+        break;
+      case 6:  // level, file that is gone
+        ok = varint(v) && varint(v);
+        break;
+      case 7:  // level, file, size, its first and last key
+        ok = varint(v) && varint(v) && varint(v) && string() && string();
+        break;
+      default:
+        break;
+    }
+    if (!ok) return false;
+  }
+  return true;
+}
+
 struct Whole {
   std::string record;
   std::size_t end = 0;
@@ -115,10 +169,13 @@
       else if (b->commit == 0)
         i.why = "a batch without its number";
       if (*i.why == '\0') {
+        if (i.firstSequence == 0) i.firstSequence = b->sequence;
         i.nextSequence = b->sequence + b->count;
         i.commit = b->commit;
       }
     }
+    if (!w.why && kind == LogKind::Manifest && !readEdit(w.record, i))
+      i.why = "a record that is no edit of a version";
     if (*i.why != '\0') break;
     ++i.records;
     i.whole = at = w.end;
--- a/src/store/inspect.hpp
+++ b/src/store/inspect.hpp
@@ -18,10 +18,14 @@
 enum class LogKind { Batches, Manifest };
 
 struct Inspected {
-  std::uint64_t whole = 0;         // bytes from the beginning that are whole records
-  std::uint64_t records = 0;       // in them
-  std::uint64_t commit = 0;        // of the last of them; 0: none (LogKind::Batches)
-  std::uint64_t nextSequence = 0;  // LevelDB's, that the next batch has to begin with; 0: any
+  std::uint64_t whole = 0;          // bytes from the beginning that are whole records
+  std::uint64_t records = 0;        // in them
+  std::uint64_t commit = 0;         // of the last of them; 0: none (LogKind::Batches)
+  std::uint64_t firstSequence = 0;  // LevelDB's, of the first batch; 0: there is none
+  std::uint64_t nextSequence = 0;   // that the next batch has to begin with; 0: any
+  // LogKind::Manifest: the last sequence that its tables and logs had reached, the first log that still
+  // counts.
+  std::uint64_t lastSequence = 0, logNumber = 0;
   // What follows is no whole record, from `whole` on.
   bool ragged = false;
   const char* why = "";  // the first thing that is wrong with it
--- a/tests/keeper_test.cpp
+++ b/tests/keeper_test.cpp
@@ -312,6 +312,27 @@
   EXPECT_EQ(c.got, "");
   EXPECT_EQ(members.sent.size(), 1u);
 }
+// The time that a commit takes is no time that the data servers' memory waits.
+TEST_F(KeeperTest, ASlowCommitDoesNotLengthenTheWindow) {
+  config.settings.classes[1].memory = std::chrono::milliseconds(300);
+  StoreConfig s = *config.store;
+  s.patience = std::chrono::seconds(5);
+  config.store = std::make_shared<const StoreConfig>(s);
+  open();
+  Asker a, b;
+  ask(a, "k1");
+  ASSERT_TRUE(until([&] { return members.sent.size() == 1; }));
+  crash();
+  disk.hold(true);
+  const std::size_t before = disk.syncs();
+  ask(b, "k1");
+  ASSERT_TRUE(until([&] { return disk.syncs() > before; }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  disk.hold(false);
+  ASSERT_TRUE(until([&] { return !b.got.empty() || !members.sent.empty(); }));
+  EXPECT_EQ(b.got, "failed");
+  EXPECT_TRUE(members.sent.empty());
+}
 // After a crash a session's read still sees what the session wrote; another session's may see less.
 TEST_F(KeeperTest, SessionsGoOnWhereTheyWereBeforeTheCrash) {
   config.settings.classes[0].need = knotstack::Need::Session;
@@ -530,5 +551,22 @@
   EXPECT_NE(t.text.find("[store] keep"), std::string::npos) << t.text;
 }
 
+TEST_F(StoreStep, AStoresDescriptorsComeOffWhatConnectionsMayTake) {
+  Setting s = setting();
+  s.sockets = 300;
+  const Config with = parseSettings(settingsFile(s, 1, {11, 12}), folder.path + "/n0.ini");
+  s.more.clear();
+  const Config without = parseSettings(settingsFile(s, 1, {11, 12}), folder.path + "/n0.ini");
+  EXPECT_EQ(with.clientConnections + with.serverConnections + kStoreDescriptors,
+            without.clientConnections + without.serverConnections);
+  EXPECT_LT(with.largeStatements, without.largeStatements);
+  s = setting();
+  s.sockets = 150;
+  std::ofstream(folder.path + "/n0.ini") << settingsFile(s, 1, {11, 12});
+  const Told t = command({"check", folder.path + "/n0.ini"});
+  EXPECT_EQ(t.status, 1);
+  EXPECT_NE(t.text.find("[limits] descriptors"), std::string::npos) << t.text;
+}
+
 }  // namespace
 }  // namespace sablespur::test
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -325,6 +325,28 @@
   EXPECT_NE(std::string(e.what()).find("had been durable"), std::string::npos) << e.what();
   EXPECT_EQ(error().kind, StoreError::Kind::Damaged) << "and not forgotten by having been looked at";
 }
+// Tables that are older than the log: what the log holds counts. A manifest of before the tables were
+// written, its log gone with them, is an older state that nobody may take for the present one.
+TEST_F(StoreTest, ACheckpointOlderThanTheLogGivesWayAndAnOlderManifestIsDamage) {
+  auto l = open();
+  ask(*l, "k1", "a");
+  l.reset();
+  const std::string current = slurp(dir + "/CURRENT");
+  const std::string manifest = current.substr(0, current.size() - 1), old = slurp(dir + "/" + manifest);
+  compact(files, dir);
+  l = open();
+  serve(*l, "k1", "a", "the row");
+  ask(*l, "k2", "b");
+  l.reset();
+  l = open();
+  EXPECT_EQ(ask(*l, "k1", "c").verdict, Verdict::Recorded);
+  EXPECT_EQ(ask(*l, "k2", "d").verdict, Verdict::Again);
+  l.reset();
+  spit(dir + "/" + manifest, old);
+  spit(dir + "/CURRENT", current);
+  const StoreError e = error();
+  EXPECT_EQ(e.kind, StoreError::Kind::Damaged) << e.what();
+}
 TEST_F(StoreTest, AFlippedBitInATableIsFoundByTheCheck) {
   auto l = open();
   for (int k = 0; k < 50; ++k) ask(*l, "k" + std::to_string(k), "a");
