Proxies tell each other positions, roles and latencies in small datagrams

Each proxy hears of a group 1.5 times a second, a bounded read wants a position 200 ms old at most, so Balancer::Core::inquire asks two members for nearly every read (known() finds their word worn out): harmless with five proxies, whose own answers keep positions fresh, harmful with a hundred. All of them together hear of each member 25 times a second.

Change. peers/gossip (pure): a datagram of 10 bytes a hint; a position is told on once it has gone on by a quarter of the bound, by whoever learns it first; each answer earns 512 bytes delivered, so a request's price does not grow with the fleet. peers/udp: one socket, only senders of `peers` are believed, no address is no reason to end. Balancer::heard weighs it: a position proves reads, a role is as old as its position, a latency fills the member's window. A member that none hears of is probed by all proxies in turn: one probe in 40 ms over `balancers`, with jitter. A send still needs the own list; every datagram may be lost, then probes work as before.

--- a/include/knotstack/balancer.hpp
+++ b/include/knotstack/balancer.hpp
@@ -133,6 +133,9 @@
   void clientLeft(Time now, RequestId);    // nothing is owed any more; outcomes still come
   void probed(Time now, const Probe&);     // exactly one for each probe
   void timer(Time now, std::uint64_t token);
+  // What another router had from a member itself: a note as in an Outcome; the class and latency of the
+  // request that it answered, or a class below 0. It may be old or never come.
+  void heard(Time now, MemberId, std::uint32_t note, int cls, Time latency);
 
   // Whether a send that had to wait for its connection may still go out: since it was decided the member may
   // have drained, or its data grown too old. If not, its Outcome is Moot.
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -17,6 +17,7 @@
 #include "front/keeper.hpp"
 #include "front/pg/clients.hpp"
 #include "log/log.hpp"
+#include "peers/udp/link.hpp"
 #include "wire/pg/codec.hpp"
 
 namespace sablespur {
@@ -70,6 +71,9 @@
   Account account(config);
   Spare spare;
   Upstream upstream(base.get(), engine, workers, account, config);
+  std::unique_ptr<PeerLink> peers;
+  if (!config.peerListen.none()) peers = std::make_unique<PeerLink>(base.get(), engine, config);
+  engine.confidant(peers.get());
   MemberFeed feed(base.get(), engine.clock(), engine, sourcePolicy(config));
   const std::unique_ptr<ListSource> source = openSource(base.get(), engine.clock(), feed, config);
   const std::unique_ptr<Keeper> keeper = openStore(base.get(), engine, config);
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -1,9 +1,8 @@
 // Every decision of knotstack. Its interface (settings, events, actions) is include/knotstack/balancer.hpp;
 // its records, without decisions, are in state.hpp.
 //
-// Reading order: constants; what is known of members (roles, positions, latency windows, health); the need of
-// a read; read-set selection; primary finding and writes; attempts, time-outs and retries; refusals; the
-// list, drains and cold starts; probes.
+// Reading order: constants; what is known of members; the need of a read; read-set selection; writes;
+// attempts, time-outs and retries; refusals; the list, drains and cold starts; probes.
 #include <algorithm>
 #include <cmath>
 #include <iterator>
@@ -47,6 +46,7 @@
 constexpr Time kForget = seconds(10);     // what is gone and quiet is remembered for so long
 constexpr Time kTick = milliseconds(20);  // housekeeping: waiting requests, silence, probes
 constexpr Time kTrouble = seconds(1);  // how long a miss or a time-out keeps the best member out of the sum
+constexpr Time kKindle = milliseconds(40);     // between probes, by all routers, of one none hears of
 constexpr Time kScout = milliseconds(250);     // pause between probes for a missing primary
 constexpr Time kAskFirst = milliseconds(200);  // after a failed call to discovery; doubles from there
 constexpr double kLate = std::numeric_limits<double>::infinity();
@@ -87,6 +87,7 @@
   bool ticking = false, begun = false;
   bool hearsLoad = false;  // reports tell how many requests a member holds
   bool asking = false;
+  bool hinted = false;  // other routers pass on what they hear
   Time askBackoff = kAskFirst;
   std::uint64_t askTurn = 0;
 
@@ -187,10 +188,9 @@
     if (role != Role::Unknown) sawRole(m, role, at);
   }
 
-  // Guards against attempts that are lost rather than queued: answers that never come, a blocked connection,
-  // a request much heavier than others. What was sent in the younger half of its age has been answered
-  // already, so it says nothing of the member's load. Only far beyond the usual latency: members may serve
-  // out of turn.
+  // Guards against attempts that are lost rather than queued: what was sent in the younger half of its age
+  // has been answered already, so it says nothing of the member's load. Only far beyond the usual latency:
+  // members may serve out of turn.
   Time patience(int cls) const {
     const ClassSettings& c = s.classes[at(cls)];
     return usually(cls) > Time(0) ? scaled(usually(cls), kPatience) : c.aim;
@@ -283,10 +283,8 @@
 
   // The members that a read may go to, least recently used first (a send counts as use: by answers alone a
   // burst would all go to one), alike ones in an order of this router's own, as not all routers may start at
-  // the same. A read for which any data will do leaves the fresh members to those that need them: it guards
-  // against a lag, or long reads that hold up the log, spreading over all replicas. It acts where some
-  // replica's last position was too old for a bounded read; it could crowd that one, until its window shows
-  // it.
+  // the same. A read for which any data will do leaves the fresh members to those that need them, where some
+  // replica's last position was too old for a bounded read: a lag must not spread over all replicas.
   std::vector<Member*> candidates(const Open& r, bool lastResort = false) {
     Group& g = groups[r.q.group];
     std::vector<Member*> some;
@@ -313,20 +311,30 @@
         m.position < need)
       return false;
     if (!hearsLoad && classOf(r).need != Need::Write) return true;
-    return m.wordAt != never && now - m.wordAt < classOf(r).aim;
+    const Time word = std::max(m.wordAt, m.heardAt);
+    return word != never && now - word < classOf(r).aim;
   }
   // Guards against choosing blindly where a router hears of a member once in many seconds: positions that
   // are worn out, loads and deaths that nobody has told. It asks those that are next in turn and waits
-  // briefly for their word; a busy router's own answers leave nothing to ask. What does not answer a probe
-  // is taken for dead by healthy(). It costs a probe or two a request, and the wait.
+  // briefly for their word; what does not answer is taken for dead by healthy(). Where routers pass on what
+  // they hear, a known member is enough, and one that none hears of is asked by all of them in turn: else a
+  // hundred routers would crowd the few that are known.
   bool inquire(Open& r, const std::vector<Member*>& next) {
     if (!s.probing || s.reports == Reports::Silent || r.asked) return false;
     if (classOf(r).need == Need::Fresh) return false;  // no replica's word can be new enough
+    const MemberId spared = classOf(r).need != Need::Write ? groups[r.q.group].primary : 0;
+    const auto heard = [&](Member* m) { return m->listed.id != spared && known(r, *m); };
+    if (hinted && std::any_of(next.begin(), next.end(), heard)) {
+      const auto dark = std::find_if_not(next.begin(), next.end(), heard);
+      const Time spell = scaled(s.balancers * kKindle, 0.5 + chance(r.q.id));
+      if (dark != next.end() && !(*dark)->probing && now - (*dark)->probedAt >= spell) probe(**dark);
+      return false;
+    }
     bool have = false, pending = false;
     const Time pause = hearsLoad ? kTick : tightestBound() / 4;
     int left = kAsk;
     for (Member* m : next) {
-      if (classOf(r).need != Need::Write && m->listed.id == groups[r.q.group].primary) continue;
+      if (m->listed.id == spared) continue;
       const bool fine = known(r, *m);
       have = have || fine;
       if (left-- <= 0 || fine) continue;
@@ -524,8 +532,7 @@
         if (o.result == Result::Ok && now - r.arrived <= classOf(r).aim) inTime[at(r.q.cls)] += 1;
         close(r);
       } else {
-        // A miss, an error that came at once, or an attempt that never went out cost the member nothing; what
-        // was really tried again must be earned.
+        // What cost the member nothing is free; what was really tried again must be earned.
         const bool ended =
             o.result == Result::Error || o.result == Result::Reset || o.result == Result::ConnectFailed;
         const bool quick = ended && static_cast<double>((now - a.at).count()) < base[at(r.q.cls)] * kAtOnce;
@@ -578,13 +585,10 @@
       const bool byLoad = o.result == Result::Full || (o.result == Result::Timeout && !overtaken(m, was));
       addSample(m, was, byLoad ? static_cast<double>(c.deadline.count()) : kLate);
       if (o.result == Result::Miss || o.result == Result::Timeout) g.troubleAt = now;
-      // A failed connection, with nothing heard since, is a process that is gone. A reset alone is not: where
-      // connections break at random, every member would be set aside in turn.
+      // A failed connection, with nothing heard since, is a process that is gone; a reset alone is not.
       const bool down = o.result == Result::ConnectFailed && m.lastAnswer < was.at;
       const bool broken = o.result == Result::ConnectFailed || o.result == Result::Reset;
       if (o.result != Result::Miss && o.result != Result::Full && (++m.failures >= kStreak || down)) {
-        // Guards against setting members aside in turn where connections break at random: a broken one says
-        // less than a probe, which decides.
         if (broken && s.probing && s.reports != Reports::Silent) {
           if (!m.probing && (m.erring || now >= m.asideUntil)) probe(m);
           return;
@@ -598,9 +602,7 @@
   // Guards against members that take work and answer nothing (hung, cut off, crawling) and against answers
   // lost on the way. A member that has answered nothing since an attempt was sent, for several usual
   // latencies, is probed: if that stays unanswered too it is set aside, else that attempt alone is lost.
-  // Where nothing can be probed it is set aside at once. Its reads go on elsewhere. It acts on no attempt of
-  // a member that still answers others: that request is merely heavy. It wastes work where answers are late,
-  // not lost.
+  // Where nothing can be probed it is set aside at once. It wastes work where answers are late, not lost.
   void noticeSilence(Member& m) {
     const bool canProbe = s.probing && s.reports != Reports::Silent;
     for (const Sent& o : std::vector<Sent>(m.out)) {
@@ -648,10 +650,9 @@
       gain += s.goalWorstClass / offered[k];
     return gain / std::max(base[k], 1.0);
   }
-  // Guards against queues that make everything late: overload, retries that feed themselves, members that
-  // slow down. A request goes out only where it is likely enough to earn its worth, and only where those
-  // classes that yield more for the same work would still be on time. It acts on members that hold something
-  // of ours already: an idle one may always take a request, so that the way back stays open.
+  // Guards against queues that make everything late. A request goes out only where it is likely enough to
+  // earn its worth, and only where those classes that yield more for the same work would still be on time. It
+  // acts on members that hold something of ours: an idle one may take a request: the way back stays open.
   bool useful(const Open& r, const Member& m) {
     if (loadOf(m) == 0) return true;
     const auto onTime = [&](int cls, Time in) {
@@ -720,8 +721,7 @@
           was.erase(std::remove(was.begin(), was.end(), e.id), was.end());
         }
       }
-      if (e.started >
-          m.listed.started) {  // a new process: nothing of its latencies, health and role holds on
+      if (e.started > m.listed.started) {  // a new process: nothing of what was learned holds on
         m.immediate.clear();
         m.held.clear();
         m.asideUntil = never;
@@ -755,8 +755,7 @@
       serveWaiting(g);
     }
   }
-  // Guards against growth where members are replaced time and again. What is out there, a probe included,
-  // still ends in an event that must find its member.
+  // Guards against growth where members are replaced. What is out there still ends in an event about it.
   std::vector<MemberId> forget() {
     std::vector<MemberId> gone;
     for (const auto& [id, m] : members)
@@ -782,10 +781,9 @@
   }
 
   // Guards against pushing over a member that has just started, by all routers together. By a dice of the
-  // request it is open to as many of its group's requests as its present share of a whole group's
-  // capacity, members that are gone included: at any number of routers and with no word among them its load
-  // stays in proportion to that of warm ones. One far heavier than others leaves it alone. It harms where a
-  // member warms much faster, or where it is the only one left.
+  // request it is open to as many of its group's requests as its present share of a whole group's capacity:
+  // at any number of routers and with no word among them its load stays in proportion to that of warm ones.
+  // One far heavier than others leaves it alone. It harms where a member is the only one left.
   bool withinColdBudget(const Member& m, const Open& r) const {
     const Time started = m.listed.started;
     if (started == Time(0) || now >= started + s.coldFor || s.coldFor <= Time(0)) return true;
@@ -805,7 +803,6 @@
     m.probedAt = now;
     sink.probe(m.listed.id);
   }
-  // The tightest bound of any class: positions have to be newer than this.
   Time tightestBound() const {
     Time t = never;
     for (const ClassSettings& c : s.classes)
@@ -937,6 +934,21 @@
   if (!more) c.serveWaiting(g);
 }
 
+void Balancer::heard(Time now, MemberId id, std::uint32_t note, int cls, Time latency) {
+  Core& c = *core_;
+  c.now = now;
+  Member* const m = c.find(id);
+  const Time when = c.s.zero + milliseconds(note / 4);
+  if (!m || when > now || now - when > kRecent) return;
+  c.hinted = true;
+  m->heardAt = std::max(m->heardAt, when);
+  if (when > m->position) c.sawPosition(*m, when);
+  if (note % 4) c.sawRole(*m, note % 4 == 1 ? Role::Primary : Role::Replica, when);
+  if (cls >= 0 && at(cls) < c.s.classes.size())
+    c.addSample(*m, Sent{0, 0, cls, c.loadOf(*m), now, false}, static_cast<double>(latency.count()));
+  if (!c.groups[m->listed.group].waiting.empty()) c.serveWaiting(c.groups[m->listed.group]);
+}
+
 void Balancer::timer(Time now, std::uint64_t token) {
   Core& c = *core_;
   c.now = now;
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -62,6 +62,9 @@
 struct Config {
   std::string name;
   Address listen, discovery;
+  Address peerListen;          // none: proxies do not talk
+  std::vector<Address> peers;  // every proxy of the tier, this one included
+  Address peersAll;            // reaches them all; none: each is sent its own
   std::uint64_t seed = 0;
   // Bounds that follow from the limits on descriptors and memory.
   std::size_t clientConnections = 0, serverConnections = 0;
--- a/src/config/json_config.cpp
+++ b/src/config/json_config.cpp
@@ -126,6 +126,15 @@
   const std::string path = "settings.allowed.";
   c.dialTimeout = Time(whole(allowed, "dialTimeoutUs", path, 1000, 60000000));
   c.idleClose = Time(whole(allowed, "idleCloseUs", path, 1000000, 2000000000));
+  // Proxies talk where that is allowed and there is an address for it.
+  bool talk = false;
+  std::string_view text;
+  if (allowed["peers"].get(talk) == simdjson::SUCCESS && talk &&
+      root["peer_listen"].get(text) == simdjson::SUCCESS) {
+    c.peerListen = parseAddress(text, "peer_listen");
+    for (const std::string& peer : names(root, "", "peers")) c.peers.push_back(parseAddress(peer, "peers"));
+    if (root["peers_all"].get(text) == simdjson::SUCCESS) c.peersAll = parseAddress(text, "peers_all");
+  }
   for (std::size_t k = 0; k < c.settings.classes.size(); ++k) {
     const auto& cls = c.settings.classes[k];
     c.sessions = c.sessions || cls.need == knotstack::Need::Session;
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -56,7 +56,7 @@
 
 RequestId Engine::request(Requester& asker, knotstack::Request q, Message message) {
   q.id = ++lastId_;
-  held_[q.id] = Held{&asker, std::make_shared<const Message>(std::move(message)), {}};
+  held_[q.id] = Held{&asker, std::make_shared<const Message>(std::move(message)), q.cls, {}};
   events_.emplace_back(Arrived{q});
   return q.id;
 }
@@ -73,6 +73,7 @@
 void Engine::probed(MemberId member, bool ok, const std::vector<double>& report) {
   events_.emplace_back(Probed{member, ok, report});
 }
+void Engine::heard(std::vector<peers::Hint> hints) { events_.emplace_back(Heard{std::move(hints)}); }
 void Engine::listed(InstanceList list) { events_.emplace_back(Listed{false, std::move(list)}); }
 void Engine::listFailed(const std::string&) { events_.emplace_back(Listed{true, {}}); }
 
@@ -88,6 +89,7 @@
     balancer_->timer(now_, token);
   }
   if (now_ - swept_ >= kSweep) sweep(now_);
+  if (confidant_) actions_.emplace_back([this] { confidant_->flush(); });
   std::vector<std::function<void()>> actions;
   actions.swap(actions_);
   for (const auto& act : actions) act();
@@ -102,6 +104,10 @@
   swept_ = now_ = std::max(now_, now);
   for (const MemberId id : balancer_->forget(now_)) {
     for (auto it = ids_.begin(); it != ids_.end();) it = it->second == id ? ids_.erase(it) : std::next(it);
+    if (const auto tag = tags_.find(id); tag != tags_.end()) {
+      tagged_.erase(tag->second);
+      tags_.erase(tag);
+    }
     actions_.emplace_back([this, id] { members_->forget(id); });
   }
 }
@@ -122,12 +128,13 @@
 
 void Engine::tell(Connected& e) {
   const auto it = held_.find(e.id);
-  const bool fit =
-      it != held_.end() && balancer_->fit(now_, e.id, it->second.sent[static_cast<std::size_t>(e.attempt)]);
+  const bool fit = it != held_.end() &&
+                   balancer_->fit(now_, e.id, it->second.sent[static_cast<std::size_t>(e.attempt)].member);
   actions_.emplace_back([this, id = e.id, attempt = e.attempt, fit] { members_->start(id, attempt, fit); });
 }
 
 void Engine::tell(Ended& e) {
+  tellOn(e);
   const auto it = held_.find(e.id);
   if (witness_) witness_->ended(e.id, e.attempt, e.ending);
   knotstack::Outcome o;
@@ -154,6 +161,36 @@
   balancer_->outcome(now_, o);
 }
 
+// An answer with a position, for the other proxies; how long it took too, if it was a full one.
+void Engine::tellOn(const Ended& e) {
+  const auto tag = tags_.find(e.member);
+  if (!confidant_ || e.ending.positionMs <= 0 || e.ending.positionMs > now_.count() / 1000 ||
+      tag == tags_.end())
+    return;
+  peers::Hint h{tag->second, e.ending.positionMs,
+                e.ending.role == Role::Primary   ? peers::HintRole::Primary
+                : e.ending.role == Role::Replica ? peers::HintRole::Replica
+                                                 : peers::HintRole::Unknown};
+  const auto it = held_.find(e.id);
+  if (it != held_.end() && e.ending.result == Result::Ok) {
+    h.cls = it->second.cls;
+    h.latencyUs = (now_ - it->second.sent[static_cast<std::size_t>(e.attempt)].at).count();
+  }
+  confidant_->learned(h);
+}
+
+// What other proxies had from members. A member is believed in only when the list has named it here.
+void Engine::tell(Heard& e) {
+  for (const peers::Hint& h : e.hints) {
+    const auto it = tagged_.find(h.tag);
+    if (it == tagged_.end() || it->second == 0) continue;
+    const std::uint32_t position = millisecondsSince(zero_, h.positionMs) << 2;
+    if (position > 0)
+      balancer_->heard(now_, it->second, position | static_cast<std::uint32_t>(h.role), h.cls,
+                       Time(h.latencyUs));
+  }
+}
+
 void Engine::tell(Probed& e) {
   knotstack::Probe p;
   p.member = e.member;
@@ -163,6 +200,21 @@
                            ? secondsSince(zero_, e.report[k])
                            : static_cast<float>(e.report[k]));
   balancer_->probed(now_, p);
+  tellOn(e);
+}
+
+void Engine::tellOn(const Probed& e) {
+  const auto tag = tags_.find(e.member);
+  if (!confidant_ || !e.ok || tag == tags_.end()) return;
+  peers::Hint h;
+  h.tag = tag->second;
+  for (std::size_t k = 0; k < e.report.size() && k < config_.settings.figures.size(); ++k) {
+    if (config_.settings.figures[k] == knotstack::Figure::Position)
+      h.positionMs = static_cast<std::int64_t>(e.report[k] * 1000);
+    if (config_.settings.figures[k] == knotstack::Figure::Primary)
+      h.role = e.report[k] > 0 ? peers::HintRole::Primary : peers::HintRole::Replica;
+  }
+  if (h.positionMs > 0) confidant_->learned(h);
 }
 
 void Engine::tell(Listed& e) {
@@ -200,6 +252,12 @@
 MemberId Engine::idOf(const std::string& name) {
   const auto [it, added] = ids_.emplace(name, lastMember_ + 1);
   lastMember_ += added;  // no id is given twice, for late events bear them
+  if (added) {
+    const std::uint64_t tag = peers::tagOf(name);
+    tags_[it->second] = tag;
+    const auto [same, alone] = tagged_.emplace(tag, it->second);
+    if (!alone) same->second = 0;
+  }
   return it->second;
 }
 
@@ -215,7 +273,7 @@
   if (it == held_.end()) return;  // no send is decided for what has been answered
   Held& h = it->second;
   const int attempt = static_cast<int>(h.sent.size());
-  h.sent.push_back(member);
+  h.sent.push_back({member, now_});
   actions_.emplace_back([this, id, attempt, member, until, message = h.message] {
     if (witness_) witness_->sent(id, attempt, nameOf(member));
     members_->send(id, attempt, member, until, message);
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -14,6 +14,7 @@
 #include "core/clock.hpp"
 #include "core/event.hpp"
 #include "knotstack/balancer.hpp"
+#include "peers/gossip.hpp"
 
 namespace sablespur::translate {
 class AnswerReader;
@@ -68,6 +69,15 @@
   virtual void ended(RequestId, int attempt, const Ending&) = 0;
 };
 
+// Whoever tells other proxies what answers and probes have told this one; called within a turn, flushed at
+// its end.
+class Confidant {
+ public:
+  virtual ~Confidant() = default;
+  virtual void learned(const peers::Hint&) = 0;
+  virtual void flush() = 0;
+};
+
 // The way to the members. Each send ends in one Engine::ended, each probe in one Engine::probed; both come
 // after the call has returned.
 class Members {
@@ -107,8 +117,9 @@
  public:
   Engine(event_base*, const Config&);
   ~Engine() override;
-  void witness(Witness* w) { witness_ = w; }  // null: none
-  void start(Members&, Lists&);               // tells the Balancer the list that the configuration holds
+  void witness(Witness* w) { witness_ = w; }        // null: none
+  void confidant(Confidant* c) { confidant_ = c; }  // null: none
+  void start(Members&, Lists&);  // tells the Balancer the list that the configuration holds
 
   // What has come in; it waits for the turn.
   RequestId request(Requester&, knotstack::Request, Message) override;
@@ -116,6 +127,7 @@
   void connected(RequestId, int attempt);  // a new connection stands: may the attempt still go out?
   void ended(RequestId, int attempt, MemberId, Ending);
   void probed(MemberId, bool ok, const std::vector<double>& report);  // positions in Unix seconds
+  void heard(std::vector<peers::Hint>);  // from other proxies: weighed, never needed
   void listed(InstanceList) override;
   void listFailed(const std::string& why) override;
 
@@ -152,11 +164,19 @@
     bool failed;
     InstanceList list;
   };
-  using Incoming = std::variant<Arrived, Left, Connected, Ended, Probed, Listed>;
+  struct Heard {
+    std::vector<peers::Hint> hints;
+  };
+  using Incoming = std::variant<Arrived, Left, Connected, Ended, Probed, Listed, Heard>;
   struct Held {
     Requester* asker;
     std::shared_ptr<const Message> message;
-    std::vector<MemberId> sent;  // by attempt
+    int cls;
+    struct Sent {
+      MemberId member;
+      Time at;
+    };
+    std::vector<Sent> sent;  // by attempt
   };
   struct Timer {
     Time due;
@@ -170,6 +190,9 @@
   void tell(Ended&);
   void tell(Probed&);
   void tell(Listed&);
+  void tell(Heard&);
+  void tellOn(const Ended&);
+  void tellOn(const Probed&);
   void tellList(knotstack::ListKind, const InstanceList&);
   void rebase();
   MemberId idOf(const std::string& name);
@@ -191,10 +214,13 @@
   Members* members_ = nullptr;
   Lists* lists_ = nullptr;
   Witness* witness_ = nullptr;
+  Confidant* confidant_ = nullptr;
   std::vector<Incoming> events_;
   std::vector<std::function<void()>> actions_;  // recorded in the order in which they take effect
   std::unordered_map<RequestId, Held> held_;
   std::unordered_map<std::string, MemberId> ids_;
+  std::unordered_map<std::uint64_t, MemberId> tagged_;  // 0: two members share the tag, so it names neither
+  std::unordered_map<MemberId, std::uint64_t> tags_;
   std::uint64_t generation_ = 0;
   MemberId lastMember_ = 0;
   RequestId lastId_ = 0;
--- /dev/null
+++ b/src/peers/gossip.hpp
@@ -0,0 +1,66 @@
+// What proxies tell each other of members, and when it is worth its price: pure, no sockets, no clock.
+//
+// A hint is a fact that some proxy had from a member itself: up to where its data went, and its role then. A
+// position never goes back, so an old hint, a repeated one or one out of order proves less and harms nothing;
+// a lost one costs a probe. Nothing here vouches for the sender: whoever passes datagrams on sees to that.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace sablespur::peers {
+
+constexpr std::size_t kLongestDatagram = 256;  // bytes; the platform takes no more
+
+enum class HintRole : std::uint8_t { Unknown, Primary, Replica };
+struct Hint {
+  std::uint64_t tag = 0;        // of the member's name, see tagOf
+  std::int64_t positionMs = 0;  // Unix time
+  HintRole role = HintRole::Unknown;
+  int cls = -1;                // of the request that was answered; -1: not told
+  std::int64_t latencyUs = 0;  // until its answer; told to within 5%
+};
+
+// The same 40 bits for the same name at every proxy (FNV-1a, folded): of 1,000 members two share a tag once
+// in two million fleets; a receiver believes no tag that two of its own members share.
+std::uint64_t tagOf(std::string_view name);
+
+// One byte of version, then 10 bytes a hint: the tag; two bits of role and 22 of the position, which stand
+// for the latest such instant that the receiver believes (within 70 minutes); the class; the latency on a
+// scale of octaves. Takes at most what one datagram holds.
+constexpr std::size_t kHintBytes = 10, kHintsPerDatagram = (kLongestDatagram - 1) / kHintBytes;
+std::string encode(const std::vector<Hint>&, std::size_t from = 0);
+// Empty where the bytes are no such datagram. Positions after nowMs + 1000 are left out: no member is there.
+std::vector<Hint> decode(std::string_view datagram, std::int64_t nowMs);
+
+// What has been told of each member, by whomever, and what another word would cost.
+class Gossip {
+ public:
+  struct Policy {
+    std::size_t peers = 0;       // that get each datagram
+    std::int64_t boundMs = 200;  // data older than this serve no read
+  };
+  explicit Gossip(const Policy&);
+
+  // Whether what an answer has just told is worth telling on. Each call is one answer and earns its part of
+  // the budget.
+  bool learned(const Hint&, std::int64_t nowMs);
+  void heard(const Hint&, std::int64_t nowMs);  // from a peer: nobody needs to be told this again
+  std::size_t known() const { return told_.size(); }
+
+ private:
+  struct Told {
+    std::int64_t positionMs, atMs;
+    HintRole role;
+  };
+  void note(const Hint&, std::int64_t nowMs);
+
+  const Policy policy_;
+  double purse_;  // bytes that may still be delivered
+  std::unordered_map<std::uint64_t, Told> told_;
+};
+
+}  // namespace sablespur::peers
--- /dev/null
+++ b/src/peers/udp/link.hpp
@@ -0,0 +1,40 @@
+// The datagrams between proxies: one socket, nothing waited for. Lost, late or repeated ones harm nothing.
+#pragma once
+
+#include <cstdint>
+#include <unordered_set>
+#include <vector>
+
+#include "config/config.hpp"
+#include "core/engine.hpp"
+#include "core/event.hpp"
+#include "peers/gossip.hpp"
+
+namespace sablespur {
+
+// Tells on what the engine learns and hands it what others tell. Where its address cannot be had the log says
+// so and the proxy does without: hints are never needed to keep a rule.
+class PeerLink final : public Confidant {
+ public:
+  PeerLink(event_base*, Engine&, const Config&);
+  ~PeerLink() override;
+  PeerLink(const PeerLink&) = delete;
+  PeerLink& operator=(const PeerLink&) = delete;
+
+  void learned(const peers::Hint&) override;
+  void flush() override;
+
+ private:
+  void read();
+  std::int64_t nowMs() const { return engine_.now().count() / 1000; }
+
+  Engine& engine_;
+  const Config& config_;
+  int fd_ = -1;
+  Event readable_;
+  peers::Gossip gossip_;
+  std::vector<peers::Hint> pending_;
+  std::unordered_set<std::string> from_;  // senders that are believed
+};
+
+}  // namespace sablespur
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -46,8 +46,9 @@
   bool erring = false;  // set aside for errors alone: it answers
   bool probing = false;
   Time probedAt = never;
-  Time wordAt = never;  // last answer of any kind, probes included
-  int told = 0;         // requests held there, by the newest report
+  Time wordAt = never;   // last answer of any kind, probes included
+  Time heardAt = never;  // last word of it that another router passed on
+  int told = 0;          // requests held there, by the newest report
   Time toldAt = never;
   std::uint64_t salt = 0;  // this router's own order of members that are alike
 };
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -873,5 +873,50 @@
   EXPECT_EQ(play(), play());
 }
 
+// ---- what other routers pass on --------------------------------------------------------------------------
+TEST(Heard, APositionServesABoundedReadWithoutAProbe) {
+  Bench t;
+  t.b.heard(t.now, 2, t.note(50, 2), -1, Time(0));
+  const RequestId id = t.ask(kBounded);
+  EXPECT_EQ(t.lastTo(id), 2u);
+  EXPECT_LE(t.out.of("probe").size(), 1u) << "one of the others, in turn; nothing waits for it";
+}
+TEST(Heard, APositionBeyondTheBoundOrAheadOfThePresentProvesNothing) {
+  Bench t;
+  t.b.heard(t.now, 2, t.note(600, 2), -1, Time(0));
+  t.b.heard(t.now, 3, t.note(-50, 2), -1, Time(0));
+  EXPECT_TRUE(t.sends(t.ask(kBounded)).empty());
+}
+TEST(Heard, OnlyWhatTheOwnListNamesIsBelieved) {
+  Bench t;
+  t.b.heard(t.now, 99, t.note(10, 1), 0, milliseconds(1));
+  EXPECT_TRUE(t.sends(t.ask(kBounded)).empty());
+}
+TEST(Heard, APrimaryIsFoundByHearsayAndOlderHearsayDoesNotUndoOwnEvidence) {
+  Bench t;
+  t.b.heard(t.now, 3, t.note(5, 1), -1, Time(0));
+  const RequestId id = t.ask(kWrite);
+  ASSERT_EQ(t.lastTo(id), 3u);
+  t.pass(10);
+  t.end(id, Result::Miss, t.note(0, 2));            // it says itself that it is none
+  t.b.heard(t.now, 3, t.note(30, 1), -1, Time(0));  // from before
+  t.pass(5);
+  EXPECT_NE(t.lastTo(t.ask(kWrite)), 3u);
+}
+TEST(Heard, AMemberThatNobodyHearsOfIsAskedByAllRoutersTogetherNotByEach) {
+  Settings s = settings();
+  s.balancers = 100;
+  Bench t(s);
+  for (int k = 0; k < 400; ++k) {  // 2 s
+    t.b.heard(t.now, 2, t.note(20, 2), 0, milliseconds(5));
+    const RequestId id = t.ask(kBounded);
+    ASSERT_EQ(t.lastTo(id), 2u);
+    t.pass(5);
+    t.end(id, Result::Ok, t.note(1, 2));
+    for (const MemberId m : {MemberId(1), MemberId(3)}) t.report(m, 3000);  // lags: a probe proves nothing
+  }
+  EXPECT_LE(t.out.of("probe").size(), 6u) << "one in 40 ms by 100 routers: one in 2 to 6 s by each, of each";
+}
+
 }  // namespace
 }  // namespace knotstack::test
