--- /dev/null
+++ b/fuzz/peers.cpp
@@ -0,0 +1,27 @@
+// Datagrams between proxies: no position may lie ahead of what a clock may be off by, and what is read is
+// written again to the same datagram.
+#include <cstdlib>
+
+#include "fuzz/target.hpp"
+#include "peers/gossip.hpp"
+
+using namespace sablespur;
+
+int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  constexpr std::int64_t kNow = 1767225600123;
+  const std::string_view datagram(reinterpret_cast<const char*>(data), size);
+  const auto hints = peers::decode(datagram, kNow);
+  peers::Gossip gossip({100, 200});
+  for (const peers::Hint& h : hints) {
+    if (h.positionMs > kNow + 1000 || h.latencyUs < 0 || h.tag >> 40 != 0) std::abort();
+    gossip.heard(h, kNow);
+  }
+  if (hints.size() > peers::kHintsPerDatagram) std::abort();
+  const auto again = peers::decode(peers::encode(hints), kNow);
+  if (again.size() != hints.size()) std::abort();
+  for (std::size_t k = 0; k < hints.size(); ++k)
+    if (again[k].tag != hints[k].tag || again[k].positionMs != hints[k].positionMs ||
+        again[k].role != hints[k].role || again[k].cls != hints[k].cls)
+      std::abort();
+  return 0;
+}
