--- a/src/app/cli.cpp
+++ b/src/app/cli.cpp
@@ -22,7 +22,13 @@
 int byPlatform() {
   const char* const path = std::getenv("NODE_CONFIG");
   if (!path) throw BadInput("variable NODE_CONFIG is not set, and no command is given; see --help");
-  return serve(readConfig(path), [path] { return readConfig(path); });
+  Config config = readConfig(path);
+  // The platform's configuration says nothing of the log.
+  const char* const log = std::getenv("NODE_LOG");
+  if (log && std::string_view(log) != "trace" && std::string_view(log) != "info")
+    throw BadInput("variable NODE_LOG is neither info nor trace");
+  if (log && std::string_view(log) == "trace") config.logLevel = LogLevel::Trace;
+  return serve(config, [path] { return readConfig(path); });
 }
 
 // Every fault on a line of its own, so that one round of mending does.
--- a/src/back/pg/upstream.cpp
+++ b/src/back/pg/upstream.cpp
@@ -526,6 +526,8 @@
   short_ = false;
   auto c = std::make_unique<Connection>(*this, id, e.address, std::min(e.minor, config_.serverMinor), fd);
   ++e.dialing;
+  if (tracing())
+    logEvent(LogLevel::Trace, "dial", {{"to", e.address.text()}, {"waiting", e.waiting.size()}});
   connections_.emplace(c.get(), std::move(c));
   return true;
 }
@@ -860,6 +862,9 @@
 
 void Upstream::dialFailed(Endpoint& e, Result how) {
   e.dialAgain = engine_.now() + kDialAgain;
+  if (tracing())
+    logEvent(LogLevel::Trace, "dial_failed",
+             {{"to", e.address.text()}, {"how", static_cast<int>(how)}, {"waiting", e.waiting.size()}});
   if (e.waiting.size() <= static_cast<std::size_t>(e.dialing)) return;
   Job& j = *e.waiting.front();
   if (j.probe()) return finishProbe(j, false);
--- a/src/config/keys.cpp
+++ b/src/config/keys.cpp
@@ -129,14 +129,16 @@
              d.config.logForm = word(v) == "json" ? LogForm::Json : LogForm::Logfmt;
            },
            "A line an event, as `name=value` pairs or as a JSON object."},
-          {"log", "level", Kind::Choice, "info", 0, 0, "debug info warning error",
+          {"log", "level", Kind::Choice, "info", 0, 0, "trace debug info warning error",
            [](Draft& d, const KeyValue& v) {
-             d.config.logLevel = word(v) == "debug"     ? LogLevel::Debug
+             d.config.logLevel = word(v) == "trace"     ? LogLevel::Trace
+                                 : word(v) == "debug"   ? LogLevel::Debug
                                  : word(v) == "info"    ? LogLevel::Info
                                  : word(v) == "warning" ? LogLevel::Warning
                                                         : LogLevel::Error;
            },
-           "The least level that is written."},
+           "The least level that is written. `trace` writes a line for each request, attempt, probe and connection, "
+           "without a limit: for `tools/fleet-table`, not for service."},
 
           {"discovery", "source", Kind::Choice, "registry", 0, 0, "registry dnssd fixed",
            [](Draft& d, const KeyValue& v) {
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -119,7 +119,12 @@
 }
 
 // ---- events ----------------------------------------------------------------------------------------------
-void Engine::tell(Arrived& e) { balancer_->request(now_, e.request); }
+void Engine::tell(Arrived& e) {
+  if (tracing())
+    logEvent(LogLevel::Trace, "asked",
+             {{"r", e.request.id}, {"class", e.request.cls}, {"group", e.request.group}});
+  balancer_->request(now_, e.request);
+}
 
 void Engine::tell(Left& e) {
   balancer_->clientLeft(now_, e.id);
@@ -136,6 +141,13 @@
 void Engine::tell(Ended& e) {
   tellOn(e);
   const auto it = held_.find(e.id);
+  if (tracing())
+    logEvent(LogLevel::Trace, "ended",
+             {{"r", e.id},
+              {"a", e.attempt},
+              {"m", nameOf(e.member)},
+              {"result", static_cast<int>(e.ending.result)},
+              {"position_ms", e.ending.positionMs}});
   if (witness_) witness_->ended(e.id, e.attempt, e.ending);
   knotstack::Outcome o;
   o.request = e.id;
@@ -199,6 +211,7 @@
     p.report.push_back(config_.settings.figures[k] == knotstack::Figure::Position
                            ? secondsSince(zero_, e.report[k])
                            : static_cast<float>(e.report[k]));
+  if (tracing()) logEvent(LogLevel::Trace, "probed", {{"m", nameOf(e.member)}, {"ok", e.ok}});
   balancer_->probed(now_, p);
   tellOn(e);
 }
@@ -274,6 +287,7 @@
   Held& h = it->second;
   const int attempt = static_cast<int>(h.sent.size());
   h.sent.push_back({member, now_});
+  if (tracing()) logEvent(LogLevel::Trace, "sent", {{"r", id}, {"a", attempt}, {"m", nameOf(member)}});
   actions_.emplace_back([this, id, attempt, member, until, message = h.message] {
     if (witness_) witness_->sent(id, attempt, nameOf(member));
     members_->send(id, attempt, member, until, message);
@@ -282,6 +296,7 @@
 void Engine::refuse(RequestId id, Time retryAfter) {
   const auto it = held_.find(id);
   if (it == held_.end()) return;
+  if (tracing()) logEvent(LogLevel::Trace, "refused", {{"r", id}, {"after_ms", retryAfter.count() / 1000}});
   if (Requester* const asker = it->second.asker)
     actions_.emplace_back([asker, retryAfter] { asker->refused(retryAfter); });
   held_.erase(it);
@@ -289,6 +304,7 @@
 void Engine::fail(RequestId id) {
   const auto it = held_.find(id);
   if (it == held_.end()) return;
+  if (tracing()) logEvent(LogLevel::Trace, "failed", {{"r", id}});
   if (Requester* const asker = it->second.asker) actions_.emplace_back([asker] { asker->failed(); });
   held_.erase(it);
 }
@@ -297,9 +313,11 @@
 }
 void Engine::timer(Time in, std::uint64_t token) { timers_.push({now_ + in, ++timersSet_, token}); }
 void Engine::probe(MemberId member) {
+  if (tracing()) logEvent(LogLevel::Trace, "probe", {{"m", nameOf(member)}});
   actions_.emplace_back([this, member] { members_->probe(member); });
 }
 void Engine::subscribe() {
+  if (tracing()) logEvent(LogLevel::Trace, "watch", {{"after", generation_}});
   actions_.emplace_back([this] { lists_->watch(generation_); });
 }
 void Engine::log(const std::string& line) { logEvent(LogLevel::Info, "decision", {{"text", line}}); }
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -71,6 +71,8 @@
 
 spdlog::level::level_enum toSpdlog(LogLevel l) {
   switch (l) {
+    case LogLevel::Trace:
+      return spdlog::level::trace;
     case LogLevel::Debug:
       return spdlog::level::debug;
     case LogLevel::Info:
@@ -91,13 +93,16 @@
   void set(LogForm form, LogLevel least) {
     form_ = form;
     logger_.set_level(toSpdlog(least));
+    tracing_ = least == LogLevel::Trace;
     const char* const pattern = form == LogForm::Json
                                     ? "{\"ts\":\"%Y-%m-%dT%H:%M:%S.%eZ\",\"level\":\"%l\",%v}"
                                     : "ts=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v";
     logger_.set_pattern(pattern, spdlog::pattern_time_type::utc);
   }
+  bool tracing() const { return tracing_; }
   void line(LogLevel level, std::string_view event, const LogField* first, const LogField* last) {
     if (!logger_.should_log(toSpdlog(level))) return;
+    if (level == LogLevel::Trace) return put(level, event, first, last);
     const Clock::time_point now = Clock::now();
     allowance_ =
         std::min(kBurst, allowance_ + kPerSecond * std::chrono::duration<double>(now - last_).count());
@@ -127,6 +132,7 @@
 
   spdlog::logger logger_;
   LogForm form_ = LogForm::Logfmt;
+  bool tracing_ = false;
   double allowance_ = kBurst;
   std::int64_t dropped_ = 0;
   Clock::time_point last_ = Clock::now();
@@ -141,6 +147,8 @@
 
 void setLog(LogForm form, LogLevel least) { theLog().set(form, least); }
 
+bool tracing() { return theLog().tracing(); }
+
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
   theLog().line(level, event, fields.begin(), fields.end());
 }
--- a/src/log/log.hpp
+++ b/src/log/log.hpp
@@ -16,7 +16,7 @@
 namespace sablespur {
 
 enum class LogForm { Logfmt, Json };
-enum class LogLevel { Debug, Info, Warning, Error };
+enum class LogLevel { Trace, Debug, Info, Warning, Error };
 
 struct LogField {
   template <typename T, std::enable_if_t<std::is_integral_v<T> && !std::is_same_v<T, bool>, int> = 0>
@@ -38,7 +38,9 @@
 
 // Writes one line. Guards against a log that grows with a trouble's size: beyond a burst of 50, lines over 10
 // a second are counted, and the count goes out as an event of its own ("lines_left_out") before the next
-// line.
+// line. Lines of level Trace are what a day is counted from: they are all written, or none, and whoever has them
+// to write asks tracing() first.
+bool tracing();
 void logEvent(LogLevel, std::string_view event, std::initializer_list<LogField> = {});
 
 // The line without time and level, as both forms write it; for tests and tools.
--- a/src/peers/udp/link.cpp
+++ b/src/peers/udp/link.cpp
@@ -51,6 +51,7 @@
   std::vector<peers::Hint> hints;
   hints.swap(pending_);
   if (!readable_) return;
+  if (tracing() && !hints.empty()) logEvent(LogLevel::Trace, "told", {{"hints", hints.size()}});
   for (std::size_t at = 0; at < hints.size(); at += peers::kHintsPerDatagram) {
     const std::string datagram = peers::encode(hints, at);
     const auto send = [&](const Address& to) {
