Give reads up at their aim; a time-out by load is no symptom; cold members take more

(2) The 36 members that have just come have fresh positions 2 s later, answer in 50 to 150 ms and get 5 to 15 requests a second, while the warm ones of their groups get 40 at 220 ms: Core::withinColdBudget lets them have their least share and no more.

Checked and ruled out: old positions (new members are 5 ms behind), late lists (all know within 0.3 s), failed dials (none that was needed), CPU (0.02 s in the dearest second). Clients count a try's time from the first try, so what comes back after the aim is only load.

Core::endOf: an attempt of a class that earns nothing late ends at the aim (send() gave it until the deadline). finish(): what failed after its aim is to come back as late as may be told, else soon as before. learn(): a time-out counts as the latency that it showed, not as the deadline, and not towards the three failures that set a member aside; silence is found by noticeSilence() as before. withinColdBudget(): 0.8 of fallMultiple, 2.0 times the least capacity on this site, was 1.0.

--- a/src/back/pg/upstream.cpp
+++ b/src/back/pg/upstream.cpp
@@ -526,8 +526,7 @@
   short_ = false;
   auto c = std::make_unique<Connection>(*this, id, e.address, std::min(e.minor, config_.serverMinor), fd);
   ++e.dialing;
-  if (tracing())
-    logEvent(LogLevel::Trace, "dial", {{"to", e.address.text()}, {"waiting", e.waiting.size()}});
+  if (tracing()) logEvent(LogLevel::Trace, "dial", {{"to", e.address.text()}, {"waiting", e.waiting.size()}});
   connections_.emplace(c.get(), std::move(c));
   return true;
 }
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -34,8 +34,7 @@
 constexpr double kPatience = 4;       // silence for so many usual latencies is a symptom
 constexpr double kRetryShare = 0.05;  // further attempts earned a request, so overload cannot feed itself
 constexpr double kCopyShare = 0.05;   // second copies earned a request
-constexpr Time kPurse = seconds(2);   // attempts and copies earned fade so, down to one: saved up by hundreds
-                                      // of routers they would feed an overload
+constexpr Time kPurse = seconds(2);   // so they fade, down to one: saved up by hundreds they feed an overload
 constexpr int kAsk = 2;               // candidates asked before a send: one may be the worse of two
 constexpr int kHold = 8;              // a request waits for their word for 1/8 of its aim at most
 constexpr Time kDumb = milliseconds(25);  // a probe is answered beside the queue: later is silence
@@ -48,7 +47,8 @@
 constexpr Time kTrouble = seconds(1);  // how long a miss or a time-out keeps the best member out of the sum
 constexpr Time kKindle = milliseconds(40);  // between probes, by all routers, of one none hears of
 constexpr double kTrickle = 0.2;            // of requests go on where others' word alone says that it is full
-constexpr Time kScout = milliseconds(250);  // pause between probes for a missing primary
+constexpr double kColdLoad = 0.8;  // of fallMultiple: bursts come on top; it warms by what it is given
+constexpr Time kScout = milliseconds(250);     // pause between probes for a missing primary
 constexpr Time kAskFirst = milliseconds(200);  // after a failed call to discovery; doubles from there
 constexpr double kLate = std::numeric_limits<double>::infinity();
 constexpr std::size_t kSessions = 200000;  // remembered writes; older ones are folded into one commit a group
@@ -281,10 +281,9 @@
     return late / all;
   }
 
-  // The members that a read may go to, least recently used first (a send counts as use: by answers alone a
-  // burst would all go to one), alike ones in an order of this router's own, as not all routers may start at
-  // the same. A read for which any data will do leaves the fresh members to those that need them, where some
-  // replica's last position was too old for a bounded read: a lag must not spread over all replicas.
+  // The members that a read may go to, least recently used first (a send counts as use, lest a burst go to
+  // one), alike ones in an order of this router's own. A read for which any data will do leaves the fresh
+  // ones to those that need them where a replica was too old for a bounded read: a lag must not spread.
   std::vector<Member*> candidates(const Open& r, bool lastResort = false) {
     Group& g = groups[r.q.group];
     std::vector<Member*> some;
@@ -412,8 +411,7 @@
       set.erase(std::remove_if(set.begin(), set.end(), unfit), set.end());
     };
     leaveOut([&](const Choice& ch) { return !useful(r, *ch.member); });
-    // Guards against reads that nobody takes, or only a primary that is full, while one member fails some at
-    // once: to try that one again and again costs less than to wait or to be refused.
+    // Guards against reads that nobody takes while one member fails some at once: to try it again costs less.
     for (int round = 0; set.empty() && round < 2; ++round) {
       if (round > 0) r.tried.clear();
       set = readSet(r, true);
@@ -471,7 +469,7 @@
     r.asked = false;
     ++outNow;
     tickSoon();
-    sink.send(r.q.id, m.listed.id, r.q.deadline);
+    sink.send(r.q.id, m.listed.id, std::max(endOf(r), now + Time(1)));
   }
 
   void advance(Open& r) {
@@ -580,15 +578,16 @@
       m.erring = false;
     } else if (o.result != Result::Moot && o.result != Result::Cancelled &&
                !(write && o.result == Result::Miss)) {
-      // A fast failure must not look fast. A full queue or a time-out is a wait past the deadline, at that
-      // load.
+      // A fast failure must not look fast. A full queue is a wait past the deadline, a time-out one past the
+      // aim, both at that load: no symptom. Whether a member is silent noticeSilence() finds.
       const bool byLoad = o.result == Result::Full || (o.result == Result::Timeout && !overtaken(m, was));
-      addSample(m, was, byLoad ? static_cast<double>(c.deadline.count()) : kLate);
+      const Time least = o.result == Result::Full ? c.deadline : std::max(latency, c.aim);
+      addSample(m, was, byLoad ? static_cast<double>(least.count()) : kLate);
       if (o.result == Result::Miss || o.result == Result::Timeout) g.troubleAt = now;
       // A failed connection, with nothing heard since, is a process that is gone; a reset alone is not.
       const bool down = o.result == Result::ConnectFailed && m.lastAnswer < was.at;
       const bool broken = o.result == Result::ConnectFailed || o.result == Result::Reset;
-      if (o.result != Result::Miss && o.result != Result::Full && (++m.failures >= kStreak || down)) {
+      if (o.result != Result::Miss && !byLoad && (++m.failures >= kStreak || down)) {
         if (broken && s.probing && s.reports != Reports::Silent) {
           if (!m.probing && (m.erring || now >= m.asideUntil)) probe(m);
           return;
@@ -602,7 +601,6 @@
   // Guards against members that take work and answer nothing (hung, cut off, crawling) and against answers
   // lost on the way. A member that has answered nothing since an attempt was sent, for several usual
   // latencies, is probed: if that stays unanswered too it is set aside, else that attempt alone is lost.
-  // Where nothing can be probed it is set aside at once. It wastes work where answers are late, not lost.
   void noticeSilence(Member& m) {
     const bool canProbe = s.probing && s.reports != Reports::Silent;
     for (const Sent& o : std::vector<Sent>(m.out)) {
@@ -625,18 +623,20 @@
   }
 
   // ---- refusals ------------------------------------------------------------------------------------------
+  // Guards against members spent on what has lost its worth: a class that earns nothing late ends at its aim.
+  Time endOf(const Open& r) const {
+    return classOf(r).lateWorth > 0 ? r.q.deadline : std::min(r.q.deadline, r.arrived + classOf(r).aim);
+  }
   // From when on a request can no longer be answered usefully by a new attempt.
   Time giveUpAt(const Open& r) const {
-    const ClassSettings& c = classOf(r);
-    Time end = c.lateWorth > 0 ? r.q.deadline : std::min(r.q.deadline, r.arrived + c.aim);
+    Time end = endOf(r);
     // Guards against holding back what finds no member: where none has had it by nearly half of its time, the
     // client is told to come back while that is still of use to it.
     if (!r.reached && r.outstanding == 0)
       end = std::min(end, r.arrived + scaled(r.q.deadline - r.arrived, kUnheard) + usually(r.q.cls));
     return std::max(end - usually(r.q.cls), r.attempts.empty() ? r.arrived + Time(1) : Time(0));
   }
-  // What the site's goal gains by serving a class, for the work that it takes: its worth in the whole, and
-  // for the class that is served worst lately its part in the worst class.
+  // What the site's goal gains by a class, for its work: worth in the whole, and a part in the worst class.
   double yield(std::size_t k) const {
     double worth = 0, asked = 0, lowest = 2;
     std::size_t worst = 0;
@@ -650,9 +650,9 @@
       gain += s.goalWorstClass / offered[k];
     return gain / std::max(base[k], 1.0);
   }
-  // Guards against queues that make everything late. A request goes out only where it is likely enough to
-  // earn its worth, and only where those classes that yield more for the same work would still be on time. An
-  // idle member may take a request, or a part of them by others' word: the way back stays open.
+  // Guards against queues that make everything late. A request goes out only where it and those classes that
+  // yield more are likely to earn their worth. An idle member may take a request, or a part of them by
+  // others' word: the way back stays open.
   bool useful(const Open& r, const Member& m) {
     if (loadOf(m) == 0 && (!hinted || chance(r.q.id, m.listed.id) < kTrickle)) return true;
     const auto onTime = [&](int cls, Time in) {
@@ -677,9 +677,10 @@
     const bool harmless =
         untouched || c.effect == Effect::Safe || (c.effect == Effect::Keyed && c.scope == KeyScope::All);
     const RequestId id = r.q.id;
+    // Soon, while its aim goes on; what comes back after that is only load.
+    const Time again = now < r.arrived + c.aim ? scaled(usually(r.q.cls), kComeBack) : s.maxRetryAfter;
     if (harmless)
-      sink.refuse(id,
-                  s.retryAfter ? std::min(s.maxRetryAfter, scaled(usually(r.q.cls), kComeBack)) : Time(0));
+      sink.refuse(id, s.retryAfter ? std::min(s.maxRetryAfter, again) : Time(0));
     else
       sink.fail(id);
     close(r);
@@ -780,15 +781,15 @@
     if (s.mustAskIn > Time(0)) sink.timer(s.mustAskIn / 2, kTokenAsk | ++askTurn << 8);
   }
 
-  // Guards against pushing over a member that has just started, by all routers together. By a dice of the
-  // request it is open to as many of its group's requests as its present share of a whole group's capacity:
-  // at any number of routers and with no word among them its load stays in proportion to that of warm ones.
-  // One far heavier than others leaves it alone. It harms where a member is the only one left.
+  // Guards against pushing over a member that has just started, by all routers together and with no word
+  // among them: by a dice of the request it is open to kColdLoad times as many of its group's requests as its
+  // least present share of the group's capacity. One far heavier than others leaves it alone. It harms where
+  // a member is the only one left.
   bool withinColdBudget(const Member& m, const Open& r) const {
     const Time started = m.listed.started;
     if (started == Time(0) || now >= started + s.coldFor || s.coldFor <= Time(0)) return true;
     double share = s.startCapacity + (1 - s.startCapacity) * std::max(0.0, ratio(now - started, s.coldFor));
-    share *= std::min(1.0, s.fallMultiple / 2.5);  // bursts and retries come on top of a full share
+    share *= s.fallMultiple * kColdLoad;
     if (groups.at(m.listed.group).primary != m.listed.id) share /= largest;  // misplaced writes are work too
     double mean = 0, seen = 0;
     for (const double u : usual) mean += u, seen += u > 0;
@@ -916,8 +917,7 @@
     c.sawReport(*m, p.report);
     m->wordAt = now;
     m->failures = 0;
-    // Guards against asking the same laggards for ever: they get no sends, so by use alone they would stay
-    // next in turn, and the others' positions would wear out unasked. To be asked in vain is a turn, too.
+    // Guards against asking the same laggards for ever, as they get no sends: to be asked in vain is a turn.
     if (m->position < now - c.tightestBound()) m->lastUsed = now;
   } else if (m->wordAt < m->probedAt && (m->erring || now >= m->asideUntil)) {
     c.setAside(*m);  // its silence or a refused connection: nothing is sent there for a while
--- a/src/log/log.hpp
+++ b/src/log/log.hpp
@@ -38,8 +38,8 @@
 
 // Writes one line. Guards against a log that grows with a trouble's size: beyond a burst of 50, lines over 10
 // a second are counted, and the count goes out as an event of its own ("lines_left_out") before the next
-// line. Lines of level Trace are what a day is counted from: they are all written, or none, and whoever has them
-// to write asks tracing() first.
+// line. Lines of level Trace are what a day is counted from: they are all written, or none, and whoever has
+// them to write asks tracing() first.
 bool tracing();
 void logEvent(LogLevel, std::string_view event, std::initializer_list<LogField> = {});
 
