--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -45,9 +45,9 @@
 constexpr Time kForget = seconds(10);     // what is gone and quiet is remembered for so long
 constexpr Time kTick = milliseconds(20);  // housekeeping: waiting requests, silence, probes
 constexpr Time kTrouble = seconds(1);  // how long a miss or a time-out keeps the best member out of the sum
-constexpr Time kKindle = milliseconds(40);  // between probes, by all routers, of one none hears of
-constexpr double kTrickle = 0.2;            // of requests go on where others' word alone says that it is full
-constexpr double kColdLoad = 0.8;  // of fallMultiple: bursts come on top; it warms by what it is given
+constexpr Time kKindle = milliseconds(40);     // between probes, by all routers, of one none hears of
+constexpr Time kEvidence = seconds(2);         // answers of a cold member that tell what it can do
+constexpr double kFine = 1.5;                  // times the usual latency is an answer that shows room
 constexpr Time kScout = milliseconds(250);     // pause between probes for a missing primary
 constexpr Time kAskFirst = milliseconds(200);  // after a failed call to discovery; doubles from there
 constexpr double kLate = std::numeric_limits<double>::infinity();
@@ -61,7 +61,6 @@
   return Time(static_cast<std::int64_t>(static_cast<double>(t.count()) * by));
 }
 
-// What may have had its effect; the others are known not to have run.
 bool mayHaveRun(Result r) {
   return r != Result::Full && r != Result::ConnectFailed && r != Result::Moot && r != Result::Miss;
 }
@@ -114,6 +113,7 @@
     return static_cast<double>(dice(a, b) >> 11) * 0x1p-53;
   }
 
+  double jitter() const { return 0.5 + chance(kTokenAsk, static_cast<std::uint64_t>(now.count())); }
   const ClassSettings& classOf(const Open& r) const { return s.classes[at(r.q.cls)]; }
   Member* find(MemberId id) {
     const auto it = members.find(id);
@@ -126,11 +126,10 @@
     if (m.listed.state == Lifecycle::Ready) return true;
     return s.droppedStayOpen && m.listed.state == Lifecycle::Gone && !m.seenDraining;
   }
-  // A member set aside comes back by one request at a time once its pause is over.
   bool healthy(const Member& m) const {
     if (m.probing && now - m.probedAt > kDumb) return false;
     if (m.asideUntil == never) return true;
-    if (now < m.asideUntil) return false;
+    if (now < m.asideUntil) return false;  // then it comes back by one request at a time
     return std::none_of(m.out.begin(), m.out.end(), [&](const Sent& o) { return o.at >= m.asideUntil; });
   }
   void setAside(Member& m, bool erring = false) {
@@ -190,8 +189,7 @@
   }
 
   // Guards against attempts that are lost rather than queued: what was sent in the younger half of its age
-  // has been answered already, so it says nothing of the member's load. Only far beyond the usual latency:
-  // members may serve out of turn.
+  // has been answered. Only far beyond the usual latency: members may serve out of turn.
   Time patience(int cls) const {
     const ClassSettings& c = s.classes[at(cls)];
     return usually(cls) > Time(0) ? scaled(usually(cls), kPatience) : c.aim;
@@ -251,10 +249,9 @@
   }
 
   // ---- read-set selection --------------------------------------------------------------------------------
-  // The share of a window that would miss `budget` now. Samples are brought to this class and to the member's
-  // present load; `byLoad` leaves out failures that come at any load. What all members together showed lately
-  // counts as one sample more: it stands in where the window is thin. Requests out for longer than the budget
-  // count as misses already: a hung member keeps old good samples, its silence is the evidence.
+  // The share of a window that would miss `budget` now, with samples brought to this class and the member's
+  // load; `byLoad` leaves out failures that come at any load. What all members showed lately counts as one
+  // more and stands in for a thin window. What is out for longer is a miss: a hung member is silent.
   double missChance(const Member& m, const std::vector<Sample>& window, int cls, Time budget,
                     double* expected = nullptr, bool byLoad = false) const {
     const double load = std::max(kWidth, loadOf(m) + 1.0), limit = static_cast<double>(budget.count());
@@ -313,11 +310,10 @@
     const Time word = std::max(m.wordAt, m.heardAt);
     return word != never && now - word < classOf(r).aim;
   }
-  // Guards against choosing blindly where a router hears of a member once in many seconds: positions that
-  // are worn out, loads and deaths that nobody has told. It asks those that are next in turn and waits
-  // briefly for their word; what does not answer is taken for dead by healthy(). Where routers pass on what
-  // they hear, a known member is enough, and one that none hears of is asked by all of them in turn: else a
-  // hundred routers would crowd the few that are known.
+  // Guards against choosing blindly where a router hears of a member once in many seconds. It asks those that
+  // are next in turn and waits briefly for their word; what does not answer is taken for dead by healthy().
+  // Where they pass on what they hear, one that none hears of is asked by all in turn, lest they crowd the
+  // rest.
   bool inquire(Open& r, const std::vector<Member*>& next) {
     if (!s.probing || s.reports == Reports::Silent || r.asked) return false;
     if (classOf(r).need == Need::Fresh) return false;  // no replica's word can be new enough
@@ -581,7 +577,7 @@
       // A fast failure must not look fast. A full queue is a wait past the deadline, a time-out one past the
       // aim, both at that load: no symptom. Whether a member is silent noticeSilence() finds.
       const bool byLoad = o.result == Result::Full || (o.result == Result::Timeout && !overtaken(m, was));
-      const Time least = o.result == Result::Full ? c.deadline : std::max(latency, c.aim);
+      const Time least = o.result == Result::Full ? c.deadline : std::max(latency, c.aim * 5 / 4);
       addSample(m, was, byLoad ? static_cast<double>(least.count()) : kLate);
       if (o.result == Result::Miss || o.result == Result::Timeout) g.troubleAt = now;
       // A failed connection, with nothing heard since, is a process that is gone; a reset alone is not.
@@ -651,10 +647,9 @@
     return gain / std::max(base[k], 1.0);
   }
   // Guards against queues that make everything late. A request goes out only where it and those classes that
-  // yield more are likely to earn their worth. An idle member may take a request, or a part of them by
-  // others' word: the way back stays open.
+  // yield more are likely to earn their worth. An idle member takes any: the way back stays open.
   bool useful(const Open& r, const Member& m) {
-    if (loadOf(m) == 0 && (!hinted || chance(r.q.id, m.listed.id) < kTrickle)) return true;
+    if (loadOf(m) == 0) return true;
     const auto onTime = [&](int cls, Time in) {
       return in > Time(0) ? 1 - missChance(m, m.immediate, cls, in, nullptr, true) : 0;
     };
@@ -698,7 +693,7 @@
   void list(ListKind kind, const std::vector<ListedMember>& entries) {
     asking = kind == ListKind::Failed && s.discovery == Discovery::Subscribe;
     if (asking) {
-      sink.timer(askBackoff, kTokenAsk | ++askTurn << 8);
+      sink.timer(scaled(askBackoff, jitter()), kTokenAsk | ++askTurn << 8);
       askBackoff = std::min(2 * askBackoff, std::max(s.mustAskIn / 4, kAskFirst));
     }
     if (kind == ListKind::Failed) return;
@@ -778,22 +773,26 @@
   void ask() {
     asking = true;
     sink.subscribe();
-    if (s.mustAskIn > Time(0)) sink.timer(s.mustAskIn / 2, kTokenAsk | ++askTurn << 8);
+    if (s.mustAskIn > Time(0)) sink.timer(scaled(s.mustAskIn / 3, jitter()), kTokenAsk | ++askTurn << 8);
   }
 
   // Guards against pushing over a member that has just started, by all routers together and with no word
-  // among them: by a dice of the request it is open to kColdLoad times as many of its group's requests as its
-  // least present share of the group's capacity. One far heavier than others leaves it alone. It harms where
-  // a member is the only one left.
+  // among them: by a dice of the request it is open to as many of its group's requests as its least present
+  // share of the group's capacity, times what it withstands; the group's load is below 1, which leaves room
+  // for bursts. One far heavier than others leaves it alone. It harms where a member is the only one left.
   bool withinColdBudget(const Member& m, const Open& r) const {
     const Time started = m.listed.started;
     if (started == Time(0) || now >= started + s.coldFor || s.coldFor <= Time(0)) return true;
     double share = s.startCapacity + (1 - s.startCapacity) * std::max(0.0, ratio(now - started, s.coldFor));
-    share *= s.fallMultiple * kColdLoad;
+    share *= s.fallMultiple;
     if (groups.at(m.listed.group).primary != m.listed.id) share /= largest;  // misplaced writes are work too
     double mean = 0, seen = 0;
     for (const double u : usual) mean += u, seen += u > 0;
     const double own = usual[at(r.q.cls)];
+    double sum = 0, n = 0;  // one that answers well can do more than the least: too much is heard of soon
+    for (const Sample& x : m.immediate)
+      if (x.at + kEvidence >= now) n += 1, sum += std::min(convert(x.latency, x.cls, r.q.cls), 4 * own);
+    if (n >= kStreak && own > 0) share *= std::clamp(kFine * own * n / sum, 1.0, 2.0);
     if (own > 0 && seen > 0) share *= std::min(1.0, mean / seen / own);
     return chance(r.q.id, m.listed.id) < share;
   }
