Control: suspension by staff, settings swapped at SIGHUP, upgrades beside the old process

Design, in short (docs/design/control.md): a ban is an event of the module, not a state of the list or the pool, which the next list would undo or which would decide around the module. Classes keep their places; renumbering open requests was not taken. SO_REUSEPORT with new connections led to the later socket before the close; passing the socket was not taken, since both sides would have to speak a protocol, and draining alone leaves a gap between the last accept and the close.

Change. src/control (line, bans, listener), app/staff, config/adopt, Balancer::suspend and settle, Acceptor::yield and takeRest.

--- a/include/knotstack/balancer.hpp
+++ b/include/knotstack/balancer.hpp
@@ -68,9 +68,10 @@
   GroupId group = 0;
   int zone = 0;
   Lifecycle state = Lifecycle::Ready;
-  bool primary = false;  // see Settings::roleListed
-  double weight = 1;     // size, comparable among members
-  Time started{};        // latest start; 0: long ago
+  bool primary = false;    // see Settings::roleListed
+  double weight = 1;       // size, comparable among members
+  Time started{};          // latest start; 0: long ago
+  bool suspended = false;  // by staff, see Balancer::suspend
 };
 enum class ListKind { Delta, Full, Cached, Failed };  // Full, Cached: what is absent is gone
 
@@ -140,6 +141,13 @@
   // Whether a send that had to wait for its connection may still go out: since it was decided the member may
   // have drained, or its data grown too old. If not, its Outcome is Moot.
   bool fit(Time now, RequestId, MemberId);
+  // Staff take a member out of use, or back; whatever the list says. Nothing new goes to it from here on,
+  // probes included; what is out goes on. One that comes back counts as just started, unless the list knows
+  // better.
+  void suspend(Time now, MemberId, bool on);
+  // New settings. Classes keep their indices: those that requests under way may have must stand where they
+  // were.
+  void settle(Time now, const Settings&);
   // Forgets the members that have been gone and quiet for long, and names them: their ids may be dropped. A
   // late event about one is ignored like any about what is not known.
   std::vector<MemberId> forget(Time now);
--- a/src/app/cli.cpp
+++ b/src/app/cli.cpp
@@ -28,6 +28,11 @@
   if (log && std::string_view(log) != "trace" && std::string_view(log) != "info")
     throw BadInput("variable NODE_LOG is neither info nor trace");
   if (log && std::string_view(log) == "trace") config.logLevel = LogLevel::Trace;
+  const char* const control = std::getenv("NODE_CONTROL");
+  if (control && *control && config.control.none()) config.control = parseAddress(control, "NODE_CONTROL");
+  const char* const folder = std::getenv("TMPDIR");
+  if (folder && *folder && !config.control.none())
+    config.bans = std::string(folder) + "/sablespur-bans-" + config.name;
   return serve(config, [path] { return readConfig(path); });
 }
 
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -6,6 +6,7 @@
 #include <stdexcept>
 
 #include "app/list_source.hpp"
+#include "app/staff.hpp"
 #include "app/status.hpp"
 #include "back/pg/upstream.hpp"
 #include "core/account.hpp"
@@ -64,7 +65,7 @@
 
 int serve(const Config& given, const std::function<Config()>& reread) {
   setLog(given.logForm, given.logLevel);
-  const Config config = bounded(given);
+  Config config = bounded(given);  // all parts read it; only a reload, between two turns, changes it
   const EventBase base(event_base_new());
   Engine engine(base.get(), config);
   Workers workers(base.get(), kWorkers);
@@ -83,6 +84,7 @@
   upstream.onShortage([&clients] { clients.shortage(); });
   const std::unique_ptr<StatusServer> status =
       openStatus(base.get(), config, engine, account, gate.get(), keeper.get());
+  const std::unique_ptr<Staff> staff = openStaff(base.get(), config, engine, clients);
   bool running = true;
 
   struct Stop {
@@ -108,7 +110,9 @@
     Gate* gate;
     Spare& spare;
     const std::function<Config()>& reread;
-  } reload{*source, clients, gate.get(), spare, reread};
+    Engine& engine;
+    Config& config;
+  } reload{*source, clients, gate.get(), spare, reread, engine, config};
   const auto onReload = [](evutil_socket_t, short, void* p) {
     const auto& r = *static_cast<Reload*>(p);
     try {
@@ -118,6 +122,11 @@
       const auto again = [&] { read = r.reread(); };
       if (!r.spare.lend(again)) again();
       const Config& c = *read;
+      // The door and the store have taken the classes of the start into their own books.
+      if (!r.config.admission && !r.config.store) {
+        adopt(r.config, c);
+        r.engine.settle(r.config.settings);
+      }
       r.source.move(c);
       r.clients.users(c.users);
       if (r.gate) r.gate->reload(c);
--- /dev/null
+++ b/src/app/staff.hpp
@@ -0,0 +1,22 @@
+// What staff may do to a running proxy: the calls of src/control, carried out.
+#pragma once
+
+#include <memory>
+
+#include "config/config.hpp"
+#include "core/engine.hpp"
+#include "core/event.hpp"
+
+namespace sablespur {
+
+class Clients;
+
+class Staff {
+ public:
+  virtual ~Staff() = default;
+};
+// Null where the settings give no address for it. Bans of an earlier process are told to the engine before
+// this returns; so it is made before Engine::start. Throws std::runtime_error where it cannot listen.
+std::unique_ptr<Staff> openStaff(event_base*, const Config&, Engine&, const Clients&);
+
+}  // namespace sablespur
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -29,7 +29,6 @@
 constexpr double kComeBack = 0.25;    // of a usual latency: when a refused client may return; its aim goes on
 constexpr double kUseful = 0.85;      // least share of its worth that a request must be likely to earn
 constexpr double kUnheard = 0.45;     // of its time: so long a request may wait for a member that can take it
-constexpr Time kFade = seconds(10);   // what was asked and served counts for about so long
 constexpr double kSmooth = 0.05;      // weight of a new latency in a class's usual one
 constexpr double kPatience = 4;       // silence for so many usual latencies is a symptom
 constexpr double kRetryShare = 0.05;  // further attempts earned a request, so overload cannot feed itself
@@ -76,9 +75,8 @@
   std::map<GroupId, Group> groups;
   std::unordered_map<RequestId, Open> open;
   std::unordered_map<std::uint64_t, Time> commits;  // last write of each session, where not carried
-  std::vector<double> offered, inTime;  // requests of each class, fading: asked, and answered within the aim
-  std::vector<double> usual, base;      // mean and low latency of each class, microseconds; 0: not seen yet
-  std::vector<Sample> pool;             // of all members together: stands in where a window is thin
+  std::vector<double> usual, base;  // mean and low latency of each class, microseconds; 0: not seen yet
+  std::vector<Sample> pool;         // of all members together: stands in where a window is thin
   double retries = 1, copies = 0;
   const std::uint64_t seed;
   Time fadedAt{};
@@ -92,7 +90,7 @@
   std::uint64_t askTurn = 0;
 
   Core(const Settings& settings, std::uint64_t own, Sink& out) : s(settings), sink(out), seed(own) {
-    offered = inTime = usual = base = std::vector<double>(s.classes.size());
+    usual = base = std::vector<double>(s.classes.size());
     hearsLoad = std::count(s.figures.begin(), s.figures.end(), Figure::Inflight) > 0;
     if (s.classes.empty()) throw std::invalid_argument("no classes");
     for (const ClassSettings& c : s.classes)
@@ -123,6 +121,7 @@
 
   // Guards against sends to what drains or is gone, from the very event that tells of it.
   bool usable(const Member& m) const {
+    if (m.suspended) return false;
     if (m.listed.state == Lifecycle::Ready) return true;
     return s.droppedStayOpen && m.listed.state == Lifecycle::Gone && !m.seenDraining;
   }
@@ -523,7 +522,6 @@
         r.ranWhere = a.member;
       }
       if (o.closed || o.result == Result::Ok) {
-        if (o.result == Result::Ok && now - r.arrived <= classOf(r).aim) inTime[at(r.q.cls)] += 1;
         close(r);
       } else {
         // What cost the member nothing is free; what was really tried again must be earned.
@@ -632,22 +630,8 @@
       end = std::min(end, r.arrived + scaled(r.q.deadline - r.arrived, kUnheard) + usually(r.q.cls));
     return std::max(end - usually(r.q.cls), r.attempts.empty() ? r.arrived + Time(1) : Time(0));
   }
-  // What the site's goal gains by a class, for its work: worth in the whole, and a part in the worst class.
-  double yield(std::size_t k) const {
-    double worth = 0, asked = 0, lowest = 2;
-    std::size_t worst = 0;
-    for (std::size_t n = 0; n < s.classes.size(); ++n) {
-      worth += offered[n] * s.classes[n].worth;
-      asked += offered[n];
-      if (offered[n] > 0 && inTime[n] / offered[n] < lowest) lowest = inTime[worst = n] / offered[n];
-    }
-    double gain = worth > 0 ? s.goalWhole * s.classes[k].worth / worth : s.classes[k].worth;
-    if (k == worst && offered[k] > 0 && asked > static_cast<double>(kWindow))
-      gain += s.goalWorstClass / offered[k];
-    return gain / std::max(base[k], 1.0);
-  }
-  // Guards against queues that make everything late. A request goes out only where it and those classes that
-  // yield more are likely to earn their worth. An idle member takes any: the way back stays open.
+  // Guards against queues that make everything late. A request goes out only where it is likely to earn its
+  // worth. An idle member takes any: the way back stays open.
   bool useful(const Open& r, const Member& m) {
     if (loadOf(m) == 0) return true;
     const auto onTime = [&](int cls, Time in) {
@@ -656,15 +640,7 @@
     const ClassSettings& c = classOf(r);
     const Time end = std::max(r.q.deadline - now, Time(1)), aim = std::min(r.arrived + c.aim - now, end);
     const double early = onTime(r.q.cls, aim), most = aim > Time(0) ? 1 : c.lateWorth;
-    if (early + c.lateWorth * (onTime(r.q.cls, end) - early) < kUseful * most) return false;
-    const bool primary = m.listed.id == groups[m.listed.group].primary;
-    for (int k = 0; k < static_cast<int>(s.classes.size()); ++k) {
-      const ClassSettings& x = s.classes[at(k)];
-      if ((x.need == Need::Write && !primary) || base[at(k)] <= 0 || yield(at(k)) <= yield(at(r.q.cls)))
-        continue;
-      if (onTime(k, x.aim) < kUseful) return false;
-    }
-    return true;
+    return early + c.lateWorth * (onTime(r.q.cls, end) - early) >= kUseful * most;
   }
   void finish(Open& r) {
     const ClassSettings& c = classOf(r);
@@ -729,6 +705,7 @@
         }
       }
       m.listed = e;
+      m.suspended = m.suspended || e.suspended;
       if (e.state != Lifecycle::Gone)
         m.goneAt = never;
       else if (m.goneAt == never)
@@ -860,14 +837,8 @@
   c.now = now;
   if (c.open.count(q.id)) return;
   if (q.cls < 0 || at(q.cls) >= c.s.classes.size()) return c.sink.refuse(q.id, Time(0));
-  const double fade = std::exp(-ratio(now - c.fadedAt, kFade));
   const double keep = std::exp(-ratio(now - c.fadedAt, kPurse));
   c.fadedAt = now;
-  for (std::size_t k = 0; k < c.offered.size(); ++k) {
-    c.offered[k] *= fade;
-    c.inTime[k] *= fade;
-  }
-  c.offered[at(q.cls)] += 1;
   c.retries = std::max(std::min(c.retries, 1.0), c.retries * keep) + kRetryShare;
   c.copies = std::max(std::min(c.copies, 1.0), c.copies * keep) + kCopyShare;
   Open& r = c.open[q.id];
@@ -978,6 +949,34 @@
   return core_->forget();
 }
 
+void Balancer::suspend(Time now, MemberId id, bool on) {
+  Core& c = *core_;
+  c.now = now;
+  Member* const m = c.find(id);
+  if (!m || m->suspended == on) return;
+  m->suspended = on;
+  if (on) {
+    m->suspendedAt = now;
+    c.sawRole(*m, Role::Unknown, std::max(m->roleAt, now));
+  } else {  // staff had a reason: unless the list knows better it counts as one that has just started
+    if (m->listed.started < m->suspendedAt) m->listed.started = now;
+    m->asideUntil = never;
+    m->failures = 0;
+    c.groups[m->listed.group].scouted = false;
+  }
+}
+
+// Classes keep their indices, new ones come behind them: a request under way keeps the class it came with.
+void Balancer::settle(Time now, const Settings& settings) {
+  Core& c = *core_;
+  c.now = now;
+  const Time zero = c.s.zero;
+  c.s = settings;
+  c.s.zero = zero;
+  c.usual.resize(std::max(c.usual.size(), settings.classes.size()));
+  c.base.resize(c.usual.size());
+}
+
 void Balancer::countFrom(Time zero) { core_->s.zero = zero; }
 
 }  // namespace knotstack
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -99,7 +99,9 @@
   std::shared_ptr<const admission::Settings> admission;  // null: no door
   std::shared_ptr<const StoreConfig> store;              // null: nothing is kept
   std::string statusSocket;                              // empty: none
-  std::size_t descriptors = 0;                           // limits as they were given
+  Address control;                                       // where staff call; none: nowhere
+  std::string bans;             // the file that keeps which data servers are suspended; empty: none
+  std::size_t descriptors = 0;  // limits as they were given
   std::uint64_t memory = 0;
   LogForm logForm = LogForm::Logfmt;
   LogLevel logLevel = LogLevel::Info;
@@ -129,6 +131,12 @@
 Config parseConfig(const std::string& json);
 Config readConfig(const char* path);  // the same for a file
 
+// Takes over what may change while the program serves: classes, attempts and what else the settings say of
+// the decisions. Classes keep their places, since requests under way have them: one that is gone or is
+// another now leaves its place without a name, and what is new comes behind. Throws BadInput where too many
+// have come and gone; then nothing is changed.
+void adopt(Config& running, const Config& read);
+
 // Whether clients need a password.
 inline bool wantsPassword(const Config& c) {
   return !c.logins.empty() && c.logins.front() != auth::Method::Trust;
--- a/src/config/json_config.cpp
+++ b/src/config/json_config.cpp
@@ -135,6 +135,7 @@
     for (const std::string& peer : names(root, "", "peers")) c.peers.push_back(parseAddress(peer, "peers"));
     if (root["peers_all"].get(text) == simdjson::SUCCESS) c.peersAll = parseAddress(text, "peers_all");
   }
+  if (root["control"].get(text) == simdjson::SUCCESS) c.control = parseAddress(text, "control");
   for (std::size_t k = 0; k < c.settings.classes.size(); ++k) {
     const auto& cls = c.settings.classes[k];
     c.sessions = c.sessions || cls.need == knotstack::Need::Session;
--- /dev/null
+++ b/src/control/bans.hpp
@@ -0,0 +1,37 @@
+// Which data servers staff have taken out of use, kept in a file beside the process: a second process of the
+// same proxy, or the one after it, keeps to them. Written whole and renamed into place, checked when it is
+// read.
+#pragma once
+
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace sablespur::control {
+
+constexpr std::size_t kMostBans = 10000;
+
+// Pure: the file's form, its end included; nothing where it is another or was cut.
+std::string writeBans(const std::set<std::string>&);
+std::optional<std::set<std::string>> readBans(std::string_view);
+
+class Bans {
+ public:
+  // An empty path: nothing is kept. A file that cannot be used is logged and counts as none.
+  explicit Bans(std::string path);
+  const std::set<std::string>& all() const { return all_; }
+  // False: the file could not be written (logged); the ban holds in this process all the same.
+  bool set(const std::string& id, bool banned);
+  // What another process of the same proxy has written since; true: all() is another set now. Costs one stat.
+  bool poll();
+
+ private:
+  bool load();
+
+  const std::string path_;
+  std::set<std::string> all_;
+  std::optional<std::pair<unsigned long, long>> seen_;  // inode and time of what was read or written last
+};
+
+}  // namespace sablespur::control
--- /dev/null
+++ b/src/control/listener.hpp
@@ -0,0 +1,49 @@
+// Where staff call a running proxy. Bounded: so many callers at once and no more, each for a moment; a
+// newcomer ends the one that has been silent for longest. No client's descriptor or turn is taken.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "base/address.hpp"
+#include "control/line.hpp"
+#include "core/event.hpp"
+
+namespace sablespur::control {
+
+// Carries out a call; answers at once. `text` goes into the answer.
+class Commands {
+ public:
+  virtual ~Commands() = default;
+  virtual bool carryOut(const Call&, std::string& text) = 0;
+};
+
+class Listener {
+ public:
+  // Throws std::runtime_error, naming the key, where it cannot listen.
+  Listener(event_base*, const Address&, Commands&);
+  ~Listener();
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
+
+ private:
+  struct Caller {
+    BufferEvent connection;
+    Reader reader;
+    std::uint64_t turn = 0;  // callers in the order of their coming
+    bool answered = false;
+  };
+  void ready();
+  void read(bufferevent*);
+  void answer(Caller&, const std::string& line);
+
+  event_base* const base_;
+  Commands& commands_;
+  int fd_ = -1;
+  std::uint64_t turns_ = 0;
+  Event readable_, again_;
+  std::unordered_map<bufferevent*, Caller> callers_;
+};
+
+}  // namespace sablespur::control
--- a/src/core/acceptor.cpp
+++ b/src/core/acceptor.cpp
@@ -1,5 +1,7 @@
 #include "core/acceptor.hpp"
 
+#include <linux/filter.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -23,7 +25,7 @@
 }  // namespace
 
 Acceptor::Acceptor(event_base* base, const Clock& clock, const Address& at, Account& account, Spare& spare,
-                   Taker taker)
+                   Taker taker, bool share)
     : clock_(clock), account_(account), spare_(spare), taker_(std::move(taker)) {
   const auto fail = [&] {
     const std::string why = std::strerror(errno);
@@ -33,6 +35,7 @@
   fd_ = systemCalls().socket(at.v6() ? AF_INET6 : AF_INET);
   const int on = 1;
   if (fd_ < 0 || setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
+      (share && setsockopt(fd_, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on) != 0) ||
       bind(fd_, at.data(), at.size()) != 0 || listen(fd_, kBacklog) != 0)
     fail();
   readable_.reset(event_new(
@@ -54,6 +57,25 @@
   return Address::fromSocket(reinterpret_cast<const sockaddr*>(&a)).port();
 }
 
+// A program of the reuseport group that names the second socket in it: the one of the process that came later
+// (bpf, "SO_ATTACH_REUSEPORT_CBPF", socket(7)). Where there is no second one the system goes on by its hash.
+void Acceptor::yield() {
+  sock_filter second{BPF_RET | BPF_K, 0, 0, 1};
+  const sock_fprog program{1, &second};
+  if (setsockopt(fd_, SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, &program, sizeof program) != 0)
+    logEvent(LogLevel::Warning, "listen_not_yielded", {{"why", std::strerror(errno)}});
+}
+
+void Acceptor::takeRest() {
+  for (int n = 0; n < kBacklog && taker_.room(); ++n) {
+    sockaddr_storage from{};
+    socklen_t length = sizeof from;
+    const int fd = systemCalls().accept(fd_, reinterpret_cast<sockaddr*>(&from), &length);
+    if (fd < 0) return;
+    taker_.taken(fd, reinterpret_cast<const sockaddr*>(&from));
+  }
+}
+
 void Acceptor::resume() {
   event_del(again_.get());
   event_add(readable_.get(), nullptr);
--- a/src/core/acceptor.hpp
+++ b/src/core/acceptor.hpp
@@ -26,12 +26,17 @@
     std::function<void()> shortage;  // there is no descriptor: what can be spared is to be closed
     std::function<void(evutil_socket_t)> refuse;  // writes a last word; the caller closes
   };
-  // Throws std::runtime_error where it cannot listen.
-  Acceptor(event_base*, const Clock&, const Address&, Account&, Spare&, Taker);
+  // `share`: another process of the same proxy may listen at the same address (SO_REUSEPORT). Throws
+  // std::runtime_error where it cannot listen.
+  Acceptor(event_base*, const Clock&, const Address&, Account&, Spare&, Taker, bool share = false);
   ~Acceptor();
   Acceptor(const Acceptor&) = delete;
 
   void resume();  // there is room again
+  // Before the end. Guards against connections that the closing of a listener with others in its backlog
+  // would reset: the system gives new ones to the process that came later, and what has come here is taken.
+  void yield();
+  void takeRest();
   int port() const;
   std::chrono::microseconds pausing() const { return pause_; }  // of the last failure; 0: none since
 
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -18,6 +18,7 @@
 // 4 x milliseconds fill a u32 only after twelve days.
 constexpr Time kRebase = std::chrono::hours(2);
 constexpr Time kSweep = std::chrono::seconds(1);
+constexpr std::size_t kMostNames = 65536;  // that the list has ever had: staff may name no other
 
 }  // namespace
 
@@ -74,6 +75,13 @@
   events_.emplace_back(Probed{member, ok, report});
 }
 void Engine::heard(std::vector<peers::Hint> hints) { events_.emplace_back(Heard{std::move(hints)}); }
+bool Engine::suspend(const std::string& name, bool on) {
+  if (everListed_.count(name) == 0 && banned_.count(name) == 0) return false;
+  events_.emplace_back(Suspended{name, on});
+  return true;
+}
+void Engine::ban(const std::string& name) { banned_.insert(name); }
+void Engine::settle(const knotstack::Settings& settings) { events_.emplace_back(Settled{settings}); }
 void Engine::listed(InstanceList list) { events_.emplace_back(Listed{false, std::move(list)}); }
 void Engine::listFailed(const std::string&) { events_.emplace_back(Listed{true, {}}); }
 
@@ -104,6 +112,7 @@
   swept_ = now_ = std::max(now_, now);
   for (const MemberId id : balancer_->forget(now_)) {
     for (auto it = ids_.begin(); it != ids_.end();) it = it->second == id ? ids_.erase(it) : std::next(it);
+    ready_.erase(id);
     if (const auto tag = tags_.find(id); tag != tags_.end()) {
       tagged_.erase(tag->second);
       tags_.erase(tag);
@@ -203,6 +212,24 @@
   }
 }
 
+void Engine::tell(Suspended& e) {
+  if (e.on)
+    banned_.insert(e.name);
+  else
+    banned_.erase(e.name);
+  const auto it = ids_.find(e.name);
+  if (it == ids_.end()) return;
+  balancer_->suspend(now_, it->second, e.on);
+  actions_.emplace_back([this, id = it->second, ready = !e.on && ready_.count(it->second) > 0] {
+    members_->listed(id, Address(), ready);
+  });
+}
+
+void Engine::tell(Settled& e) {
+  e.settings.zero = zero_;
+  balancer_->settle(now_, e.settings);
+}
+
 void Engine::tell(Probed& e) {
   knotstack::Probe p;
   p.member = e.member;
@@ -250,14 +277,22 @@
     m.state = i.state;
     m.weight = i.weight;
     m.started = std::chrono::milliseconds(i.startedMs);
+    m.suspended = banned_.count(i.name) > 0;
     entries.push_back(m);
-    members_->listed(m.id, i.address, i.state == Lifecycle::Ready);
+    if (i.state == Lifecycle::Ready)
+      ready_.insert(m.id);
+    else
+      ready_.erase(m.id);
+    if (everListed_.size() < kMostNames) everListed_.insert(i.name);
+    members_->listed(m.id, i.address, i.state == Lifecycle::Ready && !m.suspended);
   }
   if (kind != ListKind::Delta)
     for (const auto& [name, id] : ids_) {
       const MemberId key = id;
-      if (std::none_of(entries.begin(), entries.end(), [&](const auto& m) { return m.id == key; }))
+      if (std::none_of(entries.begin(), entries.end(), [&](const auto& m) { return m.id == key; })) {
+        ready_.erase(id);
         members_->listed(id, Address(), false);
+      }
     }
   balancer_->list(now_, kind, entries);
 }
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -7,6 +7,7 @@
 #include <queue>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -132,6 +133,11 @@
   void listFailed(const std::string& why) override;
 
   std::uint64_t generation() const override { return generation_; }  // of the list as it is known
+  // Staff take a data server out of use, or back, in this pass of the loop. False: the list has never named
+  // it.
+  bool suspend(const std::string& name, bool on);
+  void ban(const std::string& name);        // before the start: from an earlier process of this proxy
+  void settle(const knotstack::Settings&);  // new settings, for what comes from here on
   bool pending() const { return !events_.empty(); }
   void turn();
   void sweep(Time now);  // forgets what is gone and quiet; the turn does it now and then
@@ -167,7 +173,14 @@
   struct Heard {
     std::vector<peers::Hint> hints;
   };
-  using Incoming = std::variant<Arrived, Left, Connected, Ended, Probed, Listed, Heard>;
+  struct Suspended {
+    std::string name;
+    bool on;
+  };
+  struct Settled {
+    knotstack::Settings settings;
+  };
+  using Incoming = std::variant<Arrived, Left, Connected, Ended, Probed, Listed, Heard, Suspended, Settled>;
   struct Held {
     Requester* asker;
     std::shared_ptr<const Message> message;
@@ -191,6 +204,8 @@
   void tell(Probed&);
   void tell(Listed&);
   void tell(Heard&);
+  void tell(Suspended&);
+  void tell(Settled&);
   void tellOn(const Ended&);
   void tellOn(const Probed&);
   void tellList(knotstack::ListKind, const InstanceList&);
@@ -219,6 +234,9 @@
   std::vector<std::function<void()>> actions_;  // recorded in the order in which they take effect
   std::unordered_map<RequestId, Held> held_;
   std::unordered_map<std::string, MemberId> ids_;
+  std::unordered_set<std::string> everListed_;  // bounded; what is suspended is in banned_ as well
+  std::unordered_set<std::string> banned_;
+  std::unordered_set<MemberId> ready_;                  // by the list
   std::unordered_map<std::uint64_t, MemberId> tagged_;  // 0: two members share the tag, so it names neither
   std::unordered_map<MemberId, std::uint64_t> tags_;
   std::uint64_t generation_ = 0;
--- a/src/front/pg/clients.cpp
+++ b/src/front/pg/clients.cpp
@@ -39,8 +39,8 @@
   taker.room = [this] { return room(); };
   taker.shortage = [this] { shortage(); };
   taker.refuse = [this](evutil_socket_t fd) { turnAway(fd, kShortOf); };
-  acceptor_ =
-      std::make_unique<Acceptor>(base, engine.clock(), config.listen, account, spare, std::move(taker));
+  acceptor_ = std::make_unique<Acceptor>(base, engine.clock(), config.listen, account, spare,
+                                         std::move(taker), !config.control.none());
   round_.reset(event_new(
       base, -1, EV_PERSIST, [](evutil_socket_t, short, void* self) { static_cast<Clients*>(self)->round(); },
       this));
@@ -168,12 +168,14 @@
   if (draining_) return;
   draining_ = true;
   done_ = std::move(done);
+  if (!config_.control.none()) acceptor_->yield();
   startTimer(lastCall_.get(), kLastCall);
 }
 
 // At the last call, and once more when what was taken should be finished.
 void Clients::stopListening() {
   if (!acceptor_) return done_();
+  acceptor_->takeRest();
   acceptor_.reset();
   std::vector<Session*> all;
   for (const auto& [s, owned] : sessions_) all.push_back(s);
--- a/src/front/pg/clients.hpp
+++ b/src/front/pg/clients.hpp
@@ -26,6 +26,7 @@
   // Serves on while new connections still come, then closes connections between requests and finishes what is
   // taken. `done` follows when no connection is left.
   void drain(std::function<void()> done);
+  bool draining() const { return draining_; }
   int port() const;
   void shortage();                                 // there is no descriptor: an idle client makes way
   void users(std::shared_ptr<const auth::Users>);  // of logins from now on
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -31,6 +31,8 @@
 struct Member {
   ListedMember listed;
   bool seenDraining = false;
+  bool suspended = false;  // by staff, whatever the list says
+  Time suspendedAt = never;
   Time goneAt = never;  // when the list first lacked it
   Role role = Role::Unknown;
   Time roleAt = never;    // when the newest evidence of its role was true
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -558,6 +558,74 @@
   EXPECT_EQ(t.lastTo(t.ask(kWrite)), 3u);
 }
 
+// ---- suspension, new settings
+// ------------------------------------------------------------------------------
+TEST(Suspension, NothingGoesThereFromTheEventOnWhateverTheListSays) {
+  Bench t;
+  t.teachPrimary(1);
+  t.b.suspend(t.now, 1, true);
+  t.b.suspend(t.now, 1, true);
+  t.b.list(t.now, ListKind::Full,
+           {Bench::entry(1, Lifecycle::Ready, t.now), Bench::entry(2), Bench::entry(3)});
+  const std::size_t probes = t.out.of("probe").size();
+  for (int k = 0; k < 20; ++k) {
+    const RequestId id = t.ask(k % 2 ? kWrite : kAny);
+    EXPECT_NE(t.lastTo(id), 1u);
+    t.run(30);
+  }
+  for (std::size_t k = probes; k < t.out.of("probe").size(); ++k) EXPECT_NE(t.out.of("probe")[k].member, 1u);
+}
+TEST(Suspension, ASendThatWaitsForItsConnectionIsNoLongerFit) {
+  Bench t;
+  t.report(1, 0);
+  const RequestId id = t.ask(kBounded);
+  ASSERT_EQ(t.lastTo(id), 1u);
+  t.b.suspend(t.now, 1, true);
+  EXPECT_FALSE(t.b.fit(t.now, id, 1));
+}
+TEST(Suspension, OneThatComesBackIsUsedAgainAsOneThatHasJustStarted) {
+  int back = 0, all = 0;
+  for (std::uint64_t seed = 1; seed <= 200; ++seed, ++all) {
+    Bench t(settings(), 3, seed);
+    t.next = 1000 * seed;
+    t.b.suspend(t.now, 1, true);
+    t.pass(4000);
+    t.b.suspend(t.now, 1, false);
+    back += t.lastTo(t.ask(kAny)) == 1;
+  }
+  EXPECT_GT(back, 0);
+  EXPECT_LE(back, 2 * all / 3 / 5 + 12) << "its least share times what it withstands";
+}
+TEST(Suspension, OneThatTheListNamesWhileItIsSuspendedStaysSo) {
+  Bench t;
+  ListedMember m = Bench::entry(9, Lifecycle::Ready, t.now - seconds(30));
+  m.suspended = true;
+  t.b.list(t.now, ListKind::Delta, {m});
+  for (int k = 0; k < 20; ++k) EXPECT_NE(t.lastTo(t.ask(kAny)), 9u);
+}
+TEST(NewSettings, HoldForWhatComesAndRequestsUnderWayKeepTheirClass) {
+  Bench t;
+  const RequestId old = t.ask(kAny);
+  Settings s = settings();
+  s.attemptsCap = 1;
+  s.classes.push_back(s.classes[kAny]);
+  s.classes.back().aim = milliseconds(100);
+  t.b.settle(t.now, s);
+  Request q;
+  q.id = 5000;
+  q.cls = static_cast<int>(s.classes.size()) - 1;
+  q.group = 7;
+  q.deadline = t.now + milliseconds(500);
+  t.b.request(t.now, q);
+  ASSERT_EQ(t.sends(5000).size(), 1u);
+  EXPECT_EQ(t.sends(5000).back().time, t.now + milliseconds(100));
+  t.end(5000, Result::Error, 2);
+  EXPECT_EQ(t.sends(5000).size(), 1u) << "one attempt is allowed now";
+  t.pass(20);
+  t.end(old, Result::Ok, 2);
+  EXPECT_FALSE(t.finalAnswer(old));
+}
+
 // ---- drains, cold starts, discovery ----------------------------------------------------------------------
 TEST(Drain, NothingGoesToAMemberFromTheEventThatTellsOfIt) {
   Bench t;
--- /dev/null
+++ b/tests/control_test.cpp
@@ -0,0 +1,259 @@
+// What staff say to a running proxy: the line, the file of bans, new settings, and the whole program.
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+#include "config/config.hpp"
+#include "control/bans.hpp"
+#include "control/line.hpp"
+#include "scenario.hpp"
+
+namespace sablespur {
+namespace {
+
+using control::Bans;
+using control::Reader;
+using control::Verb;
+
+TEST(ControlLine, KnowsItsCallsAndNoOthers) {
+  std::string why;
+  const auto status = control::parse("STATUS", why);
+  ASSERT_TRUE(status);
+  EXPECT_EQ(status->verb, Verb::Status);
+  const auto suspend = control::parse("  suspend \t s-5be2a07c ", why);
+  ASSERT_TRUE(suspend);
+  EXPECT_EQ(suspend->verb, Verb::Suspend);
+  EXPECT_EQ(suspend->id, "s-5be2a07c");
+  ASSERT_TRUE(control::parse("RESTORE s-1", why));
+  for (const std::string bad :
+       {"", " ", "STATUS now", "SUSPEND", "RESTORE", "SUSPEND a b", "REMOVE s-1", "SUSPEND \x01"}) {
+    why.clear();
+    EXPECT_FALSE(control::parse(bad, why)) << bad;
+    EXPECT_FALSE(why.empty()) << bad;
+  }
+  EXPECT_FALSE(control::parse("SUSPEND " + std::string(control::kLongestId + 1, 'x'), why));
+}
+TEST(ControlLine, IsReadInPiecesOfAnySizeAndBounded) {
+  const std::string call = "SUSPEND s-1\r\nSTATUS\n";
+  for (std::size_t n = 1; n <= call.size(); ++n) {
+    Reader r;
+    Reader::State s = Reader::State::More;
+    for (std::size_t at = 0; at < call.size(); at += n) s = r.feed(std::string_view(call).substr(at, n));
+    EXPECT_EQ(s, Reader::State::Line);
+    EXPECT_EQ(r.line(), "SUSPEND s-1") << n;
+  }
+  Reader half;
+  EXPECT_EQ(half.feed("STATU"), Reader::State::More);
+  Reader endless;
+  Reader::State s = Reader::State::More;
+  for (int k = 0; k < 1000 && s == Reader::State::More; ++k) s = endless.feed(std::string(10, 'x'));
+  EXPECT_EQ(s, Reader::State::TooLong);
+  EXPECT_LE(endless.line().size(), 2 * control::kLongestLine);
+}
+TEST(ControlLine, AnAnswerIsOneLineWhateverItQuotes) {
+  EXPECT_EQ(control::success("s-1 suspended"), "SUCCESS s-1 suspended\n");
+  EXPECT_EQ(control::failure("a\nb"), "FAILURE a?b\n");
+}
+
+struct BansTest : testing::Test {
+  BansTest() {
+    char name[] = "/tmp/sablespur-bans-XXXXXX";
+    folder = mkdtemp(name);
+    path = folder + "/bans";
+  }
+  ~BansTest() override { std::filesystem::remove_all(folder); }
+  std::string folder, path;
+};
+TEST_F(BansTest, AFileThatWasCutAnywhereOrIsAnotherIsNone) {
+  const std::string good = control::writeBans({"s-1", "s-2"});
+  ASSERT_TRUE(control::readBans(good));
+  EXPECT_EQ(*control::readBans(good), (std::set<std::string>{"s-1", "s-2"}));
+  for (std::size_t n = 0; n < good.size(); ++n) EXPECT_FALSE(control::readBans(good.substr(0, n))) << n;
+  EXPECT_FALSE(control::readBans(good + "more\n"));
+  EXPECT_TRUE(control::readBans(control::writeBans({})));
+  std::ofstream(path) << good.substr(0, good.size() / 2);
+  EXPECT_TRUE(Bans(path).all().empty());
+}
+TEST_F(BansTest, OutliveTheProcessAndReachTheOneBeside) {
+  Bans first(path), second(path);
+  EXPECT_TRUE(first.set("s-1", true));
+  EXPECT_TRUE(first.set("s-1", true)) << "again is as once";
+  EXPECT_TRUE(second.poll());
+  EXPECT_EQ(second.all().count("s-1"), 1u);
+  EXPECT_FALSE(second.poll()) << "nothing new";
+  EXPECT_TRUE(second.set("s-2", true));
+  EXPECT_TRUE(first.set("s-1", false));
+  EXPECT_EQ(Bans(path).all(), std::set<std::string>{"s-2"}) << "each keeps what the other was told";
+  EXPECT_EQ(std::distance(std::filesystem::directory_iterator(folder), std::filesystem::directory_iterator()),
+            1);
+}
+TEST_F(BansTest, HoldInThisProcessWhereTheyCannotBeWritten) {
+  Bans b(folder + "/no/such/folder");
+  EXPECT_FALSE(b.set("s-1", true));
+  EXPECT_EQ(b.all().count("s-1"), 1u);
+}
+
+TEST(Adopt, ARequestUnderWayKeepsItsClassAndNewOnesComeBehind) {
+  Config running = parseConfig(test::configuration({}, 1, {11, 12}));
+  const Config start = running;
+  const std::size_t n = start.classes.size();
+  ASSERT_EQ(start.classes[0], "read");
+  Config read = start;
+  read.settings.attemptsCap = 1;
+  read.settings.classes[0].effect = knotstack::Effect::Unsafe;  // stricter
+  read.classes.push_back("fresh");
+  read.settings.classes.push_back(read.settings.classes[1]);
+  adopt(running, read);
+  ASSERT_EQ(running.classes.size(), running.settings.classes.size());
+  EXPECT_EQ(running.settings.attemptsCap, 1);
+  EXPECT_EQ(running.settings.classes[0].effect, start.settings.classes[0].effect) << "of requests under way";
+  const auto place = [&](const std::string& name) {
+    return static_cast<std::size_t>(std::find(running.classes.begin(), running.classes.end(), name) -
+                                    running.classes.begin());
+  };
+  ASSERT_LT(place("read"), running.classes.size());
+  EXPECT_GE(place("read"), n);
+  EXPECT_EQ(running.settings.classes[place("read")].effect, knotstack::Effect::Unsafe);
+  EXPECT_EQ(place(start.classes[1]), 1u) << "what is as it was stays";
+  EXPECT_LT(place("fresh"), running.classes.size());
+  adopt(running, start);
+  EXPECT_EQ(place("fresh"), running.classes.size()) << "it is gone";
+  EXPECT_LT(place("read"), running.classes.size());
+}
+TEST(Adopt, TooManyReloadsChangeNothing) {
+  Config running = parseConfig(test::configuration({}, 1, {11, 12}));
+  Config read = running;
+  bool thrown = false;
+  for (int k = 1; k < 3000 && !thrown; ++k) {
+    read.settings.classes[0].aim += Time(1);
+    const Config before = running;
+    try {
+      adopt(running, read);
+    } catch (const BadInput&) {
+      thrown = true;
+      EXPECT_EQ(running.classes, before.classes);
+      EXPECT_EQ(running.settings.classes.size(), before.settings.classes.size());
+      EXPECT_EQ(running.settings.classes[0].aim, before.settings.classes[0].aim);
+    }
+  }
+  EXPECT_TRUE(thrown);
+}
+
+// ---- the whole program -----------------------------------------------------------------------------------
+int freePort() {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in in{};
+  in.sin_family = AF_INET;
+  in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t n = sizeof in;
+  EXPECT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&in), n), 0);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&in), &n);
+  close(fd);
+  return ntohs(in.sin_port);
+}
+int dial(int port) {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in in{};
+  in.sin_family = AF_INET;
+  in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  in.sin_port = htons(static_cast<std::uint16_t>(port));
+  EXPECT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&in), sizeof in), 0);
+  return fd;
+}
+std::string call(int port, const std::string& line) {
+  const int fd = dial(port);
+  EXPECT_EQ(write(fd, line.data(), line.size()), static_cast<ssize_t>(line.size()));
+  std::string got;
+  char bytes[512];
+  for (ssize_t n; got.find('\n') == std::string::npos && (n = read(fd, bytes, sizeof bytes)) > 0;)
+    got.append(bytes, static_cast<std::size_t>(n));
+  close(fd);
+  return got;
+}
+struct ControlProgram : BansTest {
+  ControlProgram() {
+    setenv("TMPDIR", folder.c_str(), 1);
+    s.controlPort = freePort();
+  }
+  ~ControlProgram() override { unsetenv("TMPDIR"); }
+  // The scenario's own servers go on while this thread's calls are made.
+  std::string say(test::Scenario& t, const std::string& line) {
+    std::string got;
+    std::atomic<bool> done{false};
+    std::thread staff([&] {
+      got = call(s.controlPort, line);
+      done = true;
+    });
+    t.serveUntil([&] { return done.load(); });
+    staff.join();
+    return got;
+  }
+  test::Setting s;
+};
+TEST_F(ControlProgram, AnswersAndKeepsToABanWhateverTheListSays) {
+  test::Scenario t(s);
+  EXPECT_EQ(say(t, "STATUS\n").substr(0, 7), "SUCCESS");
+  EXPECT_EQ(say(t, "SUSPEND s-nobody\n").substr(0, 7), "FAILURE");
+  EXPECT_EQ(say(t, "RESTORE s-nobody\n").substr(0, 7), "FAILURE");
+  EXPECT_EQ(say(t, "\n").substr(0, 7), "FAILURE");
+  EXPECT_EQ(say(t, std::string(5000, 'x') + "\n").substr(0, 7), "FAILURE");
+  t.run("s2 wait idle 2");
+  EXPECT_EQ(say(t, "SUSPEND s-2\n").substr(0, 7), "SUCCESS");
+  EXPECT_EQ(say(t, "SUSPEND s-2\n").substr(0, 7), "SUCCESS");
+  t.run("s2 expect drained");
+  const std::size_t connections = t.connectionsOf(2);
+  t.run("list send line " + t.list(2, "active", 6) + R"(
+    c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    s1 expect query id=1
+    s1 send row v
+    c1 expect row v
+  )");
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));  // upkeep has passed twice
+  EXPECT_EQ(say(t, "STATUS\n"), "SUCCESS serving, 1 suspended\n");
+  EXPECT_EQ(t.connectionsOf(2), connections) << "a connection is something new, too";
+  EXPECT_EQ(say(t, "RESTORE s-2\n").substr(0, 7), "SUCCESS");
+  t.run("s2 wait idle 2");
+  EXPECT_TRUE(Bans(folder + "/sablespur-bans-n0").all().empty());
+}
+TEST_F(ControlProgram, SilentCallersTakeNoOnesTurn) {
+  test::Scenario t(s);
+  std::vector<int> silent;
+  for (int k = 0; k < 30; ++k) {
+    silent.push_back(dial(s.controlPort));
+    if (k % 2) {
+      EXPECT_EQ(write(silent.back(), "STAT", 4), 4);
+    }
+  }
+  EXPECT_EQ(say(t, "STATUS\n").substr(0, 7), "SUCCESS");
+  for (const int fd : silent) close(fd);
+}
+TEST_F(ControlProgram, ABanOutlivesTheProcessAndABrokenFileStartsItAllTheSame) {
+  const std::string file = folder + "/sablespur-bans-n0";
+  std::ofstream(file) << control::writeBans({"s-2"});
+  {
+    test::Scenario t(s);
+    t.run(R"(
+      c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+      s1 expect query id=1
+      s1 send row v
+      c1 expect row v
+    )");
+    EXPECT_EQ(t.connectionsOf(2), 0u);
+    EXPECT_EQ(say(t, "RESTORE s-2\n").substr(0, 7), "SUCCESS");
+    t.run("s2 wait idle 2");
+  }
+  std::ofstream(file) << "sablespur bans 1\ns-2\n";
+  s.controlPort = freePort();
+  test::Scenario t(s);
+  t.run("proxy expect log event=bans_unreadable\ns2 wait idle 2");
+}
+
+}  // namespace
+}  // namespace sablespur
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -80,7 +80,9 @@
   std::ostringstream s;
   s << R"({"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" << discoveryPort
     << R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":)" << setting.memoryMb
-    << R"(,"sockets":)" << setting.sockets << R"(},"known":{"generation":5,"reset":true,"instances":[)";
+    << R"(,"sockets":)" << setting.sockets << "}"
+    << (setting.controlPort ? R"(,"control":"127.0.0.1:)" + std::to_string(setting.controlPort) + "\"" : "")
+    << R"(,"known":{"generation":5,"reset":true,"instances":[)";
   for (std::size_t k = 0; k < ports.size(); ++k)
     s << (k ? "," : "") << R"({"instanceId":"s-)" << k + 1 << R"(","hostPort":"127.0.0.1:)" << ports[k]
       << R"(","zone":"a","machineType":"m","cell":3,"lifecycle":"active","weight":1.0,"startedAtMs":0})";
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -51,6 +51,7 @@
   int servers = 2;
   int balancers = 3;  // proxies of the tier
   std::string idleCloseUs = "15000000";
+  int controlPort = 0;  // where staff call; 0: nowhere
   int sockets = 1024, memoryMb = 192;
   bool dnssd = false;                // found by service records; in our form
   bool ini = false;                  // settings in our form, by `serve --config`
