--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -634,13 +634,8 @@
   // worth. An idle member takes any: the way back stays open.
   bool useful(const Open& r, const Member& m) {
     if (loadOf(m) == 0) return true;
-    const auto onTime = [&](int cls, Time in) {
-      return in > Time(0) ? 1 - missChance(m, m.immediate, cls, in, nullptr, true) : 0;
-    };
-    const ClassSettings& c = classOf(r);
-    const Time end = std::max(r.q.deadline - now, Time(1)), aim = std::min(r.arrived + c.aim - now, end);
-    const double early = onTime(r.q.cls, aim), most = aim > Time(0) ? 1 : c.lateWorth;
-    return early + c.lateWorth * (onTime(r.q.cls, end) - early) >= kUseful * most;
+    const Time left = std::max(endOf(r) - now, Time(1));
+    return 1 - missChance(m, m.immediate, r.q.cls, left, nullptr, true) >= kUseful;
   }
   void finish(Open& r) {
     const ClassSettings& c = classOf(r);
