Tests that saw nothing: the second connection, the doubled share, the yielding listener

Each named test of the fleet's and the control work was run with its code taken out (27 places). Three went unnoticed. - Two connections kept in a large fleet: the test slept without greeting, so that the second dial was given up before it looked. Scenario::serveFor greets meanwhile; the control test that slept likewise uses it. - A cold member that answers well is open to twice as much: no test; Cold.OneThatAnswersWellIsOpenToTwiceAsMuch. - New connections led to the later listener, and the rest taken: no test; ShortageTest.AListenerThatYieldsLosesNoConnection.

--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -670,6 +670,22 @@
   EXPECT_GT(cold, 2 * all / 3 / 5 / 3);
   EXPECT_LE(cold, 2 * all / 3 / 5);
 }
+TEST(Cold, OneThatAnswersWellIsOpenToTwiceAsMuch) {
+  int sent[2] = {0, 0};
+  for (const bool well : {false, true})
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+      Bench t(settings(), 1, seed);
+      t.next = 1000 * seed;
+      const RequestId warm = t.ask(kAny);
+      t.pass(100);
+      t.end(warm, Result::Ok, 2);
+      t.b.list(t.now, ListKind::Delta, {Bench::entry(1, Lifecycle::Ready, t.now)});
+      for (int k = 0; k < 3; ++k) t.b.heard(t.now, 1, t.note(5, 2), kAny, milliseconds(well ? 40 : 400));
+      sent[well] += !t.sends(t.ask(kAny)).empty();
+    }
+  EXPECT_GT(sent[1], 3 * sent[0] / 2);
+  EXPECT_LE(sent[1], 5 * sent[0] / 2);
+}
 TEST(Cold, TheShareIsOfTheWholeGroupThoughTheOthersAreGone) {
   Bench t;
   t.b.list(t.now, ListKind::Full, {Bench::entry(1, Lifecycle::Ready, t.now)});
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -216,7 +216,7 @@
   t.run("s2 expect drained");
   const std::size_t connections = t.connectionsOf(2);
   t.run("list send line " + t.list(2, "active", 6) + kServedByFirst);
-  std::this_thread::sleep_for(std::chrono::milliseconds(600));  // upkeep has passed twice
+  t.serveFor(std::chrono::milliseconds(600));  // upkeep has passed twice
   EXPECT_EQ(say(t, "STATUS\n"), "SUCCESS serving, 1 suspended\n");
   EXPECT_EQ(t.connectionsOf(2), connections) << "a connection is something new, too";
   EXPECT_EQ(say(t, "RESTORE s-2\n").substr(0, 7), "SUCCESS");
--- a/tests/door_test.cpp
+++ b/tests/door_test.cpp
@@ -536,6 +536,42 @@
   }
   EXPECT_EQ(account.shortages(Shortage::Memory), 6u);
 }
+// An upgrade: from the yielding on all that come go to the listener that came later, and what waits is taken.
+TEST_F(ShortageTest, AListenerThatYieldsLosesNoConnection) {
+  int first = 0, second = 0;
+  const auto taker = [](int& count) {
+    Acceptor::Taker t;
+    t.taken = [&count](evutil_socket_t fd, const sockaddr*) { ++count, close(fd); };
+    t.room = [] { return true; };
+    t.shortage = [] {};
+    t.refuse = [](evutil_socket_t) {};
+    return t;
+  };
+  const Clock clock;
+  auto old = std::make_unique<Acceptor>(base.get(), clock, *Address::parse("127.0.0.1:0"), account, spare,
+                                        taker(first), true);
+  const Address at = *Address::parse("127.0.0.1:" + std::to_string(old->port()));
+  const Acceptor young(base.get(), clock, at, account, spare, taker(second), true);
+  const auto come = [&](int n) {
+    for (int k = 0; k < n; ++k) {
+      const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      EXPECT_EQ(connect(fd, at.data(), at.size()), 0);
+      close(fd);
+    }
+  };
+  come(64);  // some wait at each: the loop has not run
+  old->yield();
+  old->takeRest();
+  const int before = first;
+  EXPECT_GT(before, 0);
+  come(64);
+  old->takeRest();
+  EXPECT_EQ(first, before) << "they were led to the other";
+  old.reset();
+  spin([&] { return first + second == 128; });
+  come(8);  // the one that is left takes all
+  spin([&] { return first + second == 136; });
+}
 // The proxy's own want is not held against the data server.
 TEST_F(ShortageTest, OfSocketsForADialIsNoFaultOfTheMember) {
   struct Seen : Lists {
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -197,7 +197,7 @@
   large.balancers = 100;
   Scenario t(large);
   t.run("s2 wait idle 1");
-  std::this_thread::sleep_for(std::chrono::milliseconds(600));  // upkeep has passed twice
+  t.serveFor(std::chrono::milliseconds(600));  // upkeep has passed twice
   t.run(R"(
     c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
     s2 expect query id=1
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -32,6 +32,7 @@
 #include <event2/event.h>
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <functional>
 #include <list>
 #include <map>
@@ -83,6 +84,10 @@
   // Serves on until `done`: data servers told to by "s2 serves TEXT" answer each query with that text. For
   // clients that run beside, as threads or processes.
   void serveUntil(const std::function<bool()>& done);
+  void serveFor(std::chrono::milliseconds t) {  // greets what comes: a dial that is not greeted is given up
+    const auto end = std::chrono::steady_clock::now() + t;
+    serveUntil([end] { return std::chrono::steady_clock::now() >= end; });
+  }
   int port() const { return port_; }
   int pid() const { return pid_; }
   // Replaces the sections of Setting::more and sends SIGHUP.
