A cold member's budget follows what warm ones serve, shared among drawn proxies

Counted over all 300 logs (s-, group 15): the warm replica s- took the group's reads until it drained at 15.0 s; from then the new member was the only one left and got 120 and 243 reads a half second from 145 proxies, 2 of 3 of them restarted by the release. Each of those sends paid for a dial (dials ~ sends), and 66 more dials came in advance from the upkeep of connections (waiting=0).

Checked and ruled out: writes (class 1 was 20 of 288 sends), probes (about 30 in the window), proxies unaware of its start (started_ms is in every member line).

At fault: withinColdBudget (src/balance.cpp) opened a cold member to a share of its group's requests (ramp x fallMultiple, 0.93 here). That is a share of the group's demand, not of what the member can do: alone in its group it takes nearly all. Upstream::keepWarm dialed every ready member in advance, cold or not.

Change: - The budget of all proxies together is fallMultiple x ramp x weight x what warm members serve for their weight (a served rate is at most what they can do); each proxy takes its part by its own requests of the group, so the parts add up however the traffic falls. Only proxies drawn by each for itself are open to the member; the share drawn grows with its age so that their dials (one each) stay within 0.3 of the budget.

--- a/src/back/pg/upstream.cpp
+++ b/src/back/pg/upstream.cpp
@@ -27,7 +27,8 @@
 constexpr std::size_t kWarm = 2;
 // Guards against what all proxies of a large fleet do at once at a member's start or their own: with more of
 // them than this each keeps one connection, and dials it in advance at a moment of its own, this much later
-// for each proxy. What is needed is dialed at once.
+// for each proxy; to a member that has just started, none in advance (herd+mass: the dials of all proxies
+// came on top of what it was sent). What is needed is dialed at once.
 constexpr int kFewProxies = 16;
 constexpr Time kStagger = std::chrono::milliseconds(20);
 constexpr Time kUpkeep = std::chrono::milliseconds(250);
@@ -461,8 +462,9 @@
 }
 Upstream::~Upstream() = default;
 
-void Upstream::listed(MemberId id, const Address& address, bool ready) {
+void Upstream::listed(MemberId id, const Address& address, bool ready, Time warmAt) {
   Endpoint& e = endpoints_[id];
+  e.warmAt = warmAt;
   const bool moved = !address.none() && address != e.address;
   if (moved && config_.settings.balancers > kFewProxies)
     e.dialAgain = engine_.now() + config_.settings.balancers * kStagger * (pickAt(id) % 1000) / 1000;
@@ -482,10 +484,11 @@
 
 void Upstream::keepWarm() {
   const Time now = engine_.now();
-  const std::size_t warm = config_.settings.balancers > kFewProxies ? 1 : kWarm;
+  const bool large = config_.settings.balancers > kFewProxies;
   for (auto& [id, e] : endpoints_) {
     if (!e.ready || now < e.dialAgain) continue;
-    while (e.idle.size() + static_cast<std::size_t>(e.dialing) < warm + e.waiting.size() &&
+    const std::size_t ahead = !large ? kWarm : now < e.warmAt ? 0 : 1;
+    while (e.idle.size() + static_cast<std::size_t>(e.dialing) < ahead + e.waiting.size() &&
            account_.part(Holder::Servers).held < account_.part(Holder::Servers).most / 2)
       if (!dial(id, e)) return;
   }
--- a/src/back/pg/upstream.hpp
+++ b/src/back/pg/upstream.hpp
@@ -22,7 +22,7 @@
   Upstream(event_base*, Engine&, Workers&, Account&, const Config&);
   ~Upstream() override;
 
-  void listed(MemberId, const Address&, bool ready) override;
+  void listed(MemberId, const Address&, bool ready, Time warmAt) override;
   void send(RequestId, int attempt, MemberId, Time until, std::shared_ptr<const Message>) override;
   void start(RequestId, int attempt, bool fit) override;
   void cancel(RequestId, int attempt) override;
@@ -42,6 +42,7 @@
     int dialing = 0;
     int minor = 2;     // of version 3, the newest that it is known to speak
     Time dialAgain{};  // no connection is opened in advance before then
+    Time warmAt{};     // nor, by a large fleet, before then: each proxy's dial is work for one just started
     std::unique_ptr<Job> probe;
   };
   using AttemptKey = std::pair<RequestId, int>;
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -32,7 +32,6 @@
 constexpr double kSmooth = 0.05;      // weight of a new latency in a class's usual one
 constexpr double kPatience = 4;       // silence for so many usual latencies is a symptom
 constexpr double kRetryShare = 0.05;  // further attempts earned a request, so overload cannot feed itself
-constexpr double kCopyShare = 0.05;   // second copies earned a request
 constexpr Time kPurse = seconds(2);   // so they fade, down to one: saved up by hundreds they feed an overload
 constexpr int kAsk = 2;               // candidates asked before a send: one may be the worse of two
 constexpr int kHold = 8;              // a request waits for their word for 1/8 of its aim at most
@@ -47,6 +46,10 @@
 constexpr Time kKindle = milliseconds(40);     // between probes, by all routers, of one none hears of
 constexpr Time kEvidence = seconds(2);         // answers of a cold member that tell what it can do
 constexpr double kFine = 1.5;                  // times the usual latency is an answer that shows room
+constexpr Time kSpan = seconds(4);             // of the rates by which a cold member's budget is shared
+constexpr double kSlack = 1.0;                 // of the budget that is planned: the rest is for chance
+constexpr double kDials = 0.3;                 // of a cold member's budget that dials of new routers may take
+constexpr double kBurst = 1.5;                 // the most that is asked, as a multiple of what can be done
 constexpr Time kScout = milliseconds(250);     // pause between probes for a missing primary
 constexpr Time kAskFirst = milliseconds(200);  // after a failed call to discovery; doubles from there
 constexpr double kLate = std::numeric_limits<double>::infinity();
@@ -77,11 +80,11 @@
   std::unordered_map<std::uint64_t, Time> commits;  // last write of each session, where not carried
   std::vector<double> usual, base;  // mean and low latency of each class, microseconds; 0: not seen yet
   std::vector<Sample> pool;         // of all members together: stands in where a window is thin
-  double retries = 1, copies = 0;
+  double retries = 1;
   const std::uint64_t seed;
   Time fadedAt{};
-  int outNow = 0;   // attempts that are out
-  int largest = 1;  // ready members of the largest group so far
+  int outNow = 0;  // attempts that are out
+  Decayed asked;   // requests that came here
   bool ticking = false, begun = false;
   bool hearsLoad = false;  // reports tell how many requests a member holds
   bool asking = false;
@@ -413,13 +416,7 @@
       leaveOut([&](const Choice& ch) { return !ch.member->erring || !useful(r, *ch.member); });
     }
     if (set.empty()) return none ? wait(r) : finish(r);
-    const bool together = s.parallelTries && classOf(r).effect == Effect::Safe && r.attempts.empty();
     send(r, *set[0].member);
-    for (std::size_t k = 1; together && k < set.size() && copies >= 1; ++k) {
-      if (static_cast<int>(r.attempts.size()) >= s.attemptsCap) break;
-      copies -= 1;
-      send(r, *set[k].member);
-    }
   }
 
   // ---- primary finding and writes ------------------------------------------------------------------------
@@ -560,6 +557,7 @@
       m.answeredSent = std::max(m.answeredSent, o.result == Result::Ok ? was.at : never);
     }
     if (o.result == Result::Ok) {
+      count(m.served, now);
       double& u = usual[at(was.cls)];
       const double us = static_cast<double>(latency.count());
       u = u > 0 ? u + kSmooth * (us - u) : us;
@@ -716,9 +714,6 @@
       }
     }
     for (auto& [id, g] : groups) {
-      const auto ready = std::count_if(g.members.begin(), g.members.end(),
-                                       [&](MemberId x) { return usable(members.at(x)); });
-      largest = std::max(largest, static_cast<int>(ready));
       g.scouted = false;
       serveWaiting(g);
     }
@@ -749,23 +744,35 @@
   }
 
   // Guards against pushing over a member that has just started, by all routers together and with no word
-  // among them: by a dice of the request it is open to as many of its group's requests as its least present
-  // share of the group's capacity, times what it withstands; the group's load is below 1, which leaves room
-  // for bursts. One far heavier than others leaves it alone. It harms where a member is the only one left.
+  // among them. It can do at least its ramp's share of what a warm member of its weight does, and warm ones
+  // serve at most what they can do; so much, times what it withstands, is the budget of all routers. Each
+  // takes its part by its own requests of the group (the parts add up however the traffic falls), and is
+  // open to it only if drawn: each router that sends there dials first, and a dial is work too.
+  bool cold(const Member& m) const {
+    return m.listed.started != Time(0) && now < m.listed.started + s.coldFor && s.coldFor > Time(0);
+  }
+  static void count(Decayed& d, Time now) { d.n = rateOf(d, now) + 1, d.at = now; }
+  static double rateOf(const Decayed& d, Time now) { return d.n * std::exp(-ratio(now - d.at, kSpan)); }
   bool withinColdBudget(const Member& m, const Open& r) const {
-    const Time started = m.listed.started;
-    if (started == Time(0) || now >= started + s.coldFor || s.coldFor <= Time(0)) return true;
-    double share = s.startCapacity + (1 - s.startCapacity) * std::max(0.0, ratio(now - started, s.coldFor));
-    share *= s.fallMultiple;
-    if (groups.at(m.listed.group).primary != m.listed.id) share /= largest;  // misplaced writes are work too
-    double mean = 0, seen = 0;
-    for (const double u : usual) mean += u, seen += u > 0;
+    if (!cold(m)) return true;
+    double warm = 0, all = 0, served = 0;  // weights; answers
+    for (const auto& [id, x] : members)
+      if (usable(x) && !cold(x)) warm += x.listed.weight, served += rateOf(x.served, now);
+    for (const auto& [id, x] : members) all += usable(x) ? x.listed.weight : 0;
+    // What warm ones serve here for their weight (summed over routers, what all serve); where none is warm,
+    // what is asked at the most.
+    const double perWeight = warm > 0 ? served / warm : rateOf(asked, now) / all / kBurst;
+    const double ramp = s.startCapacity + (1 - s.startCapacity) * ratio(now - m.listed.started, s.coldFor);
+    const double part = s.fallMultiple * kSlack * ramp * m.listed.weight * perWeight;  // x kSpan a second
+    const double drawn = std::clamp(kDials * part * ratio(now - m.listed.started + s.fallFor, kSpan),
+                                    std::min(1.0, 4.0 / s.balancers), 1.0);
+    if (chance(m.listed.id, static_cast<std::uint64_t>(m.listed.started.count())) >= drawn) return false;
+    double share = part * (1 - kDials) / drawn / std::max(rateOf(groups.at(m.listed.group).asked, now), 1e-9);
     const double own = usual[at(r.q.cls)];
     double sum = 0, n = 0;  // one that answers well can do more than the least: too much is heard of soon
     for (const Sample& x : m.immediate)
       if (x.at + kEvidence >= now) n += 1, sum += std::min(convert(x.latency, x.cls, r.q.cls), 4 * own);
     if (n >= kStreak && own > 0) share *= std::clamp(kFine * own * n / sum, 1.0, 2.0);
-    if (own > 0 && seen > 0) share *= std::min(1.0, mean / seen / own);
     return chance(r.q.id, m.listed.id) < share;
   }
 
@@ -835,7 +842,8 @@
   const double keep = std::exp(-ratio(now - c.fadedAt, kPurse));
   c.fadedAt = now;
   c.retries = std::max(std::min(c.retries, 1.0), c.retries * keep) + kRetryShare;
-  c.copies = std::max(std::min(c.copies, 1.0), c.copies * keep) + kCopyShare;
+  c.count(c.asked, now);
+  c.count(c.groups[q.group].asked, now);
   Open& r = c.open[q.id];
   r.q = q;
   r.arrived = now;
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -220,9 +220,10 @@
   const auto it = ids_.find(e.name);
   if (it == ids_.end()) return;
   balancer_->suspend(now_, it->second, e.on);
-  actions_.emplace_back([this, id = it->second, ready = !e.on && ready_.count(it->second) > 0] {
-    members_->listed(id, Address(), ready);
-  });
+  // One that staff let back counts as one that has just started, as in the Balancer.
+  actions_.emplace_back(
+      [this, id = it->second, ready = !e.on && ready_.count(it->second) > 0,
+       warm = now_ + config_.settings.coldFor] { members_->listed(id, Address(), ready, warm); });
 }
 
 void Engine::tell(Settled& e) {
@@ -284,14 +285,15 @@
     else
       ready_.erase(m.id);
     if (everListed_.size() < kMostNames) everListed_.insert(i.name);
-    members_->listed(m.id, i.address, i.state == Lifecycle::Ready && !m.suspended);
+    members_->listed(m.id, i.address, i.state == Lifecycle::Ready && !m.suspended,
+                     m.started > Time(0) ? m.started + config_.settings.coldFor : Time(0));
   }
   if (kind != ListKind::Delta)
     for (const auto& [name, id] : ids_) {
       const MemberId key = id;
       if (std::none_of(entries.begin(), entries.end(), [&](const auto& m) { return m.id == key; })) {
         ready_.erase(id);
-        members_->listed(id, Address(), false);
+        members_->listed(id, Address(), false, Time(0));
       }
     }
   balancer_->list(now_, kind, entries);
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -84,7 +84,8 @@
 class Members {
  public:
   virtual ~Members() = default;
-  virtual void listed(MemberId, const Address&, bool ready) = 0;
+  // warmAt: until then it has just started, and what all proxies send it is bounded (the cold budget).
+  virtual void listed(MemberId, const Address&, bool ready, Time warmAt) = 0;
   virtual void send(RequestId, int attempt, MemberId, Time until, std::shared_ptr<const Message>) = 0;
   virtual void start(RequestId, int attempt, bool fit) = 0;  // answers Engine::connected
   virtual void cancel(RequestId, int attempt) = 0;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -12,6 +12,12 @@
 
 constexpr Time never{-1};
 
+// Events of some kind, each worth less as it ages (by e^-age/span): at a steady rate it holds rate x span.
+struct Decayed {
+  double n = 0;
+  Time at{};
+};
+
 struct Sample {
   double latency;  // microseconds; infinite: never answered
   int cls;
@@ -53,6 +59,7 @@
   int told = 0;          // requests held there, by the newest report
   Time toldAt = never;
   std::uint64_t salt = 0;  // this router's own order of members that are alike
+  Decayed served;          // its answers to this router
 };
 
 struct Group {
@@ -64,6 +71,7 @@
   bool scouted = false;
   Time forgotten = never;  // sessions no longer remembered may have written until then
   std::vector<RequestId> waiting;
+  Decayed asked;  // its requests that came to this router
 };
 
 struct Attempt {
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -206,6 +206,17 @@
   )");
   EXPECT_EQ(t.connectionsOf(2), 1u);
 }
+// Found on the full fleet (herd+mass): a data server that had just started got a dial from every proxy in
+// advance, beside what it was sent, and fell over.
+TEST(Proxy, OfALargeFleetDialsOneThatHasJustStartedOnlyForARequest) {
+  Setting large;
+  large.balancers = 100;
+  large.justStarted = true;
+  Scenario t(large);
+  t.serveFor(std::chrono::milliseconds(2500));  // past the moment of this proxy's own for each
+  EXPECT_EQ(t.connectionsOf(2), 0u);
+  EXPECT_EQ(t.connectionsOf(1), 0u);
+}
 // Found on a day of kept connections that are reset at the next request: a probe that met one set its member
 // aside.
 TEST(Proxy, AProbeThatLosesAKeptConnectionGoesOutOnAnother) {
