A cold member's budget: no draw, writes first, opened further while its answers show room

A trace with members' weights in the log (kept: `weight` on member lines) and the site's own figures show a handshake is 2 to 7 ms of work beside 45 to 78 of a read: counting a dial as a request, and drawing proxies to save dials, earned nothing. Most of what was refused were writes: all of a group's requests shared one dice, and reads that any replica takes crowded out writes, which have the primary alone.

At fault: withinColdBudget (src/balance.cpp): the draw, one dice for reads and writes, and at most twice the least budget.

Change: no draw; writes take the budget before reads; a cold member whose answers come within 1.5 usual latencies is opened to twice as much each second, 8 times at most, and to half at each request while they do not. 0.8 of the budget is planned.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -1,8 +1,6 @@
-// Every decision of knotstack. Its interface (settings, events, actions) is include/knotstack/balancer.hpp;
-// its records, without decisions, are in state.hpp.
-//
-// Reading order: constants; what is known of members; the need of a read; read-set selection; writes;
-// attempts, time-outs and retries; refusals; the list, drains and cold starts; probes.
+// Every decision of knotstack; its interface is include/knotstack/balancer.hpp, its records state.hpp. In
+// order: constants; members; the need of a read; read sets; writes; attempts and retries; refusals; the list,
+// drains and cold starts; probes.
 #include <algorithm>
 #include <cmath>
 #include <iterator>
@@ -43,14 +41,13 @@
 constexpr Time kForget = seconds(10);     // what is gone and quiet is remembered for so long
 constexpr Time kTick = milliseconds(20);  // housekeeping: waiting requests, silence, probes
 constexpr Time kTrouble = seconds(1);  // how long a miss or a time-out keeps the best member out of the sum
-constexpr Time kKindle = milliseconds(40);     // between probes, by all routers, of one none hears of
-constexpr Time kEvidence = seconds(2);         // answers of a cold member that tell what it can do
-constexpr double kFine = 1.5;                  // times the usual latency is an answer that shows room
-constexpr Time kSpan = seconds(4);             // of the rates by which a cold member's budget is shared
-constexpr double kSlack = 1.0;                 // of the budget that is planned: the rest is for chance
-constexpr double kDials = 0.3;                 // of a cold member's budget that dials of new routers may take
-constexpr double kBurst = 1.5;                 // the most that is asked, as a multiple of what can be done
-constexpr Time kScout = milliseconds(250);     // pause between probes for a missing primary
+constexpr Time kKindle = milliseconds(40);  // between probes, by all routers, of one none hears of
+constexpr Time kEvidence = seconds(2);      // answers of a cold member that tell what it can do
+constexpr double kFine = 1.5;               // times the usual latency is an answer that shows room
+constexpr Time kSpan = seconds(4);          // of the rates by which a cold member's budget is shared
+constexpr double kSlack = 0.8;              // of the budget that is planned: the rest is for chance
+constexpr double kRoom = 8;                 // times its least budget a cold member may take, as it shows room
+constexpr Time kScout = milliseconds(250);  // pause between probes for a missing primary
 constexpr Time kAskFirst = milliseconds(200);  // after a failed call to discovery; doubles from there
 constexpr double kLate = std::numeric_limits<double>::infinity();
 constexpr std::size_t kSessions = 200000;  // remembered writes; older ones are folded into one commit a group
@@ -689,6 +686,7 @@
       if (e.started > m.listed.started) {  // a new process: nothing of what was learned holds on
         m.immediate.clear();
         m.held.clear();
+        m.room = 1, m.roomAt = now;
         m.asideUntil = never;
         m.failures = 0;
         m.backoff = Time(0);
@@ -743,37 +741,41 @@
     if (s.mustAskIn > Time(0)) sink.timer(scaled(s.mustAskIn / 3, jitter()), kTokenAsk | ++askTurn << 8);
   }
 
-  // Guards against pushing over a member that has just started, by all routers together and with no word
-  // among them. It can do at least its ramp's share of what a warm member of its weight does, and warm ones
-  // serve at most what they can do; so much, times what it withstands, is the budget of all routers. Each
-  // takes its part by its own requests of the group (the parts add up however the traffic falls), and is
-  // open to it only if drawn: each router that sends there dials first, and a dial is work too.
+  // Guards against pushing over a member that has just started, by all routers together with no word among
+  // them. It can do its ramp's share of what a warm one of its weight can, warm ones serve at most that, and
+  // each router takes its part of that by its own requests of the group: the parts add up in any case.
   bool cold(const Member& m) const {
     return m.listed.started != Time(0) && now < m.listed.started + s.coldFor && s.coldFor > Time(0);
   }
   static void count(Decayed& d, Time now) { d.n = rateOf(d, now) + 1, d.at = now; }
   static double rateOf(const Decayed& d, Time now) { return d.n * std::exp(-ratio(now - d.at, kSpan)); }
-  bool withinColdBudget(const Member& m, const Open& r) const {
+  bool withinColdBudget(Member& m, const Open& r) {
     if (!cold(m)) return true;
     double warm = 0, all = 0, served = 0;  // weights; answers
     for (const auto& [id, x] : members)
-      if (usable(x) && !cold(x)) warm += x.listed.weight, served += rateOf(x.served, now);
-    for (const auto& [id, x] : members) all += usable(x) ? x.listed.weight : 0;
+      if (usable(x)) all += x.listed.weight, warm += cold(x) ? 0 : x.listed.weight;
+    for (const auto& [id, x] : members) served += usable(x) && !cold(x) ? rateOf(x.served, now) : 0;
     // What warm ones serve here for their weight (summed over routers, what all serve); where none is warm,
-    // what is asked at the most.
-    const double perWeight = warm > 0 ? served / warm : rateOf(asked, now) / all / kBurst;
+    // what is asked, taken for the most that can be asked: half as much again as can be done.
+    const double perWeight = warm > 0 ? served / warm : rateOf(asked, now) / all / 1.5;
     const double ramp = s.startCapacity + (1 - s.startCapacity) * ratio(now - m.listed.started, s.coldFor);
-    const double part = s.fallMultiple * kSlack * ramp * m.listed.weight * perWeight;  // x kSpan a second
-    const double drawn = std::clamp(kDials * part * ratio(now - m.listed.started + s.fallFor, kSpan),
-                                    std::min(1.0, 4.0 / s.balancers), 1.0);
-    if (chance(m.listed.id, static_cast<std::uint64_t>(m.listed.started.count())) >= drawn) return false;
-    double share = part * (1 - kDials) / drawn / std::max(rateOf(groups.at(m.listed.group).asked, now), 1e-9);
-    const double own = usual[at(r.q.cls)];
-    double sum = 0, n = 0;  // one that answers well can do more than the least: too much is heard of soon
+    const double part = s.fallMultiple * kSlack * ramp * m.listed.weight * perWeight * roomOf(m, r.q.cls);
+    const Group& g = groups.at(m.listed.group);  // writes have nowhere else to go: they come first
+    const double writes = rateOf(g.written, now), write = classOf(r).need == Need::Write;
+    const double demand = write ? writes : rateOf(g.asked, now) - writes;
+    return chance(r.q.id, m.listed.id) * demand < part - (write ? 0 : writes);
+  }
+  // Warm ones may serve far less than they can. While its answers come within kFine usual latencies a cold
+  // member is opened to twice as much each second, up to kRoom times, else to half at each call.
+  double roomOf(Member& m, int cls) {
+    const double own = usual[at(cls)], grow = std::exp2(ratio(now - m.roomAt, seconds(1)));
+    double sum = 0, n = 0;
     for (const Sample& x : m.immediate)
-      if (x.at + kEvidence >= now) n += 1, sum += std::min(convert(x.latency, x.cls, r.q.cls), 4 * own);
-    if (n >= kStreak && own > 0) share *= std::clamp(kFine * own * n / sum, 1.0, 2.0);
-    return chance(r.q.id, m.listed.id) < share;
+      if (x.at + kEvidence >= now) n += 1, sum += std::min(convert(x.latency, x.cls, cls), 4 * own);
+    if (n >= kStreak && own > 0)
+      m.room = kFine * own * n >= sum ? std::min(kRoom, m.room * grow) : std::max(1.0, m.room / 2);
+    m.roomAt = now;
+    return m.room;
   }
 
   // ---- probes --------------------------------------------------------------------------------------------
@@ -844,6 +846,7 @@
   c.retries = std::max(std::min(c.retries, 1.0), c.retries * keep) + kRetryShare;
   c.count(c.asked, now);
   c.count(c.groups[q.group].asked, now);
+  if (c.s.classes[at(q.cls)].need == Need::Write) c.count(c.groups[q.group].written, now);
   Open& r = c.open[q.id];
   r.q = q;
   r.arrived = now;
@@ -898,13 +901,11 @@
     if (m->failures > 0) c.sawRole(*m, Role::Unknown, now);
   }
   Group& g = c.groups[m->listed.group];
-  const bool more =
-      c.hearsLoad && std::any_of(g.members.begin(), g.members.end(), [&](MemberId id) {
-        const Member& x = c.members.at(id);
-        return x.probing &&
-               now - x.probedAt <= kDumb;  // a choice by load needs the word of all that were asked
-      });
-  if (!more) c.serveWaiting(g);
+  // A choice by load needs the word of all that were asked.
+  const auto asked = [&](MemberId id) {
+    return c.members.at(id).probing && now - c.members.at(id).probedAt <= kDumb;
+  };
+  if (!c.hearsLoad || std::none_of(g.members.begin(), g.members.end(), asked)) c.serveWaiting(g);
 }
 
 void Balancer::heard(Time now, MemberId id, std::uint32_t note, int cls, Time latency) {
--- a/src/core/member_feed.cpp
+++ b/src/core/member_feed.cpp
@@ -58,6 +58,7 @@
                 {"state", stateName(i.state)},
                 {"address", i.address.text()},
                 {"group", i.group},
+                {"weight", i.weight},
                 {"started_ms", i.startedMs}});
     to_.listed(std::move(*list));
   }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -60,6 +60,8 @@
   Time toldAt = never;
   std::uint64_t salt = 0;  // this router's own order of members that are alike
   Decayed served;          // its answers to this router
+  double room = 1;         // while it is cold: times its least budget that its answers show it can take
+  Time roomAt{};           // since when that holds: its start
 };
 
 struct Group {
@@ -71,7 +73,7 @@
   bool scouted = false;
   Time forgotten = never;  // sessions no longer remembered may have written until then
   std::vector<RequestId> waiting;
-  Decayed asked;  // its requests that came to this router
+  Decayed asked, written;  // its requests that came to this router; those of them that write
 };
 
 struct Attempt {
