--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -17,6 +17,7 @@
 #include "core/workers.hpp"
 #include "front/keeper.hpp"
 #include "front/pg/clients.hpp"
+#include "front/recoverer.hpp"
 #include "log/log.hpp"
 #include "peers/udp/link.hpp"
 #include "wire/pg/codec.hpp"
@@ -24,13 +25,34 @@
 namespace sablespur {
 namespace {
 
-std::unique_ptr<Keeper> openStore(event_base* base, Engine& engine, const Config& c) {
+std::unique_ptr<Keeper> openStore(event_base* base, Engine& engine, Entrance& next, const Config& c) {
 #ifdef SABLESPUR_STORE
   // Guards against a limit on the size of files that ends the process: it is one more failing disk.
   std::signal(SIGXFSZ, SIG_IGN);
-  return openKeeper(base, engine, c, pg::reader());
+  return openKeeper(base, engine, next, c, pg::reader());
 #else
-  (void)base, (void)engine, (void)c;  // the settings' reader turns a store down where there is none
+  (void)base, (void)engine, (void)next,
+      (void)c;  // the settings' reader turns a store down where there is none
+  return nullptr;
+#endif
+}
+std::unique_ptr<Recoverer> openRecovery(event_base* base, Engine& engine, Workers& workers,
+                                        Upstream& upstream, Config& c, PeerLink* link) {
+#ifdef SABLESPUR_STORE
+  PeerPort port;
+  if (link) {
+    port.peers = link->others();
+    port.send = [link](std::size_t to, const std::string& datagram) { link->send(to, datagram); };
+  }
+  auto recoverer = openRecoverer(base, engine, workers, c, port, link);
+  if (!recoverer) return nullptr;
+  if (link)
+    link->onHead([to = recoverer.get()](std::size_t from, std::string_view d) { to->heard(from, d); });
+  upstream.dialTurns(
+      [&engine, of = recoverer.get()](MemberId id) { return of->dialTurn(engine.nameOf(id)); });
+  return recoverer;
+#else
+  (void)base, (void)engine, (void)workers, (void)upstream, (void)c, (void)link;
   return nullptr;
 #endif
 }
@@ -74,11 +96,16 @@
   Upstream upstream(base.get(), engine, workers, account, config);
   std::unique_ptr<PeerLink> peers;
   if (!config.peerListen.none()) peers = std::make_unique<PeerLink>(base.get(), engine, config);
-  engine.confidant(peers.get());
-  MemberFeed feed(base.get(), engine.clock(), engine, sourcePolicy(config));
+  // Null where nothing is kept; what it stands between then meets without it.
+  const std::unique_ptr<Recoverer> recoverer =
+      openRecovery(base.get(), engine, workers, upstream, config, peers.get());
+  engine.confidant(recoverer ? static_cast<Confidant*>(recoverer.get()) : peers.get());
+  ListTaker& taker = recoverer ? static_cast<ListTaker&>(*recoverer) : engine;
+  Entrance& engineDoor = recoverer ? static_cast<Entrance&>(*recoverer) : engine;
+  MemberFeed feed(base.get(), engine.clock(), taker, sourcePolicy(config));
   const std::unique_ptr<ListSource> source = openSource(base.get(), engine.clock(), feed, config);
-  const std::unique_ptr<Keeper> keeper = openStore(base.get(), engine, config);
-  Entrance& entrance = keeper ? static_cast<Entrance&>(*keeper) : engine;
+  const std::unique_ptr<Keeper> keeper = openStore(base.get(), engine, engineDoor, config);
+  Entrance& entrance = keeper ? static_cast<Entrance&>(*keeper) : engineDoor;
   const std::unique_ptr<Gate> gate = openAdmission(base.get(), engine, entrance, config);
   Clients clients(base.get(), engine, entrance, workers, account, spare, gate.get(), config);
   upstream.onShortage([&clients] { clients.shortage(); });
--- a/src/back/pg/upstream.cpp
+++ b/src/back/pg/upstream.cpp
@@ -466,8 +466,7 @@
   Endpoint& e = endpoints_[id];
   e.warmAt = warmAt;
   const bool moved = !address.none() && address != e.address;
-  if (moved && config_.settings.balancers > kFewProxies)
-    e.dialAgain = engine_.now() + config_.settings.balancers * kStagger * (pickAt(id) % 1000) / 1000;
+  if (moved) e.dialAgain = engine_.now() + turnOf(id);
   if (moved) e.address = address;
   e.ready = ready;
   if (moved || !ready) dropIdle(e);
@@ -482,12 +481,18 @@
   return x ^ x >> 31;
 }
 
+Time Upstream::turnOf(MemberId id) const {
+  if (dialTurn_) return dialTurn_(id);
+  if (config_.settings.balancers <= kFewProxies) return Time(0);
+  return config_.settings.balancers * kStagger * (pickAt(id) % 1000) / 1000;
+}
+
 void Upstream::keepWarm() {
   const Time now = engine_.now();
   const bool large = config_.settings.balancers > kFewProxies;
   for (auto& [id, e] : endpoints_) {
     if (!e.ready || now < e.dialAgain) continue;
-    const std::size_t ahead = !large ? kWarm : now < e.warmAt ? 0 : 1;
+    const std::size_t ahead = !large ? kWarm : now < e.warmAt && !dialTurn_ ? 0 : 1;
     while (e.idle.size() + static_cast<std::size_t>(e.dialing) < ahead + e.waiting.size() &&
            account_.part(Holder::Servers).held < account_.part(Holder::Servers).most / 2)
       if (!dial(id, e)) return;
--- a/src/back/pg/upstream.hpp
+++ b/src/back/pg/upstream.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -28,6 +29,8 @@
   void cancel(RequestId, int attempt) override;
   void probe(MemberId) override;
   void forget(MemberId) override;
+  // In place of its own: how long after a member has come connections are opened to it ahead of need.
+  void dialTurns(std::function<Time(MemberId)> t) { dialTurn_ = std::move(t); }
   // What is called when there is no descriptor for a connection that is needed: others are to make room.
   void onShortage(std::function<void()> call) { shortage_ = std::move(call); }
 
@@ -68,6 +71,7 @@
   void drop(Connection&);
   void dropIdle(Endpoint&);
   std::uint64_t pickAt(MemberId) const;
+  Time turnOf(MemberId) const;
   void keepWarm();
   bool makeRoom();
 
@@ -79,6 +83,7 @@
   std::map<std::string, std::string> salted_;       // by a server's challenge: the password, salted; bounded
   std::map<std::string, Workers::Ticket> salting_;  // under way
   Account& account_;
+  std::function<Time(MemberId)> dialTurn_;
   std::function<void()> shortage_;
   bool short_ = false;  // the last socket that was asked for was not to be had
   std::unordered_map<MemberId, Endpoint> endpoints_;
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -59,12 +59,24 @@
   bool setAside = false;                 // a damaged one; else the proxy does not start
 };
 
+// What a proxy trusts after a start, and how it comes back; see src/recovery.
+enum class Trust { ByKind, Nothing, All };
+struct RecoveryConfig {
+  bool on = true;     // where there is a store
+  bool order = true;  // requests go on in the order of return
+  Trust trust = Trust::ByKind;
+  Time every = std::chrono::seconds(1);  // a snapshot
+  double dials = 50;                     // a second, of all proxies together, ahead of need, to a data server
+  Time longest = std::chrono::seconds(20);
+};
+
 struct Config {
   std::string name;
   Address listen, discovery;
   Address peerListen;          // none: proxies do not talk
   std::vector<Address> peers;  // every proxy of the tier, this one included
   Address peersAll;            // reaches them all; none: each is sent its own
+  bool hints = true;           // what answers show is told on to them
   std::uint64_t seed = 0;
   // Bounds that follow from the limits on descriptors and memory.
   std::size_t clientConnections = 0, serverConnections = 0;
@@ -98,6 +110,7 @@
        unreadAnswer = std::chrono::seconds(10);
   std::shared_ptr<const admission::Settings> admission;  // null: no door
   std::shared_ptr<const StoreConfig> store;              // null: nothing is kept
+  RecoveryConfig recovery;                               // where there is a store
   std::string statusSocket;                              // empty: none
   Address control;                                       // where staff call; none: nowhere
   std::string bans;             // the file that keeps which data servers are suspended; empty: none
--- a/src/config/keys.cpp
+++ b/src/config/keys.cpp
@@ -62,6 +62,13 @@
        "What outlives a crash: keyed writes and their outcomes, and what sessions have seen. Off unless it "
        "has a "
        "directory. Read at the start alone."},
+      {"peers", false,
+       "The other proxies of this tier, and what is told among them in datagrams of at most 256 bytes. They "
+       "are not "
+       "signed: only where nobody else can send from these addresses."},
+      {"recovery", false,
+       "What is trusted after a start, and in which order service returns. Needs a store. Read at the start "
+       "alone."},
       {"status", false, "Where `sablespur status` asks."},
       {"rules", false, "The figures of the rules that the proxy keeps."},
       {"goal", false, "What counts when not all can be served."},
@@ -509,6 +516,42 @@
            "A store that fails its checks at the start: the proxy does not start, or renames it to NAME.damaged-TIME "
            "and begins a new one, which knows no key."},
 
+          {"peers", "listen", Kind::Address, "", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.peerListen = as<Address>(v); },
+           "Where this proxy hears the others, over UDP. Empty: proxies do not talk."},
+          {"peers", "proxies", Kind::Addresses, "", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.peers = as<std::vector<Address>>(v); },
+           "Where every proxy of the tier listens, this one included, the same at each. Nobody else is believed."},
+          {"peers", "hints", Kind::Flag, "no", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.hints = as<bool>(v); },
+           "Positions, roles and latencies that answers show are told on. Pays with many proxies and few requests each."},
+
+          {"recovery", "on", Kind::Flag, "yes", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.recovery.on = as<bool>(v); },
+           "Snapshots are written and read beside the store (DIRECTORY.snapshot), and other proxies are asked."},
+          {"recovery", "order", Kind::Flag, "yes", 0, 0, "",
+           [](Draft& d, const KeyValue& v) { d.config.recovery.order = as<bool>(v); },
+           "After a start requests go on as data servers prove ready; the others are turned away at once with a time "
+           "to come back. No: all go on, and wait or fail."},
+          {"recovery", "trust", Kind::Choice, "by_kind", 0, 0, "by_kind nothing all",
+           [](Draft& d, const KeyValue& v) {
+             d.config.recovery.trust = word(v) == "all"       ? Trust::All
+                                       : word(v) == "nothing" ? Trust::Nothing
+                                                              : Trust::ByKind;
+           },
+           "Of the snapshot: names kept, figures aged, positions and primaries never before a data server's word; or "
+           "nothing of it. `all` breaks rules, and is there for the lab to show it."},
+          {"recovery", "snapshot_every", Kind::Duration, "1s", 10 * kMillisecond, kHour, "",
+           [](Draft& d, const KeyValue& v) { d.config.recovery.every = time(v); },
+           "One is some 150 bytes a data server, written and synced on a thread of its own."},
+          {"recovery", "dials", Kind::Number, "50", 0.1, 1e6, "",
+           [](Draft& d, const KeyValue& v) { d.config.recovery.dials = as<double>(v); },
+           "Connections a second that all proxies together open ahead of need to a data server that has just come. "
+           "Each takes its turn by hashing, so `[peers] proxies` must be the same at each."},
+          {"recovery", "longest", Kind::Duration, "20s", kMillisecond, kHour, "",
+           [](Draft& d, const KeyValue& v) { d.config.recovery.longest = time(v); },
+           "Beyond this nothing is held back any more, whatever has been heard."},
+
           {"status", "socket", Kind::Text, "", 0, 0, "",
            [](Draft& d, const KeyValue& v) { d.config.statusSocket = word(v); },
            "The path of a local socket that only the proxy's own user may open. Empty: there is none."},
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -139,6 +139,7 @@
   bool suspend(const std::string& name, bool on);
   void ban(const std::string& name);        // before the start: from an earlier process of this proxy
   void settle(const knotstack::Settings&);  // new settings, for what comes from here on
+  std::string nameOf(MemberId) const;
   bool pending() const { return !events_.empty(); }
   void turn();
   void sweep(Time now);  // forgets what is gone and quiet; the turn does it now and then
@@ -212,7 +213,6 @@
   void tellList(knotstack::ListKind, const InstanceList&);
   void rebase();
   MemberId idOf(const std::string& name);
-  std::string nameOf(MemberId) const;
 
   void send(RequestId, MemberId, Time until) override;
   void refuse(RequestId, Time retryAfter) override;
--- a/src/front/keeper.cpp
+++ b/src/front/keeper.cpp
@@ -54,9 +54,10 @@
 
 class StoreKeeper final : public Keeper, Witness {
  public:
-  StoreKeeper(event_base* base, Engine& engine, const Config& c, const translate::AnswerReader& reader,
+  StoreKeeper(event_base* base, Engine& engine, Entrance& next, const Config& c, const translate::AnswerReader& reader,
               store::FileHook* hook)
       : engine_(engine),
+        next_(next),
         config_(*c.store),
         classes_(c.settings.classes),
         names_(c.classes),
@@ -110,7 +111,7 @@
     if (it == entered_.end()) return;
     Entered& e = *it->second;
     if (e.inEngine != 0) {
-      engine_.left(e.inEngine);
+      next_.left(e.inEngine);
       byEngine_.erase(e.inEngine);
     }
     // The engine hears of it in its next turn, and may send once more before: once it has gone on, it may
@@ -292,7 +293,7 @@
 
   void go(Entered& e) {
     Message m{std::move(e.message.before), std::move(e.message.after), std::move(e.message.from), {}, {}};
-    e.inEngine = engine_.request(e, e.q, std::move(m));
+    e.inEngine = next_.request(e, e.q, std::move(m));
     byEngine_.emplace(e.inEngine, &e);
   }
 
@@ -468,6 +469,7 @@
   }
 
   Engine& engine_;
+  Entrance& next_;
   const StoreConfig config_;
   const std::vector<knotstack::ClassSettings> classes_;
   const std::vector<std::string> names_;
@@ -500,16 +502,16 @@
 
 }  // namespace
 
-std::unique_ptr<Keeper> openKeeper(event_base* base, Engine& engine, const Config& c,
+std::unique_ptr<Keeper> openKeeper(event_base* base, Engine& engine, Entrance& next, const Config& c,
                                    const translate::AnswerReader& reader, store::FileHook* hook) {
   if (!c.store) return nullptr;
   try {
     try {
-      return std::make_unique<StoreKeeper>(base, engine, c, reader, hook);
+      return std::make_unique<StoreKeeper>(base, engine, next, c, reader, hook);
     } catch (const store::StoreError& e) {
       if (e.kind != store::StoreError::Kind::Damaged || !c.store->setAside) throw;
       setAside(c.store->directory, e.what());
-      return std::make_unique<StoreKeeper>(base, engine, c, reader, hook);
+      return std::make_unique<StoreKeeper>(base, engine, next, c, reader, hook);
     }
   } catch (const store::StoreError& e) {
     throw std::runtime_error("key [store] directory: " + std::string(e.what()));
--- a/src/front/keeper.hpp
+++ b/src/front/keeper.hpp
@@ -49,7 +49,8 @@
 // Null where the settings have no store. Opens it before it returns; throws std::runtime_error where it may
 // not be opened (another process has it, or it is damaged and is not to be set aside). `reader` reads the
 // answers that are kept.
-std::unique_ptr<Keeper> openKeeper(event_base*, Engine&, const Config&, const translate::AnswerReader& reader,
+// `next`: what takes the requests on, the engine or what stands before it.
+std::unique_ptr<Keeper> openKeeper(event_base*, Engine&, Entrance& next, const Config&, const translate::AnswerReader& reader,
                                    store::FileHook* = nullptr);
 
 }  // namespace sablespur
--- /dev/null
+++ b/src/front/recoverer.cpp
@@ -0,0 +1,473 @@
+#include "front/recoverer.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <optional>
+#include <utility>
+#include <unordered_map>
+#include <vector>
+
+#include "log/log.hpp"
+#include "peers/gossip.hpp"
+#include "recovery/inquiry.hpp"
+#include "recovery/order.hpp"
+#include "recovery/snapshot.hpp"
+#include "recovery/trust.hpp"
+#include "store/whole_file.hpp"
+
+namespace sablespur {
+namespace {
+
+using recovery::Head;
+using recovery::MemberFact;
+using recovery::Snapshot;
+
+constexpr Time kLook = std::chrono::milliseconds(20);  // while service returns
+constexpr double kSmooth = 0.1;                        // weight of a new latency in a member's own
+constexpr Time kRateSpan = std::chrono::seconds(4);    // of the rates that are kept
+// Ids of requests that never reach the engine; its own count up from 1.
+constexpr RequestId kTurnedAway = RequestId{1} << 62;
+
+struct Figures {                      // of a member, from this run's own answers
+  double latencyUs = 0, answers = 0;  // answers: decayed over kRateSpan
+  Time at{};
+  std::int64_t positionMs = 0;
+};
+
+std::string snapshotPath(const Config& c) { return c.store->directory + ".snapshot"; }
+
+class FleetRecoverer final : public Recoverer {
+ public:
+  FleetRecoverer(event_base* base, Engine& engine, Workers& workers, Config& c, PeerPort port,
+                 Confidant* next)
+      : engine_(engine),
+        workers_(workers),
+        settings_(c.recovery),
+        name_(c.peerListen.none() ? c.name : c.peerListen.text()),
+        classes_(c.settings.classes),
+        retryAfter_(c.settings.retryAfter),
+        path_(snapshotPath(c)),
+        port_(std::move(port)),
+        next_(next),
+        began_(engine.now()),
+        own_(read()),
+        beliefs_(recovery::trust(own_, nowMs(), {})),
+        inquiry_(inquiryPolicy(port_.peers), c.seed, began_, headOf(own_)),
+        order_(orderPolicy(c), c.seed ^ 0x5ab1e, began_),
+        deliver_(event_new(
+            base, -1, 0,
+            [](evutil_socket_t, short, void* self) { static_cast<FleetRecoverer*>(self)->deliver(); }, this)),
+        look_(event_new(
+            base, -1, EV_PERSIST,
+            [](evutil_socket_t, short, void* self) { static_cast<FleetRecoverer*>(self)->look(); }, this)),
+        write_(event_new(
+            base, -1, EV_PERSIST,
+            [](evutil_socket_t, short, void* self) { static_cast<FleetRecoverer*>(self)->write(); }, this)) {
+    for (const Address& a : c.peers) proxies_.push_back(a.text());
+    sequence_ = own_.sequence;
+    epoch_ = own_.epoch;
+    known(c);
+    logEvent(LogLevel::Info, "recovery_started",
+             {{"snapshot", view_.snapshot},
+              {"epoch", own_.epoch},
+              {"sequence", own_.sequence},
+              {"age_ms", beliefs_.age.count() / 1000},
+              {"future", beliefs_.future},
+              {"members", beliefs_.members.size()},
+              {"weight", beliefs_.weight},
+              {"peers", port_.peers}});
+    // A first start is no return: there was no service to come back to.
+    if (!settings_.order || view_.snapshot == "none") done_ = true;
+    startTimer(look_.get(), kLook);
+    startTimer(write_.get(), settings_.every);
+  }
+
+  // ---- requests ------------------------------------------------------------------------------------------
+  RequestId request(Requester& asker, knotstack::Request q, Message m) override {
+    if (done_) return engine_.request(asker, std::move(q), std::move(m));
+    const bool write = classes_[static_cast<std::size_t>(q.cls)].need == knotstack::Need::Write;
+    const std::uint32_t group = q.group;
+    const recovery::Order::Decision d = order_.ask(engine_.now(), group, write);
+    if (!d.go) {
+      ++view_.refused;
+      const RequestId id = kTurnedAway + ++turnedAway_;
+      refused_.emplace(id, Refused{&asker, retryAfter_ ? d.back : Time(0)});
+      startTimer(deliver_.get(), Time(0));
+      return id;
+    }
+    auto passed = std::make_unique<Passed>(*this, asker, group, write);
+    Passed& p = *passed;
+    p.id = engine_.request(p, std::move(q), std::move(m));
+    passed_.emplace(p.id, std::move(passed));
+    return p.id;
+  }
+  void left(RequestId id) override {
+    if (id >= kTurnedAway) {
+      refused_.erase(id);
+      return;
+    }
+    engine_.left(id);
+    const auto it = passed_.find(id);
+    if (it == passed_.end()) return;
+    order_.ended(engine_.now(), it->second->group, it->second->write, recovery::End::Left);
+    passed_.erase(it);
+  }
+
+  // ---- the list ------------------------------------------------------------------------------------------
+  void listed(InstanceList list) override {
+    if (list.reset) members_.clear();
+    for (Instance& i : list.instances) {
+      // What does not tell its start may have started while this proxy was down.
+      if (i.startedMs == 0 && i.state == knotstack::Lifecycle::Ready && settings_.trust != Trust::All)
+        i.startedMs = assumed_.emplace(i.name, began_.count() / 1000).first->second;
+      note(i);
+    }
+    if (tags_.size() > 4 * members_.size() + 64) retag();
+    engine_.listed(std::move(list));
+  }
+  void listFailed(const std::string& why) override { engine_.listFailed(why); }
+  std::uint64_t generation() const override { return engine_.generation(); }
+
+  // ---- what answers and probes tell
+  // ------------------------------------------------------------------------
+  void learned(const peers::Hint& h) override {
+    if (next_) next_->learned(h);
+    const auto it = tags_.find(h.tag);
+    if (it == tags_.end()) return;
+    const auto m = members_.find(it->second);
+    if (m == members_.end()) return;
+    const std::uint32_t group = m->second.group;
+    Figures& f = figures_[it->second];
+    const Time now = engine_.now();
+    f.positionMs = std::max(f.positionMs, h.positionMs);
+    if (h.latencyUs > 0) {
+      const auto us = static_cast<double>(h.latencyUs);
+      f.latencyUs = f.latencyUs > 0 ? f.latencyUs + kSmooth * (us - f.latencyUs) : us;
+      f.answers = decayed(f, now) + 1;
+      f.at = now;
+    }
+    if (!done_) order_.answered(now, group);
+    if (h.role != peers::HintRole::Primary) return;
+    Seen& p = primaries_[group];
+    const bool other = p.member != it->second;
+    p = {it->second, now.count() / 1000};
+    if (!other) return;
+    const std::optional<std::uint64_t> claim = inquiry_.confirmed(group, h.tag);
+    if (!done_) order_.primary(now, group);
+    logEvent(LogLevel::Info, "primary_confirmed",
+             {{"group", group},
+              {"name", it->second},
+              {"claimed", claim.has_value()},
+              {"epoch", static_cast<std::int64_t>(claim.value_or(0))},
+              {"after_ms", (now - began_).count() / 1000}});
+  }
+  void flush() override {
+    if (next_) next_->flush();
+  }
+
+  // ---- other proxies
+  // ---------------------------------------------------------------------------------------
+  void heard(std::size_t peer, std::string_view datagram) override {
+    const std::optional<Head> h = recovery::decodeHead(datagram);
+    if (!h) return;
+    if (h->question) {
+      Head answer = current();
+      answer.nonce = h->nonce;
+      if (port_.send) port_.send(peer, recovery::encode(answer));
+      return;
+    }
+    const bool believed = inquiry_.answered(peer, *h, nowMs());
+    logEvent(
+        LogLevel::Info, believed ? "head_believed" : "head_turned_away",
+        {{"peer", peer}, {"epoch", h->epoch}, {"serving", h->serving}, {"ahead_ms", h->wallMs - nowMs()}});
+  }
+  Time dialTurn(const std::string& member) const override {
+    return recovery::dialTurn(member, name_, proxies_, settings_.dials);
+  }
+
+  RecoveryView view() const override {
+    RecoveryView v = view_;
+    v.state = asking_ ? "asking" : done_ ? "returned" : "returning";
+    v.epoch = epoch_;
+    v.sequence = sequence_;
+    v.believed = inquiry_.believed();
+    v.turnedAway = inquiry_.turnedAway();
+    v.joined = inquiry_.joined();
+    return v;
+  }
+
+ private:
+  // A request that went on while service returned: how it ended is the order's evidence.
+  struct Passed final : Requester {
+    Passed(FleetRecoverer& r, Requester& a, std::uint32_t g, bool w)
+        : recoverer(r), asker(a), group(g), write(w) {}
+    void served(Answer a) override {
+      Requester& to = asker;
+      recoverer.ended(*this, a.problem ? recovery::End::Left : recovery::End::Served);
+      to.served(std::move(a));
+    }
+    void refused(Time retryAfter) override {
+      Requester& to = asker;
+      recoverer.ended(*this, recovery::End::TurnedAway);
+      to.refused(retryAfter);
+    }
+    void failed() override {
+      Requester& to = asker;
+      recoverer.ended(*this, recovery::End::Failed);
+      to.failed();
+    }
+    FleetRecoverer& recoverer;
+    Requester& asker;
+    const std::uint32_t group;
+    const bool write;
+    RequestId id = 0;
+  };
+  struct Refused {
+    Requester* asker;
+    Time back;
+  };
+  struct Seen {
+    std::string member;
+    std::int64_t atMs = 0;
+  };
+
+  // Ends the life of p.
+  void ended(Passed& p, recovery::End end) {
+    const Time now = engine_.now();
+    // Where data servers tell no positions, their answers are the evidence.
+    if (end == recovery::End::Served && p.write) order_.primary(now, p.group);
+    if (end == recovery::End::Served) order_.answered(now, p.group);
+    order_.ended(now, p.group, p.write, end);
+    passed_.erase(p.id);
+  }
+  void deliver() {
+    std::map<RequestId, Refused> all;
+    all.swap(refused_);
+    for (const auto& [id, r] : all) r.asker->refused(r.back);
+  }
+
+  std::int64_t nowMs() const { return engine_.now().count() / 1000; }
+  static double decayed(const Figures& f, Time now) {
+    return f.answers *
+           std::exp(-static_cast<double>((now - f.at).count()) / static_cast<double>(kRateSpan.count()));
+  }
+  static recovery::InquiryPolicy inquiryPolicy(std::size_t peers) {
+    recovery::InquiryPolicy p;
+    p.peers = peers;
+    return p;
+  }
+  static recovery::OrderPolicy orderPolicy(const Config& c) {
+    recovery::OrderPolicy p;
+    p.proxies = c.settings.balancers;
+    p.longest = c.recovery.longest;
+    return p;
+  }
+  static Head headOf(const Snapshot& s) {
+    Head h;
+    h.epoch = s.epoch;
+    h.sequence = s.sequence;
+    h.wallMs = s.wallMs;
+    for (const recovery::PrimaryFact& p : s.primaries)
+      h.primaries.push_back({p.group, peers::tagOf(p.member)});
+    return h;
+  }
+  Head current() const {
+    Head h = headOf(own_);
+    if (asking_) return h;  // of the past, as it was written
+    h.serving = done_;
+    h.epoch = epoch_;
+    h.sequence = sequence_;
+    h.wallMs = nowMs();
+    h.primaries.clear();
+    for (const auto& [group, p] : primaries_) h.primaries.push_back({group, peers::tagOf(p.member)});
+    return h;
+  }
+
+  Snapshot read() {
+    view_.snapshot = "none";
+    try {
+      const std::optional<std::string> bytes = store::readWhole(*files_, path_);
+      if (!bytes) return {};
+      const Snapshot s = recovery::decode(*bytes);
+      view_.snapshot = "read";
+      return s;
+    } catch (const recovery::Damaged& e) {
+      logEvent(LogLevel::Warning, "snapshot_refused", {{"file", path_}, {"at", e.at}, {"why", e.what()}});
+    } catch (const std::exception& e) {
+      logEvent(LogLevel::Warning, "snapshot_refused", {{"file", path_}, {"why", e.what()}});
+    }
+    view_.snapshot = "refused";
+    files_->RenameFile(path_, path_ + ".refused");  // for whoever looks into it; one is kept
+    return {};
+  }
+
+  // The members of the snapshot stand in for those of the settings, which may be older; the first list
+  // replaces both.
+  void known(Config& c) {
+    if (settings_.trust != Trust::Nothing && c.source != Source::Fixed && !beliefs_.members.empty()) {
+      c.known.instances.clear();
+      for (const MemberFact& m : beliefs_.members) {
+        Instance i;
+        i.name = m.name;
+        i.address = Address::parse(m.address).value_or(Address());
+        i.zone = m.zone;
+        i.group = m.group;
+        i.weight = m.weight > 0 ? m.weight : 1;
+        i.startedMs = m.startedMs;
+        if (!i.address.none()) c.known.instances.push_back(std::move(i));
+      }
+    }
+    for (Instance& i : c.known.instances) {
+      // Warmth is health, and never trusted: whatever stopped this proxy may have stopped them.
+      if (settings_.trust != Trust::All) i.startedMs = assumed_.emplace(i.name, nowMs()).first->second;
+      note(i);
+    }
+    std::map<std::uint32_t, double> out;  // by Little's law
+    for (const MemberFact& m : beliefs_.members) out[m.group] += m.perSecond * m.latencyUs / 1e6;
+    for (const auto& [group, n] : out)
+      if (settings_.trust != Trust::Nothing && n > 0) order_.usual(group, n);
+    if (settings_.trust != Trust::All) return;
+    // For the lab: what trust by kind guards against.
+    std::vector<peers::Hint> hints;
+    for (const MemberFact& m : own_.members) {
+      const bool primary = std::any_of(own_.primaries.begin(), own_.primaries.end(),
+                                       [&](const auto& p) { return p.member == m.name; });
+      hints.push_back({peers::tagOf(m.name), m.positionMs,
+                       primary ? peers::HintRole::Primary : peers::HintRole::Replica});
+    }
+    naive_ = std::move(hints);
+  }
+  void note(const Instance& i) {
+    if (i.state == knotstack::Lifecycle::Gone) {
+      members_.erase(i.name);
+      return;
+    }
+    Instance& m = members_[i.name];
+    const Address was = m.address;
+    m = i;
+    if (m.address.none()) m.address = was;
+    tags_[peers::tagOf(i.name)] = i.name;
+  }
+  void retag() {
+    tags_.clear();
+    for (const auto& [name, m] : members_) tags_[peers::tagOf(name)] = name;
+    for (auto it = figures_.begin(); it != figures_.end();)
+      it = members_.count(it->first) ? std::next(it) : figures_.erase(it);
+  }
+
+  void look() {
+    const Time now = engine_.now();
+    if (!naive_.empty()) engine_.heard(std::exchange(naive_, {}));
+    for (const std::size_t peer : inquiry_.due(now)) {
+      Head q = headOf(own_);
+      q.question = true;
+      q.nonce = inquiry_.nonce();
+      if (port_.send) port_.send(peer, recovery::encode(q));
+    }
+    if (asking_ && inquiry_.over(now)) {
+      asking_ = false;
+      epoch_ = inquiry_.epoch();
+      logEvent(LogLevel::Info, "epoch_entered",
+               {{"epoch", epoch_},
+                {"joined", inquiry_.joined()},
+                {"believed", inquiry_.believed()},
+                {"turned_away", inquiry_.turnedAway()},
+                {"after_ms", (now - began_).count() / 1000}});
+      write();
+    }
+    for (const recovery::Order::Change& c : order_.changes())
+      logEvent(
+          LogLevel::Info, "group_returns",
+          {{"group", c.group}, {"step", recovery::stepName(c.step)}, {"after_ms", c.after.count() / 1000}});
+    if (!done_ && order_.over(now)) {
+      done_ = true;
+      view_.took = now - began_;
+      logEvent(LogLevel::Info, "recovery_ended",
+               {{"after_ms", view_.took.count() / 1000}, {"refused", view_.refused}});
+    }
+    if (done_ && !asking_) event_del(look_.get());
+  }
+
+  // Taken in the loop, encoded and written on a worker. One at a time: a disk that hangs holds up nothing
+  // else.
+  void write() {
+    if (writing_ || asking_) return;
+    Snapshot s;
+    s.epoch = epoch_;
+    s.sequence = ++sequence_;
+    s.wallMs = nowMs();
+    for (const auto& [name, i] : members_) {
+      if (i.state != knotstack::Lifecycle::Ready) continue;
+      MemberFact m;
+      m.name = name;
+      m.address = i.address.text();
+      m.zone = i.zone;
+      m.group = i.group;
+      m.weight = i.weight;
+      m.startedMs = i.startedMs;
+      if (const auto f = figures_.find(name); f != figures_.end()) {
+        m.latencyUs = f->second.latencyUs;
+        m.perSecond = decayed(f->second, engine_.now()) / (static_cast<double>(kRateSpan.count()) / 1e6);
+        m.positionMs = f->second.positionMs;
+      } else if (!done_) {
+        // Nothing has been heard of it yet: what was believed is not thrown away by a second loss.
+        for (const MemberFact& b : beliefs_.members)
+          if (b.name == name) m.latencyUs = b.latencyUs, m.perSecond = b.perSecond;
+      }
+      s.members.push_back(std::move(m));
+    }
+    for (const auto& [group, p] : primaries_) s.primaries.push_back({group, p.member, p.atMs});
+    for (const recovery::PrimaryFact& p : beliefs_.candidates)
+      if (primaries_.count(p.group) == 0) s.primaries.push_back(p);
+    writing_ = workers_.run(
+        [files = files_, path = path_, taken = std::move(s)] {
+          return store::replaceWhole(*files, path, recovery::encode(taken));
+        },
+        [this](const std::string& why) {
+          writing_.reset();
+          ++(why.empty() ? view_.written : view_.lost);
+          if (!why.empty()) logEvent(LogLevel::Warning, "snapshot_lost", {{"why", why}});
+        });
+  }
+
+  Engine& engine_;
+  Workers& workers_;
+  const RecoveryConfig settings_;
+  const std::string name_;
+  const std::vector<knotstack::ClassSettings> classes_;
+  const bool retryAfter_;
+  const std::string path_;
+  const PeerPort port_;
+  Confidant* const next_;
+  const Time began_;
+  RecoveryView view_;
+  const std::shared_ptr<store::Files> files_ = std::make_shared<store::Files>();  // a worker may outlive this
+  const Snapshot own_;
+  const recovery::Beliefs beliefs_;
+  recovery::Inquiry inquiry_;
+  recovery::Order order_;
+  std::vector<std::string> proxies_;
+  std::vector<peers::Hint> naive_;
+  std::map<std::string, std::int64_t> assumed_;  // starts of those that do not tell theirs
+  std::map<std::string, Instance> members_;
+  std::unordered_map<std::string, Figures> figures_;
+  std::unordered_map<std::uint64_t, std::string> tags_;
+  std::map<std::uint32_t, Seen> primaries_;
+  std::unordered_map<RequestId, std::unique_ptr<Passed>> passed_;
+  std::map<RequestId, Refused> refused_;
+  std::uint64_t epoch_ = 0, sequence_ = 0, turnedAway_ = 0;
+  bool asking_ = true, done_ = false;
+  Workers::Ticket writing_;
+  Event deliver_, look_, write_;
+};
+
+}  // namespace
+
+std::unique_ptr<Recoverer> openRecoverer(event_base* base, Engine& engine, Workers& workers, Config& c,
+                                         const PeerPort& port, Confidant* next) {
+  if (!c.store || !c.recovery.on) return nullptr;
+  return std::make_unique<FleetRecoverer>(base, engine, workers, c, port, next);
+}
+
+}  // namespace sablespur
--- a/src/peers/gossip.cpp
+++ b/src/peers/gossip.cpp
@@ -61,6 +61,8 @@
   return bytes;
 }
 
+bool holdsHints(std::string_view d) { return !d.empty() && d[0] == kVersion; }
+
 std::vector<Hint> decode(std::string_view d, std::int64_t nowMs) {
   std::vector<Hint> hints;
   if (d.size() <= 1 || d.size() > kLongestDatagram || d[0] != kVersion || (d.size() - 1) % kHintBytes != 0)
--- a/src/peers/gossip.hpp
+++ b/src/peers/gossip.hpp
@@ -33,6 +33,7 @@
 // scale of octaves. Takes at most what one datagram holds.
 constexpr std::size_t kHintBytes = 10, kHintsPerDatagram = (kLongestDatagram - 1) / kHintBytes;
 std::string encode(const std::vector<Hint>&, std::size_t from = 0);
+bool holdsHints(std::string_view datagram);  // by its version alone
 // Empty where the bytes are no such datagram. Positions after nowMs + 1000 are left out: no member is there.
 std::vector<Hint> decode(std::string_view datagram, std::int64_t nowMs);
 
--- a/src/peers/udp/link.cpp
+++ b/src/peers/udp/link.cpp
@@ -26,7 +26,7 @@
 PeerLink::PeerLink(event_base* base, Engine& engine, const Config& config)
     : engine_(engine), config_(config), gossip_({config.peers.size(), tightestBoundMs(config.settings)}) {
   for (const Address& a : config.peers)
-    if (a != config.peerListen) from_.insert(a.text());
+    if (a != config.peerListen && from_.emplace(a.text(), others_.size()).second) others_.push_back(a);
   fd_ = socket(config.peerListen.v6() ? AF_INET6 : AF_INET, SOCK_DGRAM, 0);
   if (fd_ < 0 || evutil_make_socket_nonblocking(fd_) != 0 || evutil_make_socket_closeonexec(fd_) != 0 ||
       bind(fd_, config.peerListen.data(), config.peerListen.size()) != 0) {
@@ -43,8 +43,14 @@
   if (fd_ >= 0) close(fd_);
 }
 
+void PeerLink::send(std::size_t peer, const std::string& datagram) {
+  if (!readable_ || peer >= others_.size() || datagram.size() > peers::kLongestDatagram) return;
+  const Address& to = others_[peer];
+  sendto(fd_, datagram.data(), datagram.size(), MSG_DONTWAIT, to.data(), to.size());
+}
+
 void PeerLink::learned(const peers::Hint& h) {
-  if (gossip_.learned(h, nowMs())) pending_.push_back(h);
+  if (config_.hints && gossip_.learned(h, nowMs())) pending_.push_back(h);
 }
 
 void PeerLink::flush() {
@@ -54,14 +60,13 @@
   if (tracing() && !hints.empty()) logEvent(LogLevel::Trace, "told", {{"hints", hints.size()}});
   for (std::size_t at = 0; at < hints.size(); at += peers::kHintsPerDatagram) {
     const std::string datagram = peers::encode(hints, at);
-    const auto send = [&](const Address& to) {
+    const auto tell = [&](const Address& to) {
       sendto(fd_, datagram.data(), datagram.size(), MSG_DONTWAIT, to.data(), to.size());  // lost is lost
     };
     if (!config_.peersAll.none())
-      send(config_.peersAll);
+      tell(config_.peersAll);
     else
-      for (const Address& to : config_.peers)
-        if (to != config_.peerListen) send(to);
+      for (const Address& to : others_) tell(to);
   }
 }
 
@@ -74,8 +79,15 @@
     const ssize_t got =
         recvfrom(fd_, bytes, sizeof bytes, MSG_DONTWAIT, reinterpret_cast<sockaddr*>(&from), &length);
     if (got < 0) break;
-    if (from_.count(Address::fromSocket(reinterpret_cast<const sockaddr*>(&from)).text()) == 0) continue;
-    for (const peers::Hint& h : peers::decode({bytes, static_cast<std::size_t>(got)}, nowMs())) {
+    const auto who = from_.find(Address::fromSocket(reinterpret_cast<const sockaddr*>(&from)).text());
+    if (who == from_.end() || got == 0) continue;
+    const std::string_view datagram(bytes, static_cast<std::size_t>(got));
+    if (heads_ && !peers::holdsHints(datagram)) {
+      heads_(who->second, datagram);
+      continue;
+    }
+    if (!config_.hints) continue;
+    for (const peers::Hint& h : peers::decode(datagram, nowMs())) {
       gossip_.heard(h, nowMs());
       all.push_back(h);
     }
--- a/src/peers/udp/link.hpp
+++ b/src/peers/udp/link.hpp
@@ -2,7 +2,8 @@
 #pragma once
 
 #include <cstdint>
-#include <unordered_set>
+#include <functional>
+#include <unordered_map>
 #include <vector>
 
 #include "config/config.hpp"
@@ -24,6 +25,12 @@
   void learned(const peers::Hint&) override;
   void flush() override;
 
+  // Datagrams of another kind than hints, by whoever sent them: an index among the other proxies.
+  using Heads = std::function<void(std::size_t peer, std::string_view datagram)>;
+  void onHead(Heads h) { heads_ = std::move(h); }
+  void send(std::size_t peer, const std::string& datagram);  // lost is lost
+  std::size_t others() const { return others_.size(); }
+
  private:
   void read();
   std::int64_t nowMs() const { return engine_.now().count() / 1000; }
@@ -34,7 +41,9 @@
   Event readable_;
   peers::Gossip gossip_;
   std::vector<peers::Hint> pending_;
-  std::unordered_set<std::string> from_;  // senders that are believed
+  std::vector<Address> others_;
+  std::unordered_map<std::string, std::size_t> from_;  // senders that are believed, by their index
+  Heads heads_;
 };
 
 }  // namespace sablespur
--- /dev/null
+++ b/src/store/whole_file.cpp
@@ -0,0 +1,28 @@
+#include "store/whole_file.hpp"
+
+#include <memory>
+#include <stdexcept>
+
+namespace sablespur::store {
+
+std::string replaceWhole(Files& files, const std::string& path, std::string_view bytes) {
+  const std::string fresh = path + ".new";
+  leveldb::WritableFile* opened = nullptr;
+  leveldb::Status s = files.NewWritableFile(fresh, &opened);
+  const std::unique_ptr<leveldb::WritableFile> file(opened);
+  if (s.ok()) s = file->Append(leveldb::Slice(bytes.data(), bytes.size()));
+  if (s.ok()) s = file->Sync();
+  if (s.ok()) s = file->Close();
+  if (s.ok()) s = files.RenameFile(fresh, path);
+  return s.ok() ? std::string() : s.ToString();
+}
+
+std::optional<std::string> readWhole(Files& files, const std::string& path) {
+  if (!files.FileExists(path)) return std::nullopt;
+  std::string bytes;
+  const leveldb::Status s = files.read(path, bytes);
+  if (!s.ok()) throw std::runtime_error(s.ToString());
+  return bytes;
+}
+
+}  // namespace sablespur::store
--- a/tests/keeper_test.cpp
+++ b/tests/keeper_test.cpp
@@ -118,7 +118,7 @@
     keeper.reset();
     engine = std::make_unique<Engine>(base.get(), config);
     engine->start(members, lists);
-    keeper = openKeeper(base.get(), *engine, config, pg::reader(), &disk);
+    keeper = openKeeper(base.get(), *engine, *engine, config, pg::reader(), &disk);
     engine->turn();
     for (const MemberId m : {1, 2})
       engine->probed(m, true,
