--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -348,6 +348,7 @@
         c_.loop.get(),
         [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* of) {
           const auto& to = *static_cast<Way*>(of);
+          to.server->dialed();
           new Connection(*to.server, to.proxy, fd);  // it deletes itself
         },
         ways_.back().get(), LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, 512,
@@ -357,6 +358,15 @@
   }
 }
 
+// Each is work for a server that has just started, whoever dials.
+void DataServer::dialed() {
+  const Time now = c_.now();
+  if (startedAt_ == Time(0) || now >= startedAt_ + fleet_.s_.machine.coldFor) return;
+  dials_.push_back(now);
+  while (dials_.front() <= now - std::chrono::seconds(1)) dials_.pop_front();
+  mostDials_ = std::max(mostDials_, dials_.size());
+}
+
 void DataServer::dropAll(bool reset) {
   listeners_.clear();
   ways_.clear();
--- a/lab/fleet.hpp
+++ b/lab/fleet.hpp
@@ -5,6 +5,7 @@
 // directly, so that every send tells who made it. What a server can do and how far it has the log: model.hpp.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -75,11 +76,13 @@
   Time position(Time now);
   LogApply& log() { return *log_; }
   double coldMultiple() const { return machine_->worst(); }
+  std::size_t coldDials() const { return mostDials_; }  // in a second, the most while it was cold
 
  private:
   friend class Fleet;
   class Connection;
   void listen();
+  void dialed();
   void dropAll(bool reset);
 
   Context& c_;
@@ -102,6 +105,8 @@
   std::vector<ListenerPtr> listeners_;
   std::set<Connection*> connections_;
   std::uint32_t numbers_ = 0;  // of connections, for their keys
+  std::deque<Time> dials_;
+  std::size_t mostDials_ = 0;
   bool runs_ = false, vanished_ = false, hangs_ = false, fallen_ = false;
   double errors_ = 0, resets_ = 0;
 };
