--- a/src/front/keeper.hpp
+++ b/src/front/keeper.hpp
@@ -50,7 +50,7 @@
 // not be opened (another process has it, or it is damaged and is not to be set aside). `reader` reads the
 // answers that are kept.
 // `next`: what takes the requests on, the engine or what stands before it.
-std::unique_ptr<Keeper> openKeeper(event_base*, Engine&, Entrance& next, const Config&, const translate::AnswerReader& reader,
-                                   store::FileHook* = nullptr);
+std::unique_ptr<Keeper> openKeeper(event_base*, Engine&, Entrance& next, const Config&,
+                                   const translate::AnswerReader& reader, store::FileHook* = nullptr);
 
 }  // namespace sablespur
