--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -284,7 +284,7 @@
 }
 TEST(LabPower, TwoLossesBreakNoPromiseAndProxiesComeBackOnWhatTheyKept) {
   Outcome out =
-      lossesOfPower("", "2s power 200 900\n2010ms registry down\n2800ms registry up\n4s power 200 900", 20);
+      lossesOfPower("", "2s power 200 900\n2010ms registry down\n2800ms registry up\n3s power 200 900", 20);
   auto& f = out.figures;
   EXPECT_EQ(f["power_losses"], 2);
   for (const char* none :
