A cold server's budget adds up with time; repeats that waited too long stay unsent

Ruled out: dials (not counted there), probes. Lines at fault: withinColdBudget and roomOf (a share of requests, whatever comes; 1.6 N for writes; 8 times by latencies). Change: what a proxy may send adds up at 0.8 of the budget that warm servers' work and the server's own show, each send takes its cost out, a part of a request is drawn for; reads and writes apart, reads have what writes leave on a primary. Retry.ARepeatThatComesUpTooLateIsNotWritten and Discovery.PausesAfterFailedCallsStayShort fail without it.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -1,6 +1,6 @@
-// Every decision of knotstack; its interface is include/knotstack/balancer.hpp, its records state.hpp. In
-// order: constants; members; the need of a read; read sets; writes; attempts and retries; refusals; the list,
-// drains and cold starts; probes.
+// Every decision of knotstack; interface: include/knotstack/balancer.hpp; records: state.hpp. Members; the
+// need of a read; read sets; writes; attempts and retries; refusals; the list, drains and cold starts;
+// probes.
 #include <algorithm>
 #include <cmath>
 #include <iterator>
@@ -8,6 +8,7 @@
 #include <map>
 #include <stdexcept>
 #include <unordered_map>
+#include <utility>
 
 #include "knotstack/balancer.hpp"
 #include "state.hpp"
@@ -41,14 +42,12 @@
 constexpr Time kForget = seconds(10);     // what is gone and quiet is remembered for so long
 constexpr Time kTick = milliseconds(20);  // housekeeping: waiting requests, silence, probes
 constexpr Time kTrouble = seconds(1);  // how long a miss or a time-out keeps the best member out of the sum
-constexpr Time kKindle = milliseconds(40);     // between probes, by all routers, of one none hears of
-constexpr Time kEvidence = seconds(2);         // answers of a cold member that tell what it can do
-constexpr double kFine = 1.5;                  // times the usual latency is an answer that shows room
-constexpr Time kSpan = seconds(4);             // of the rates by which a cold member's budget is shared
-constexpr double kSlack = 0.8, kWrites = 1.6;  // of that budget: planned; what writes alone may take
-constexpr double kRoom = 8;                 // times its least budget a cold member may take, as it shows room
+constexpr Time kKindle = milliseconds(40);  // between probes, by all routers, of one none hears of
+constexpr double kPlan = 0.8, kSaved = 1;   // of a cold member's budget: planned; saved up at most
+constexpr double kLeast = 1.5;              // requests that all may send it in a window, whatever it can do
+constexpr double kCrowd = 1.5;              // times what it can do is the most that a group is asked
 constexpr Time kScout = milliseconds(250);  // pause between probes for a missing primary
-constexpr Time kAskFirst = milliseconds(200);  // after a failed call to discovery; doubles from there
+constexpr Time kAskFirst = milliseconds(200), kAskMost = milliseconds(600);  // after failed calls
 constexpr double kLate = std::numeric_limits<double>::infinity();
 constexpr std::size_t kSessions = 200000;  // remembered writes; older ones are folded into one commit a group
 
@@ -79,13 +78,14 @@
   std::vector<Sample> pool;         // of all members together: stands in where a window is thin
   double retries = 1;
   const std::uint64_t seed;
-  Time fadedAt{};
-  int outNow = 0;  // attempts that are out
-  Decayed asked;   // requests that came here
-  bool ticking = false, begun = false;
-  bool hearsLoad = false;  // reports tell how many requests a member holds
-  bool asking = false;
-  bool hinted = false;  // other routers pass on what they hear
+  Time fadedAt{}, ratesAt = never, began = never;
+  int outNow = 0;                    // attempts that are out
+  Decayed asked;                     // requests that came here
+  double taken = 10, wrote = 0;      // the share of them that write, as if ten others had come before
+  double typical = 0;                // mean latency of all classes, microseconds; 0: not seen yet
+  double perWeight = 0, filled = 0;  // as of ratesAt: work of a warm member for its weight; groups in use
+  bool ticking = false, begun = false, asking = false;
+  bool hearsLoad = false, hinted = false;  // reports tell a member's load; routers pass on what they hear
   Time askBackoff = kAskFirst;
   std::uint64_t askTurn = 0;
 
@@ -96,9 +96,8 @@
     for (const ClassSettings& c : s.classes)
       if (c.aim <= Time(0) || c.deadline < c.aim)
         throw std::invalid_argument("a class's aim is 0 or past its deadline");
-    if (s.attemptsCap < 1 || s.balancers < 1) throw std::invalid_argument("attemptsCap or balancers below 1");
-    if (s.startCapacity <= 0 || s.startCapacity > 1)
-      throw std::invalid_argument("startCapacity is not in (0, 1]");
+    if (s.attemptsCap < 1 || s.balancers < 1 || s.startCapacity <= 0 || s.startCapacity > 1)
+      throw std::invalid_argument("attemptsCap or balancers below 1, or startCapacity not in (0, 1]");
   }
 
   // A number that is the same for the same things at this router, and another at each other one.
@@ -147,14 +146,11 @@
       Member* const other = g.primary == m.listed.id ? nullptr : find(g.primary);
       if (other && other->roleAt > at) return;
       if (other) other->role = Role::Unknown;
-      g.primary = m.listed.id;
-      g.scouted = false;
+      g.primary = m.listed.id, g.scouted = false;
     } else if (g.primary == m.listed.id) {
-      g.primary = 0;
-      g.scouted = false;
+      g.primary = 0, g.scouted = false;
     }
-    m.role = role;
-    m.roleAt = at;
+    m.role = role, m.roleAt = at;
   }
   Member* primaryOf(Group& g) {
     Member* const m = find(g.primary);
@@ -178,8 +174,7 @@
       } else if (s.figures[k] == Figure::Primary) {
         role = v >= 0.5f ? Role::Primary : Role::Replica;
       } else if (s.figures[k] == Figure::Inflight && v >= 0 && v < 1e6f) {
-        m.told = static_cast<int>(v);
-        m.toldAt = now;
+        m.told = static_cast<int>(v), m.toldAt = now;
       }
     }
     if (at == never || at > now) return;
@@ -311,8 +306,7 @@
   }
   // Guards against choosing blindly where a router hears of a member once in many seconds. It asks those that
   // are next in turn and waits briefly for their word; what does not answer is taken for dead by healthy().
-  // Where they pass on what they hear, one that none hears of is asked by all in turn, lest they crowd the
-  // rest.
+  // Where they pass on what they hear, one that none hears of is asked by all in turn, lest they crowd.
   bool inquire(Open& r, const std::vector<Member*>& next) {
     if (!s.probing || s.reports == Reports::Silent || r.asked) return false;
     if (classOf(r).need == Need::Fresh) return false;  // no replica's word can be new enough
@@ -381,12 +375,17 @@
     return set;
   }
 
+  // Whether one more attempt may go out at all: what may have run is not run twice.
+  bool remembered(const Open& r) const {
+    const ClassSettings& c = classOf(r);
+    return !r.ran || c.effect == Effect::Safe || (c.effect == Effect::Keyed && now < r.ranAt + c.memory);
+  }
   // Whether one more attempt of this request may go to this member, by its effect and what was tried.
   bool mayTake(const Open& r, const Member& m) {
     if (std::find(r.tried.begin(), r.tried.end(), m.listed.id) != r.tried.end()) return false;
     const ClassSettings& c = classOf(r);
+    if (!remembered(r)) return false;
     if (!r.ran || c.effect == Effect::Safe) return true;
-    if (c.effect == Effect::Unsafe || now >= r.ranAt + c.memory) return false;
     const Member* const first = find(r.ranWhere);
     // Where an earlier request of the key ran is not told, but that it was in this group.
     if (!first) return r.ranWhere == 0 && c.scope != KeyScope::Zone;
@@ -453,10 +452,11 @@
     r.attempts.push_back({m.listed.id, now});
     r.tried.push_back(m.listed.id);
     ++r.outstanding;
+    if (Allowance& a = m.allowance[classOf(r).need == Need::Write]; cold(m))
+      a.saved -= a.price, a.drawnFor = 0;
     m.out.push_back({r.q.id, static_cast<int>(r.attempts.size()) - 1, r.q.cls, loadOf(m), now, held});
     m.lastUsed = now;
-    r.asked = false;
-    ++outNow;
+    r.asked = false, ++outNow;
     tickSoon();
     sink.send(r.q.id, m.listed.id, std::max(endOf(r), now + Time(1)));
   }
@@ -507,13 +507,10 @@
     if (it != open.end()) {
       Open& r = it->second;
       Attempt& a = r.attempts[at(o.attempt)];
-      a.open = false;
-      --r.outstanding;
+      a.open = false, --r.outstanding;
       r.reached = r.reached || (o.result != Result::ConnectFailed && o.result != Result::Moot);
       if (mayHaveRun(o.result) && (!r.ran || a.at < r.ranAt)) {
-        r.ran = true;
-        r.ranAt = a.at;
-        r.ranWhere = a.member;
+        r.ran = true, r.ranAt = a.at, r.ranWhere = a.member;
       }
       if (o.closed || o.result == Result::Ok) {
         close(r);
@@ -554,17 +551,16 @@
       m.answeredSent = std::max(m.answeredSent, o.result == Result::Ok ? was.at : never);
     }
     if (o.result == Result::Ok) {
-      count(m.served, now);
+      count(m.served, costOf(was.cls));
       double& u = usual[at(was.cls)];
       const double us = static_cast<double>(latency.count());
       u = u > 0 ? u + kSmooth * (us - u) : us;
+      typical = typical > 0 ? typical + kSmooth * (us - typical) : us;
       double& b = base[at(was.cls)];
       b = b > 0 ? b + (us < b ? kSmooth : kSmooth / 10) * (us - b) : us;
       addSample(m, was, us);
-      m.failures = 0;
-      m.asideUntil = never;
-      m.backoff = Time(0);
-      m.erring = false;
+      m.failures = 0, m.backoff = Time(0);
+      m.asideUntil = never, m.erring = false;
     } else if (o.result != Result::Moot && o.result != Result::Cancelled &&
                !(write && o.result == Result::Miss)) {
       // A fast failure must not look fast. A full queue is a wait past the deadline, a time-out one past the
@@ -605,8 +601,7 @@
       Attempt& a = r.attempts[at(o.attempt)];
       if (classOf(r).effect != Effect::Safe || a.cancelled || !s.cancel || retries < 1) continue;
       if (static_cast<int>(r.attempts.size()) >= s.attemptsCap || readSet(r).empty()) continue;
-      retries -= 1;
-      a.cancelled = true;
+      retries -= 1, a.cancelled = true;
       sink.cancel(o.request, o.attempt);  // its outcome brings the next attempt
     }
   }
@@ -660,7 +655,7 @@
     asking = kind == ListKind::Failed && s.discovery == Discovery::Subscribe;
     if (asking) {
       sink.timer(scaled(askBackoff, jitter()), kTokenAsk | ++askTurn << 8);
-      askBackoff = std::min(2 * askBackoff, std::max(s.mustAskIn / 4, kAskFirst));
+      askBackoff = std::min(2 * askBackoff, kAskMost);
     }
     if (kind == ListKind::Failed) return;
     askBackoff = kAskFirst;
@@ -684,12 +679,9 @@
         }
       }
       if (e.started > m.listed.started) {  // a new process: nothing of what was learned holds on
-        m.immediate.clear();
-        m.held.clear();
-        m.room = 1, m.roomAt = now;
-        m.asideUntil = never;
-        m.failures = 0;
-        m.backoff = Time(0);
+        m.immediate.clear(), m.held.clear();
+        m.served = {}, m.allowance[0] = m.allowance[1] = {}, m.asideUntil = never;
+        m.failures = 0, m.backoff = Time(0);
         if (m.listed.id != 0) {
           m.listed = e;
           sawRole(m, Role::Unknown, std::max(m.roleAt, std::min(e.started, now)));
@@ -707,8 +699,7 @@
         if (g.primary == e.id) sawRole(m, Role::Unknown, std::max(m.roleAt, now));
       } else if (e.primary && s.roleListed != RoleListed::Silent && m.roleAt == never && g.primary == 0) {
         g.primary = e.id;  // the weakest evidence: anything heard from a member replaces it
-        m.role = Role::Primary;
-        m.roleAt = Time(0);
+        m.role = Role::Primary, m.roleAt = Time(0);
       }
     }
     for (auto& [id, g] : groups) {
@@ -742,46 +733,58 @@
   }
 
   // Guards against pushing over a member that has just started, by all routers with no word among them: it
-  // can do its ramp's share of a warm one's, warm ones serve at most that (mostly less), and routers share it
-  // by their own requests. The rule breaks at N + 3 root N + 3: 3 go to any, writes may have 1.6 N (N is 35).
+  // may get N in fallFor, fallMultiple times what it can do. That is no less than its ramp's part of what
+  // warm ones do, than it has done, or than their mean. Each plans by what it had of them, so the sum is the
+  // fleet's; it adds up with time, and a part of a request is drawn for (docs/design/cold-start.md).
   bool cold(const Member& m) const {
     return m.listed.started != Time(0) && now < m.listed.started + s.coldFor && s.coldFor > Time(0);
   }
-  static void count(Decayed& d, Time now) { d.n = rateOf(d, now) + 1, d.at = now; }
-  static double rateOf(const Decayed& d, Time now) { return d.n * std::exp(-ratio(now - d.at, kSpan)); }
+  double lately(const Decayed& d) const { return d.n * std::exp(-ratio(now - d.at, kRecent)); }
+  void count(Decayed& d, double work) { d.n = lately(d) + work, d.at = now; }
+  double each(const Decayed& d, Time since) const {  // in a window, counted since then
+    const double seen = 1 - std::exp(-ratio(std::max(now - since, kTick), kRecent));
+    return lately(d) * ratio(std::max(s.fallFor, kTick), kRecent) / seen;
+  }
+  double costOf(int k) const { return usual[at(k)] > 0 ? std::clamp(usual[at(k)] / typical, 0.5, 2.0) : 1; }
+  void sumUp() {
+    if (std::exchange(ratesAt, now) == now) return;
+    double warm = filled = 0, chilly = 0, done = 0;
+    for (const auto& [id, x] : members)
+      if (usable(x) && cold(x))
+        chilly += x.listed.weight;
+      else if (usable(x))
+        warm += x.listed.weight, done += each(x.served, began);
+    // Where none is warm what is asked is taken for the most that can be.
+    perWeight = warm > 0 ? done / warm : each(asked, began) / std::max(chilly, 1e-9) / kCrowd;
+    for (const auto& [id, g] : groups) filled += !g.members.empty();
+  }
   bool withinColdBudget(Member& m, const Open& r) {
     if (!cold(m)) return true;
-    double warm = 0, chilly = 0, served = 0;  // weights; answers of warm ones
-    for (const auto& [id, x] : members)
-      if (usable(x))
-        (cold(x) ? chilly : warm) += x.listed.weight, served += cold(x) ? 0 : rateOf(x.served, now);
-    // What warm ones serve for their weight; where none is warm, what is asked, at most 1.5 of what can be.
-    const double perWeight = warm > 0 ? served / warm : rateOf(asked, now) / chilly / 1.5;
+    const bool write =
+        classOf(r).need == Need::Write;  // which has one way: reads have what is left of a primary
+    Allowance& a = m.allowance[write];
+    if (a.drawnFor == r.q.id && (a.drawn || a.drawnAt == now)) return a.drawn;
+    sumUp();  // a group is seldom asked at one of many routers: its part of all tells more than its own
+    const double all = each(asked, began) / filled, writes = all * wrote;
     const double ramp = s.startCapacity + (1 - s.startCapacity) * ratio(now - m.listed.started, s.coldFor);
-    const double part = s.fallMultiple * ramp * m.listed.weight * perWeight * roomOf(m, r.q.cls) +
-                        3 * ratio(kSpan, s.fallFor) / s.balancers;
-    const Group& g = groups.at(m.listed.group);
-    const double writes = rateOf(g.written, now), dice = chance(r.q.id, m.listed.id);
-    if (classOf(r).need == Need::Write) return dice * writes < kWrites * part;  // the one way
-    return dice * (rateOf(g.asked, now) - writes) < kSlack * part - (g.primary == m.listed.id ? writes : 0);
-  }
-  // Warm ones may serve far less than they can. While its answers come within kFine usual latencies a cold
-  // member is opened to twice as much each second, up to kRoom times, else to half at each call.
-  double roomOf(Member& m, int cls) {
-    const double own = usual[at(cls)], grow = std::exp2(ratio(now - m.roomAt, seconds(1)));
-    double sum = 0, n = 0;
-    for (const Sample& x : m.immediate)
-      if (x.at + kEvidence >= now) n += 1, sum += std::min(convert(x.latency, x.cls, cls), 4 * own);
-    if (n >= kStreak && own > 0)
-      m.room = kFine * own * n >= sum ? std::min(kRoom, m.room * grow) : std::max(1.0, m.room / 2);
-    m.roomAt = now;
-    return m.room;
+    const double able = (2 * ramp * m.listed.weight * perWeight + each(m.served, m.listed.started)) / 2.7;
+    double part = std::max(kPlan * s.fallMultiple * able, kLeast / s.balancers);  // for a window
+    if (!write && groups.at(m.listed.group).primary == m.listed.id) part = std::max(part - writes, 0.0);
+    const double due = std::max(write ? writes : all - writes, 1e-9);
+    const double most = std::max({kSaved * part, kLeast / s.balancers, std::min(1.0, part / due)});
+    const double more = part * ratio(now - a.at, std::max(s.fallFor, kTick));
+    a.saved = a.at == never ? std::min(1.0, std::max(most, 2 * kLeast / s.balancers))
+                            : std::min(most, a.saved + more);
+    const double cost = costOf(r.q.cls), odds = std::min(1.0, a.saved / cost);
+    a.at = a.drawnAt = now, a.drawnFor = r.q.id, a.price = odds * cost;
+    a.drawn = chance(r.q.id, m.listed.id + static_cast<std::uint64_t>(now.count()) * 31) < odds;
+    if (!a.drawn) a.saved -= a.price;
+    return a.drawn;
   }
 
   // ---- probes --------------------------------------------------------------------------------------------
   void probe(Member& m) {
-    m.probing = true;
-    m.probedAt = now;
+    m.probing = true, m.probedAt = now;
     sink.probe(m.listed.id);
   }
   Time tightestBound() const {
@@ -832,7 +835,7 @@
   c.now = now;
   c.list(kind, entries);
   if (c.begun) return;
-  c.begun = true;
+  c.begun = true, c.began = now;
   if (c.s.discovery == Discovery::Subscribe) c.ask();
 }
 
@@ -844,14 +847,12 @@
   const double keep = std::exp(-ratio(now - c.fadedAt, kPurse));
   c.fadedAt = now;
   c.retries = std::max(std::min(c.retries, 1.0), c.retries * keep) + kRetryShare;
-  c.count(c.asked, now);
-  c.count(c.groups[q.group].asked, now);
-  if (c.s.classes[at(q.cls)].need == Need::Write) c.count(c.groups[q.group].written, now);
+  const double work = c.costOf(q.cls), write = c.s.classes[at(q.cls)].need == Need::Write;
+  c.count(c.asked, work);
+  c.wrote += (write - c.wrote) / ++c.taken;
   Open& r = c.open[q.id];
-  r.q = q;
-  r.arrived = now;
-  r.ran = q.ranAt > Time(0);
-  r.ranAt = q.ranAt;
+  r.q = q, r.arrived = now;
+  r.ran = q.ranAt > Time(0), r.ranAt = q.ranAt;
   c.learnNeed(r);
   c.advance(r);
 }
@@ -891,8 +892,7 @@
   m->probing = false;
   if (p.ok) {
     c.sawReport(*m, p.report);
-    m->wordAt = now;
-    m->failures = 0;
+    m->wordAt = now, m->failures = 0;
     // Guards against asking the same laggards for ever, as they get no sends: to be asked in vain is a turn.
     if (m->position < now - c.tightestBound()) m->lastUsed = now;
   } else if (m->wordAt < m->probedAt && (m->erring || now >= m->asideUntil)) {
@@ -945,6 +945,7 @@
   const auto it = c.open.find(id);
   const Member* const m = c.find(to);
   if (it == c.open.end() || !m || !c.usable(*m)) return false;
+  if (!c.remembered(it->second)) return false;  // it waited for its connection
   return c.stalenessFactor(*m, c.groups[m->listed.group], c.needOf(it->second)) >= 0;
 }
 
@@ -963,9 +964,8 @@
     m->suspendedAt = now;
     c.sawRole(*m, Role::Unknown, std::max(m->roleAt, now));
   } else {  // staff had a reason: unless the list knows better it counts as one that has just started
-    if (m->listed.started < m->suspendedAt) m->listed.started = now;
-    m->asideUntil = never;
-    m->failures = 0;
+    if (m->listed.started < m->suspendedAt) m->listed.started = now, m->served = {};
+    m->asideUntil = never, m->failures = 0;
     c.groups[m->listed.group].scouted = false;
   }
 }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -34,6 +34,15 @@
 };
 enum class Role { Unknown, Primary, Replica };
 
+// What this router may send a member that has just started, in requests of mean work, as of `at`; the last
+// draw for a part of a request: when, whose, won or not, and what it costs if it is sent.
+struct Allowance {
+  double saved = 0, price = 0;
+  Time at = never, drawnAt = never;
+  RequestId drawnFor = 0;
+  bool drawn = false;
+};
+
 struct Member {
   ListedMember listed;
   bool seenDraining = false;
@@ -60,8 +69,7 @@
   Time toldAt = never;
   std::uint64_t salt = 0;  // this router's own order of members that are alike
   Decayed served;          // its answers to this router
-  double room = 1;         // while it is cold: times its least budget that its answers show it can take
-  Time roomAt{};           // since when that holds: its start
+  Allowance allowance[2];  // while it is cold: of reads, of writes
 };
 
 struct Group {
@@ -73,7 +81,6 @@
   bool scouted = false;
   Time forgotten = never;  // sessions no longer remembered may have written until then
   std::vector<RequestId> waiting;
-  Decayed asked, written;  // its requests that came to this router; those of them that write
 };
 
 struct Attempt {
