Graceful ends of connections; lists end at their last brace; the watch keeps its socket

Session::end() stopped reading and closed over what had come: a request in the instant of the last call was reset away, as was one that firstAsked() or the round ended. Now an end shuts sending down when all is written, throws away what still comes for half a second, and looks once more before. With the input full libevent saw no end of the client: EV_CLOSED does. A newcomer at the last call has 0.1 s to speak. watch.cpp took each newline for a list's end and any byte for a sign of life, and its socket came from a table that clients may have filled since: ListStream, kAnswer, a descriptor kept from call to call. upstream.cpp kept idle connections to the process before and dials to an address that was left; asked probes of members that leave. membership.cpp believed an older list on what leaves. Fail without the change: SessionTest.ARequestThatComesInTheInstantOfTheLastCallIsServed, .WhoseRequestHasJustCome..., Proxy.TakesAListThatComesIndented, .OpensAWatchAnewOnWhichOnlyBlanksTrickle, Membership.AnOlderListBringsNothingBack.... The other new tests were not tried against the program before with their present form.

--- a/src/back/pg/upstream.cpp
+++ b/src/back/pg/upstream.cpp
@@ -145,6 +145,7 @@
   }
   bool backslashes() const { return backslashes_; }
   int minor() const { return minor_; }
+  const Address& address() const { return address_; }
   // A CancelRequest for what runs here. False: the server has told no key.
   bool callOff() {
     if (!key_ || call_) return false;
@@ -464,12 +465,22 @@
 
 void Upstream::listed(MemberId id, const Address& address, bool ready, Time warmAt) {
   Endpoint& e = endpoints_[id];
+  // Another process since: connections to the one before may stand there silent, if its machine vanished.
+  const bool restarted = warmAt > e.warmAt;
   e.warmAt = warmAt;
   const bool moved = !address.none() && address != e.address;
   if (moved) e.dialAgain = engine_.now() + turnOf(id);
   if (moved) e.address = address;
   e.ready = ready;
-  if (moved || !ready) dropIdle(e);
+  if (moved || restarted || !ready) dropIdle(e);
+  if (moved) {  // what is still being dialed would lead to where it was
+    std::vector<Connection*> dialing;
+    for (const auto& [c, owned] : connections_)
+      if (c->member == id && c->dialing) dialing.push_back(c);
+    for (Connection* c : dialing) drop(*c);
+    while (static_cast<std::size_t>(e.dialing) < e.waiting.size())
+      if (!dial(id, e)) break;
+  }
   keepWarm();
 }
 
@@ -627,9 +638,13 @@
   Endpoint& e = endpoints_[c.member];
   if (c.dialing) e.dialing -= 1;
   c.dialing = false;
-  if (!e.waiting.empty()) {
+  if (!e.waiting.empty() && c.address() == e.address) {
     Job& j = *e.waiting.front();
     e.waiting.pop_front();
+    if (j.probe() && !e.ready) {  // it has begun to leave while this was dialed: nobody asks any more
+      finishProbe(j, false);
+      return stands(c);
+    }
     c.begin(j);
     // An attempt that had to wait is looked at again: drains and the data's age count from the bytes sent.
     if (j.probe())
@@ -638,7 +653,7 @@
       engine_.connected(j.id, j.attempt);
     return true;
   }
-  if (!e.ready) {
+  if (!e.ready || c.address() != e.address) {
     drop(c);
     return false;
   }
--- a/src/core/system.cpp
+++ b/src/core/system.cpp
@@ -35,16 +35,17 @@
 }
 
 Spare::Spare() { hold(); }
-Spare::~Spare() {
+Spare::~Spare() { give(); }
+void Spare::give() {
   if (fd_ >= 0) close(fd_);
+  fd_ = -1;
 }
 void Spare::hold() {
   if (fd_ < 0) fd_ = open("/dev/null", O_RDONLY | O_CLOEXEC);
 }
 bool Spare::lend(const std::function<void()>& use) {
   if (fd_ < 0) return false;
-  close(fd_);
-  fd_ = -1;
+  give();
   struct Hold {
     Spare& spare;
     ~Hold() { spare.hold(); }  // `use` may throw
--- a/src/core/system.hpp
+++ b/src/core/system.hpp
@@ -35,6 +35,7 @@
   bool lend(const std::function<void()>& use);
   bool held() const { return fd_ >= 0; }
   void hold();  // once more, where others took its place
+  void give();  // for something that is to stay open; hold() once that is closed
 
  private:
   int fd_ = -1;
--- a/src/front/pg/clients.cpp
+++ b/src/front/pg/clients.cpp
@@ -21,6 +21,7 @@
 constexpr Time kShortOf = std::chrono::milliseconds(500);
 // How often all clients are looked at for what takes too long.
 constexpr Time kRound = std::chrono::milliseconds(100);
+constexpr int kAskAgain = 8;  // clients that look idle, before one is closed all the same
 
 }  // namespace
 
@@ -122,18 +123,28 @@
 // Guards against connections that nobody uses keeping out those that ask: first what is being closed, then
 // what has never asked, then what has been idle longest.
 bool Clients::makeRoom() {
+  Session* const best = mostSpare(1);
+  if (best) sessions_.erase(best);
+  return best != nullptr;
+}
+
+// Guards against closing on a request that has just come: what looks idle is asked once more, a few at most.
+Session* Clients::mostSpare(int least, const Session* but) {
   const Time now = engine_.now();
-  Session* best = nullptr;
-  int most = 0;
-  for (const auto& [s, owned] : sessions_) {
-    const int spare = s->spare(now);
-    if (spare > most || (spare > 0 && spare == most && s->lastActive() < best->lastActive())) {
+  std::vector<const Session*> asking;
+  for (int tries = 0;; ++tries) {
+    Session* best = nullptr;
+    int most = least;
+    for (const auto& [s, owned] : sessions_) {
+      const int spare = s->spare(now);
+      if (spare < most || s == but || std::count(asking.begin(), asking.end(), s) > 0) continue;
+      if (best && spare == most && s->lastActive() >= best->lastActive()) continue;
       best = s;
       most = spare;
     }
+    if (!best || most == 3 || tries >= kAskAgain || !best->unread()) return best;
+    asking.push_back(best);
   }
-  if (best) sessions_.erase(best);
-  return best != nullptr;
 }
 
 // Guards against clients that ask once and keep their connections: the longest idle one makes way for each
@@ -144,8 +155,10 @@
   const Time now = engine_.now();
   Session* longest = nullptr;
   for (const auto& [s, owned] : sessions_)
-    if (s != &by && s->spare(now) == 1 && (!longest || s->lastActive() < longest->lastActive())) longest = s;
-  if (longest) closed(*longest);
+    if (s != &by && s->spare(now) == 1 && (!longest || s->lastActive() < longest->lastActive()) &&
+        !s->unread())
+      longest = s;
+  if (longest) longest->end();
 }
 
 void Clients::round() {
@@ -153,7 +166,7 @@
   std::vector<Session*> over;
   for (const auto& [s, owned] : sessions_)
     if (!s->looksAlive(now)) over.push_back(s);
-  for (Session* s : over) closed(*s);
+  for (Session* s : over) s->spare(now) == 3 ? closed(*s) : s->end();
 }
 
 void Clients::closed(Session& s) {
@@ -179,8 +192,7 @@
   acceptor_.reset();
   std::vector<Session*> all;
   for (const auto& [s, owned] : sessions_) all.push_back(s);
-  for (Session* s : all)
-    if (s->idle()) s->end();
+  for (Session* s : all) s->retire();
   if (sessions_.empty()) return done_();
   Time longest{};
   for (const auto& c : config_.settings.classes) longest = std::max(longest, c.deadline);
--- a/src/front/pg/clients.hpp
+++ b/src/front/pg/clients.hpp
@@ -39,6 +39,7 @@
   void closed(Session&);
   bool room();
   bool makeRoom();
+  Session* mostSpare(int least, const Session* but = nullptr);  // null: none
   void round();
   void firstAsked(const Session& by);
   pg::Key newKey(Session&, std::size_t length);  // the session takes it out of keys_ at its end
--- a/src/front/pg/session.cpp
+++ b/src/front/pg/session.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t kStart = 256;  // the quoted key at its start comes before
 // So long a new client is left to say who it is, however many others come.
 constexpr Time kNewcomer = std::chrono::milliseconds(25);
+constexpr Time kGreeting = std::chrono::milliseconds(100);  // the same when the program ends
 // After its last word to a client that still sends, so much is read and thrown away before the close: closing
 // on unread input would reset the connection, and the error in it would be lost.
 constexpr Time kLinger = std::chrono::milliseconds(500);
@@ -214,17 +215,54 @@
   return idle() && evbuffer_get_length(output()) == 0 ? 1 : 0;
 }
 void Session::end() {
+  if (ending_) return;
   ending_ = true;
-  bufferevent_disable(bev_.get(), EV_READ);
-  // Not now: whoever calls is often in the midst of reading this client. flushed() closes it.
-  if (evbuffer_get_length(output()) == 0)
-    bufferevent_trigger(bev_.get(), EV_WRITE, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+  watchReading(true);
+  if (evbuffer_get_length(output()) == 0) endSending();  // else flushed() does
+}
+void Session::retire() {
+  retiring_ = true;
+  if (request_ != 0 || batch_ || ending_ || evbuffer_get_length(output()) > 0) return;
+  // One that has only just come has not had the time to say anything; looksAlive() comes back to it.
+  if (!asked_ && owner_.engine_.now() - lastActive_ < kGreeting) return;
+  // A request that crosses the end and was not read is sent again by its client; this one has come before.
+  if (unread())
+    readSoon();
+  else
+    end();
+}
+bool Session::unread() {
+  char byte;
+  return evbuffer_get_length(input()) > 0 ||
+         recv(bufferevent_getfd(bev_.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+// Guards what was written against our own close: on unread bytes that would reset the connection.
+void Session::endSending() {
+  lingering_ = true;
+  lastActive_ = owner_.engine_.now();
+  shutdown(bufferevent_getfd(bev_.get()), SHUT_WR);
+}
+// Guards against requests of a client that has gone: with reading off libevent would not see its end.
+void Session::watchReading(bool on) {
+  if (on == reading_) return;
+  reading_ = on;
+  (on ? bufferevent_enable : bufferevent_disable)(bev_.get(), EV_READ);
+  if (on) return gone_.reset();
+  gone_.reset(event_new(
+      bufferevent_get_base(bev_.get()), bufferevent_getfd(bev_.get()), EV_CLOSED,
+      [](evutil_socket_t, short, void* of) {
+        auto* const s = static_cast<Session*>(of);
+        s->owner_.closed(*s);
+      },
+      this));
+  event_add(gone_.get(), nullptr);
 }
 bool Session::looksAlive(Time now) {
   if (paused_ && !ending_ && evbuffer_get_length(input()) > 0) readSoon();
   paused_ = false;
   if (lingering_) return now - lastActive_ < kLinger;
   if (request_ != 0 || ending_ || evbuffer_get_length(output()) > 0) return true;
+  if (retiring_ && !batch_ && now - lastActive_ >= kGreeting && !unread()) return false;
   if (!asked_ && now - lastActive_ >= owner_.config_.firstQuery) return false;
   return halfSince_ == Time(0) || now - halfSince_ < owner_.config_.halfMessage;
 }
@@ -232,12 +270,9 @@
   if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) owner_.closed(*this);
 }
 void Session::flushed() {
-  if (lingering_) {
-    shutdown(bufferevent_getfd(bev_.get()), SHUT_WR);
-    return;
-  }
-  if (ending_) return owner_.closed(*this);
+  if (ending_) return endSending();
   read();  // what was left while the client did not read its answers
+  if (retiring_) retire();
 }
 void Session::readSoon() {
   bufferevent_trigger(bev_.get(), EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
@@ -246,8 +281,8 @@
 void Session::settle() {
   if (evbuffer_get_length(input()) > 0)
     readSoon();
-  else if (owner_.draining_ && !owner_.acceptor_ && !batch_)
-    end();
+  else if (owner_.draining_ && !owner_.acceptor_)
+    retire();
 }
 // What cannot be read to its end is fatal. Otherwise nothing more is taken before the next round: guards
 // against a client that sends the same again at full speed and keeps the loop from the others.
@@ -262,7 +297,7 @@
   login_.reset();
   ending_ = lingering_ = true;
   lastActive_ = owner_.engine_.now();
-  bufferevent_enable(bev_.get(), EV_READ);
+  watchReading(true);
   discard();
 }
 void Session::discard() {
@@ -295,7 +330,7 @@
 }
 
 void Session::read() {
-  if (lingering_) return discard();
+  if (ending_) return discard();
   while (request_ == 0 && !ending_ && !paused_ && evbuffer_get_length(output()) < kUnread) {
     const bool took = hidden_                       ? takeHeader()
                       : speaks_ == Speaks::Nothing  ? takeStartup()
@@ -311,8 +346,7 @@
   // Guards against spinning: libevent calls back time and again while the input stands at its high
   // watermark.
   const bool room = left < std::max(kReadAhead, reserved_);
-  if (room != reading_) (room ? bufferevent_enable : bufferevent_disable)(bev_.get(), EV_READ);
-  reading_ = room;
+  watchReading(room);
 }
 
 std::string_view Session::pull(std::size_t n) {
--- a/src/front/pg/session.hpp
+++ b/src/front/pg/session.hpp
@@ -46,8 +46,13 @@
   // How readily this client gives up its place to a new one; 0: not at all.
   int spare(Time now);
   Time lastActive() const { return lastActive_; }
-  // Closes once all that was written has gone out, in a later pass of the loop.
+  // Graceful: once all that was written has gone out the connection is ended for sending; what still comes is
+  // thrown away until the client closes too, or for half a second. Nothing more is taken.
   void end();
+  // The same between two requests, for the drain: what has come by then is answered first.
+  void retire();
+  // Something has come that was not taken yet, in the system or here.
+  bool unread();
   // Guards against clients that hold a place and do not ask: they are owed an end within 3 s. False: this one
   // is to be closed.
   bool looksAlive(Time now);
@@ -84,6 +89,8 @@
   bool admitted();                      // by the name that it has proved, or before; else it is told no
   void outside(bool);                   // whether it is without a place
   void lingers();
+  void endSending();
+  void watchReading(bool on);
   bool takeLogin();
   void said(const Login::Said&);
   void welcome();
@@ -123,10 +130,11 @@
   translate::Wanted wanted_;                     // of the request that is out
   bool described_ = true;                        // its columns are told
   std::size_t mostRows_ = 0;
-  bool asked_ = false, ending_ = false;
+  bool asked_ = false, ending_ = false, retiring_ = false;
   bool lingering_ = false;    // its last word is said; what still comes is thrown away
   bool paused_ = false;       // until the next round
   bool reading_ = true;       // EV_READ is enabled
+  Event gone_;                // else this tells that the client has closed
   std::string id_;            // of the request that is out
   RequestId request_ = 0;     // that is out; 0: none
   std::size_t reserved_ = 0;  // of the account's bytes, for the message at hand
--- a/src/membership/list.cpp
+++ b/src/membership/list.cpp
@@ -12,6 +12,31 @@
          a.group == b.group && a.state == b.state && a.weight == b.weight && a.startedMs == b.startedMs;
 }
 
+bool ListStream::feed(std::string_view bytes, std::vector<std::string>& whole, bool& alive) {
+  constexpr std::size_t kLongest = 4 << 20;
+  for (const char c : bytes) {
+    if (depth_ == 0) {
+      alive = alive || c == '\n' || c == '{';
+      if (c == ' ' || c == '\t' || c == '\r' || c == '\n') continue;
+      if (c != '{') return false;
+    }
+    if (text_.size() >= kLongest) return false;
+    text_.push_back(c);
+    if (quoted_) {
+      quoted_ = c != '"' || escaped_;
+      escaped_ = c == '\\' && !escaped_;
+      continue;
+    }
+    quoted_ = c == '"';
+    depth_ += (c == '{' || c == '[') - (c == '}' || c == ']');
+    if (depth_ > 0) continue;
+    alive = true;
+    whole.push_back(std::move(text_));
+    text_.clear();
+  }
+  return true;
+}
+
 Address parseAddress(std::string_view text, const std::string& key) {
   const auto address = Address::parse(text);
   if (!address) throw BadInput("key " + key + ": '" + std::string(text) + "' is no address with a port");
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -95,6 +95,14 @@
   expired_ = false;
   toldAt_ = now;
   failingSince_.reset();
+  // Guards against a list that is older than what was told, as after a move or a return of discovery: what
+  // has begun to leave does not come back by it, unless it has started anew.
+  for (Instance& i : list.instances) {
+    const auto known = list.generation < generation_ ? entries_.find(i.name) : entries_.end();
+    if (known != entries_.end() && known->second.instance.state == Lifecycle::Draining &&
+        i.state == Lifecycle::Ready && i.startedMs <= known->second.instance.startedMs)
+      i.state = Lifecycle::Draining;
+  }
   generation_ = list.generation;
   if (list.reset)
     for (auto it = entries_.begin(); it != entries_.end();) {
--- a/src/membership/registry/watch.cpp
+++ b/src/membership/registry/watch.cpp
@@ -6,9 +6,11 @@
 namespace sablespur {
 namespace {
 
+// A change counts as told 6 s after discovery had it, whatever calls have failed meanwhile. A call is
+// answered or turned away within 2 s: one that is silent is given up in time for a pause and one more.
+constexpr Time kAnswer = std::chrono::milliseconds(2500);
 // Guards against a discovery that vanished without a word: a watch brings at least an empty line every 2 s.
 constexpr Time kSilence = std::chrono::milliseconds(3000);
-constexpr std::size_t kLongestLine = 4 << 20;
 
 }  // namespace
 
@@ -20,15 +22,33 @@
           base, -1, 0,
           [](evutil_socket_t, short, void* self) { static_cast<Discovery*>(self)->fail("silent"); }, this)) {}
 
+Discovery::~Discovery() { hangUp(); }
+
+// Guards against a table that clients fill before the next call: the descriptor is kept from one to the
+// other.
+void Discovery::hangUp() {
+  if (!connection_) return;
+  const evutil_socket_t fd = bufferevent_getfd(connection_.get());
+  bufferevent_setfd(connection_.get(), -1);
+  connection_.reset();
+  if (fd >= 0) evutil_closesocket(fd);
+  event_del(silence_.get());
+  reserve_.hold();
+}
+
 void Discovery::watch(std::uint64_t after) {
+  hangUp();
   response_ = http::Response();
-  body_.clear();
-  connection_.reset(bufferevent_socket_new(base_, -1, BEV_OPT_CLOSE_ON_FREE));
+  stream_ = ListStream();
+  reserve_.give();
+  const int fd = systemCalls().socket(address_.v6() ? AF_INET6 : AF_INET);
+  connection_.reset(bufferevent_socket_new(base_, fd, 0));
   const std::string target = "/registry/instances?watch=1&after=" + std::to_string(after);
   append(bufferevent_get_output(connection_.get()), http::get(target, address_.text()));
   bufferevent_enable(connection_.get(), EV_READ | EV_WRITE);
-  startTimer(silence_.get(), kSilence);
-  if (bufferevent_socket_connect(connection_.get(), address_.data(), static_cast<int>(address_.size())) != 0)
+  startTimer(silence_.get(), kAnswer);
+  if (fd < 0 ||
+      bufferevent_socket_connect(connection_.get(), address_.data(), static_cast<int>(address_.size())) != 0)
     return fail("no connection");
   bufferevent_setcb(
       connection_.get(), [](bufferevent*, void* self) { static_cast<Discovery*>(self)->read(); }, nullptr,
@@ -47,42 +67,36 @@
 }
 
 void Discovery::read() {
-  startTimer(silence_.get(), kSilence);
   evbuffer* const in = bufferevent_get_input(connection_.get());
   evbuffer_iovec part;
+  std::string body;
+  const bool begun = response_.status() == 200;
   while (evbuffer_peek(in, -1, nullptr, &part, 1) > 0) {
-    if (!response_.feed({static_cast<const char*>(part.iov_base), part.iov_len}, body_))
+    if (!response_.feed({static_cast<const char*>(part.iov_base), part.iov_len}, body))
       return fail("malformed response");
     evbuffer_drain(in, part.iov_len);
   }
   if (response_.status() != 0 && response_.status() != 200)
     return fail(("status " + std::to_string(response_.status())).c_str());
-  if (response_.status() == 200 && !readLines()) return;
-  if (response_.done()) fail("watch ended");
-}
-
-bool Discovery::readLines() {
-  std::size_t from = 0;
+  // Guards against bytes that trickle in and say nothing: only what makes sense by itself shows that it is
+  // there.
+  bool alive = !begun && response_.status() == 200;
+  std::vector<std::string> lists;
+  const bool fine = stream_.feed(body, lists, alive);
   try {
-    for (std::size_t end; (end = body_.find('\n', from)) != std::string::npos; from = end + 1) {
-      const std::string_view line = std::string_view(body_).substr(from, end - from);
-      if (line.find_first_not_of(" \r") != std::string_view::npos) taker_.listed(parseInstances(line));
-    }
+    for (const std::string& list : lists) taker_.listed(parseInstances(list));
   } catch (const BadInput& e) {
-    fail(e.what());
-    return false;
+    return fail(e.what());
   }
-  body_.erase(0, from);
-  if (body_.size() <= kLongestLine) return true;
-  fail("line too long");
-  return false;
+  if (!fine) return fail("something that is no list, or too long");
+  if (alive) startTimer(silence_.get(), kSilence);
+  if (response_.done()) fail("watch ended");
 }
 
 void Discovery::fail(const char* why) {
   if (!connection_) return;  // an end is told once
   logEvent(LogLevel::Warning, "watch_ended", {{"why", why}});
-  connection_.reset();
-  event_del(silence_.get());
+  hangUp();
   taker_.listFailed(why);
 }
 
--- a/src/membership/registry/watch.hpp
+++ b/src/membership/registry/watch.hpp
@@ -3,6 +3,8 @@
 
 #include "core/engine.hpp"
 #include "core/event.hpp"
+#include "core/system.hpp"
+#include "membership/list.hpp"
 #include "wire/http/http.hpp"
 
 namespace sablespur {
@@ -10,12 +12,13 @@
 class Discovery final : public Lists {
  public:
   Discovery(event_base*, ListTaker&, const Address&);
+  ~Discovery() override;
   void watch(std::uint64_t after) override;  // a watch that is on ends silently
   void move(const Address&);                 // goes on with the watch at another address
 
  private:
   void read();
-  bool readLines();
+  void hangUp();
   void fail(const char* why);
 
   event_base* const base_;
@@ -24,7 +27,8 @@
   BufferEvent connection_;
   Event silence_;
   http::Response response_;
-  std::string body_;  // what has come of a line that has not ended
+  ListStream stream_;
+  Spare reserve_;  // held while there is no connection
 };
 
 }  // namespace sablespur
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -196,6 +196,31 @@
   EXPECT_EQ(m.view(kStart).rows.size(), 2u);
 }
 
+// Discovery comes back, or another one is asked, with a list from before a server began to leave.
+TEST(Membership, AnOlderListBringsNothingBackThatLeaves) {
+  Membership m;
+  Instance one = at("s-1", 1), two = at("s-2", 2);
+  m.changed(kStart, {41, true, {one, two}});
+  one.state = Lifecycle::Draining;
+  m.changed(kStart, {43, false, {one}});
+  m.changed(kStart, {42, true, {at("s-1", 1), two}});
+  m.take(kStart);
+  m.take(kStart);
+  const auto older = m.take(kStart);
+  ASSERT_TRUE(older);
+  EXPECT_EQ(older->instances[0].state, Lifecycle::Draining);
+  EXPECT_EQ(older->instances[1].state, Lifecycle::Ready);
+  // A new process of that name has not begun to leave; nor does a newer list have to be doubted.
+  Instance anew = at("s-1", 1);
+  anew.startedMs = 5;
+  m.changed(kStart, {41, true, {anew, two}});
+  EXPECT_EQ(m.take(kStart)->instances[0].state, Lifecycle::Ready);
+  m.changed(kStart, {44, false, {one}});
+  m.changed(kStart, {45, false, {at("s-1", 1)}});
+  m.take(kStart);
+  EXPECT_EQ(m.take(kStart)->instances[0].state, Lifecycle::Ready);
+}
+
 // Whatever a source finds in whatever order: what the engine was told adds up to a list in which every name
 // is present, no address stands twice, and nothing that was withdrawn is left.
 TEST(Membership, WhatIsToldAddsUpOnAnyHistory) {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -152,6 +152,49 @@
 }
 
 // A trouble that touches every request must not fill the log.
+TEST(List, IsFoundInAStreamHoweverItIsCut) {
+  const std::string one = R"({"generation":1,"a":"}{\"\\","instances":[{"x":[]}]})",
+                    two = "{\n  \"generation\": 2\n}";
+  const std::string stream = "\n" + one + "\r\n\n" + two;
+  for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+    ListStream s;
+    std::vector<std::string> whole;
+    bool alive = false;
+    ASSERT_TRUE(s.feed(stream.substr(0, cut), whole, alive)) << cut;
+    const std::size_t before = whole.size();
+    EXPECT_EQ(before, cut >= stream.size() ? 2u : cut > one.size() ? 1u : 0u) << cut;
+    ASSERT_TRUE(s.feed(stream.substr(cut), whole, alive)) << cut;
+    EXPECT_EQ(whole, (std::vector<std::string>{one, two})) << cut;
+  }
+}
+TEST(List, OnlyWhatMakesSenseByItselfIsASignOfLife) {
+  const auto alive = [](ListStream& s, const std::string& bytes) {
+    std::vector<std::string> whole;
+    bool is = false;
+    EXPECT_TRUE(s.feed(bytes, whole, is)) << bytes;
+    return is;
+  };
+  ListStream s;
+  EXPECT_TRUE(alive(s, "\n"));
+  EXPECT_FALSE(alive(s, "  \r"));
+  EXPECT_TRUE(alive(s, "{"));
+  EXPECT_FALSE(alive(s, "\"a\":\n[1,\n\n2"));
+  EXPECT_TRUE(alive(s, "]}"));
+  for (const std::string bad : {"x", "]", "{} }", "HTTP", "\"a\""}) {
+    ListStream other;
+    std::vector<std::string> whole;
+    bool is = false;
+    EXPECT_FALSE(other.feed(bad, whole, is)) << bad;
+  }
+  ListStream endless;
+  std::vector<std::string> whole;
+  bool is = false;
+  EXPECT_TRUE(endless.feed("{\"a\":\"", whole, is));
+  bool goesOn = true;
+  for (int k = 0; k < 100 && goesOn; ++k) goesOn = endless.feed(std::string(64 << 10, 'a'), whole, is);
+  EXPECT_FALSE(goesOn) << "a list without end costs its connection, not the memory";
+}
+
 TEST(Log, IsRateLimitedAndSaysWhatItLeftOut) {
   testing::internal::CaptureStderr();
   for (int k = 0; k < 5000; ++k) logEvent(LogLevel::Info, "line", {{"k", k}});
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -283,6 +283,46 @@
     s1 expect drained
   )");
 }
+// A list may come over many lines: its end is its last brace, not the end of a line.
+TEST(Proxy, TakesAListThatComesIndented) {
+  Scenario t;
+  t.run("s2 wait idle 2\nlist send indented " + t.list(2, "leaving", 6) + R"(
+    s2 expect drained
+    list close
+    list expect watch after=6
+  )");
+}
+TEST(Proxy, AListThatWasCutIsNoList) {
+  Scenario t;
+  const std::string whole = t.list(2, "leaving", 6);
+  t.run("list send raw " + whole.substr(0, whole.size() - 1) + R"(
+    list close
+    list expect watch after=5
+    c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    s2 expect query id=1
+    s2 send row v
+    c1 expect row v
+  )");
+}
+// Bytes that say nothing are no sign of life: what the watch misses meanwhile counts as told.
+TEST(Proxy, OpensAWatchAnewOnWhichOnlyBlanksTrickle) {
+  Scenario t;
+  t.run(R"(
+    list trickles
+    list expect watch after=5
+  )");
+}
+// Its name, its address, another process: what stands idle leads to one that is no more.
+TEST(Proxy, EndsIdleConnectionsToTheProcessBefore) {
+  Setting s;
+  s.balancers = 300;
+  s.idleCloseUs = "60000000";  // not by their age
+  Scenario t(s);
+  std::string anew = t.list(2, "active", 6);
+  const std::string never = "\"startedAtMs\":0";
+  anew.replace(anew.find(never), never.size(), "\"startedAtMs\":" + std::to_string(time(nullptr)) + "000");
+  t.run("s2 wait idle 1\nlist send line " + anew + "\ns2 expect drained\n");
+}
 // A program without a handler ends on SIGHUP; a file that cannot be used must not end it either.
 TEST(Proxy, ReadsTheConfigurationAnewOnHangupAndMovesItsWatch) {
   Scenario t;
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -674,6 +674,15 @@
     shutdown(fd, SHUT_RDWR);
   } else if (what == "line") {
     chunk(rest + "\n");
+  } else if (what == "raw") {
+    chunk(rest);
+  } else if (what == "indented") {
+    std::string text;
+    for (const char c : rest)
+      text += c == ',' || c == '{' || c == '[' ? std::string(1, c) + "\n  " : std::string(1, c);
+    chunk(text + "\n");
+  } else if (verb == "trickles") {
+    trickling_ = &watches_.back();
   } else if (what == "bits") {  // the same in chunks of one byte each
     for (const char byte : rest + "\n") chunk(std::string(1, byte));
   } else if (what == "status") {
@@ -807,6 +816,7 @@
     if (ready(d.c.fd)) read(d.c);
   for (Connection& c : watches_)
     if (ready(c.fd)) read(c);
+  if (trickling_ && !trickling_->ended) put(trickling_->fd, "1\r\n \r\n");
   accepted(listListener_, watches_);
   for (Server& s : servers_) {
     for (Connection& c : s.all) {
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -19,6 +19,7 @@
 //   c1 expect in   c1 expect welcome   which asks again until it is let in
 //   c1 expect refused   with 53300, when to come back, and an end   c1 send header TEXT   before its startup
 //   list expect watch TEXT   list send line JSON   list close
+//   list send indented JSON   over many lines   list send raw TEXT   as it is   list trickles   a blank at a time, for ever
 //   dns publish s2 [KEY=VALUE ...]   dns withdraw s2   dns mood NAME   dns move DOMAIN
 //   proxy send TERM   proxy expect exit 0   proxy expect log TEXT   proxy expect quiet   proxy reload moved|broken|same
 // clang-format on
@@ -163,6 +164,7 @@
   std::map<std::string, Desk> desks_;
   std::vector<Server> servers_;
   int listListener_ = -1;
+  Connection* trickling_ = nullptr;  // a watch that gets a blank in each pass
   std::list<Connection> watches_;
   struct FreeBase {
     void operator()(event_base* b) const { event_base_free(b); }
--- /dev/null
+++ b/tests/session_test.cpp
@@ -0,0 +1,232 @@
+// A client's connection and the program's end of it, where the two cross: in one process, pass by pass of the
+// loop, so that each order is made and not hoped for.
+#include "front/pg/session.hpp"
+
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <set>
+#include <thread>
+
+#include "core/engine.hpp"
+#include "core/system.hpp"
+#include "front/pg/clients.hpp"
+#include "scenario.hpp"
+#include "wire/pg/codec.hpp"
+#include "wire/pg/pg.hpp"
+#include "wire/pg/startup.hpp"
+
+namespace sablespur {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct HeldMembers : Members {  // what is sent stays out
+  std::set<RequestId> out;
+  int sent = 0;
+  void listed(MemberId, const Address&, bool, Time) override {}
+  void send(RequestId id, int, MemberId, Time, std::shared_ptr<const Message>) override {
+    out.insert(id), ++sent;
+  }
+  void start(RequestId, int, bool) override {}
+  void cancel(RequestId id, int) override { out.erase(id); }
+  void probe(MemberId) override {}
+  void forget(MemberId) override {}
+};
+struct NoLists : Lists {
+  void watch(std::uint64_t) override {}
+};
+
+struct Peer {  // the client's end
+  int fd = -1;
+  explicit Peer(int port) {
+    fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const Address to = *Address::parse("127.0.0.1:" + std::to_string(port));
+    EXPECT_EQ(connect(fd, to.data(), to.size()), 0);
+  }
+  ~Peer() {
+    if (fd >= 0) close(fd);
+  }
+  Peer(const Peer&) = delete;
+  void put(const std::string& bytes) const {
+    EXPECT_EQ(::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
+  }
+  std::string take() const {
+    std::string all;
+    char bytes[4096];
+    for (ssize_t n; (n = recv(fd, bytes, sizeof bytes, MSG_DONTWAIT)) > 0;)
+      all.append(bytes, static_cast<std::size_t>(n));
+    return all;
+  }
+  enum class State { Open, Finished, Reset };
+  State state() const {
+    int error = 0;  // of a reset after the end recv tells nothing
+    socklen_t size = sizeof error;
+    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) return State::Reset;
+    char byte;
+    const ssize_t n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 ? State::Finished : n > 0 || errno == EAGAIN ? State::Open : State::Reset;
+  }
+};
+
+struct SessionTest : testing::Test {
+  EventBase base{event_base_new()};
+  Config config = parseConfig(test::configuration({}, 1, {11, 12}));
+  Engine engine{base.get(), config};
+  Workers workers{base.get(), 1};
+  Account account{config};
+  Spare spare;
+  HeldMembers members;
+  NoLists lists;
+  std::unique_ptr<Clients> clients;
+  bool done = false;
+
+  void SetUp() override {
+    clients = std::make_unique<Clients>(base.get(), engine, engine, workers, account, spare, nullptr, config);
+    engine.start(members, lists);
+    engine.turn();
+    for (const MemberId m : {1u, 2u})
+      engine.probed(m, true, {static_cast<double>(engine.now().count()) / 1e6, m == 1 ? 1.0 : 0.0, 0.0});
+    engine.turn();
+  }
+  void pass() {
+    event_base_loop(base.get(), EVLOOP_NONBLOCK | EVLOOP_ONCE);
+    engine.turn();
+  }
+  template <typename Condition>
+  bool until(Condition c, std::chrono::seconds watchdog = 10s) {
+    const auto end = std::chrono::steady_clock::now() + watchdog;
+    bool is = false;
+    while (!(is = c()) && std::chrono::steady_clock::now() < end) {
+      pass();
+      std::this_thread::sleep_for(1ms);
+    }
+    return is;
+  }
+  std::unique_ptr<Peer> welcomed() {
+    auto p = std::make_unique<Peer>(clients->port());
+    p->put(pg::startup("api", "ledger"));
+    std::string got;
+    EXPECT_TRUE(until([&] { return (got += p->take()).size() > 6 && got[got.size() - 6] == 'Z'; }));
+    return p;
+  }
+  static std::string query(const std::string& id) {
+    return pg::query("SELECT 1 /* id=" + id + ",c=read,d=7000,cluster=3 */");
+  }
+  // Called in the very pass in which the last call comes, and before it: what `act` does happens between the
+  // system's last look at the sockets and the closing of what rests.
+  void atTheLastCall(std::function<void()> act) {
+    struct Act {
+      std::function<void()> act;
+    } before{std::move(act)};
+    const Event earlier(event_new(
+        base.get(), -1, 0, [](evutil_socket_t, short, void* a) { static_cast<Act*>(a)->act(); }, &before));
+    startTimer(earlier.get(), 490ms);
+    clients->drain([this] { done = true; });
+    std::this_thread::sleep_for(600ms);  // both are due, nothing was looked at: one pass takes them in order
+    pass();
+  }
+  void answer(const std::string& value) {
+    ASSERT_EQ(members.out.size(), 1u);
+    Ending e;
+    e.result = Result::Ok;
+    e.answer.messages = newBuffer();
+    e.answer.reader = &pg::reader();
+    append(e.answer.messages.get(), value);
+    const RequestId id = *members.out.begin();
+    members.out.erase(id);
+    engine.ended(id, 0, 2, std::move(e));
+    engine.turn();
+  }
+};
+
+TEST_F(SessionTest, ARequestThatComesInTheInstantOfTheLastCallIsServed) {
+  const auto c = welcomed();
+  atTheLastCall([&] { c->put(query("1")); });
+  ASSERT_TRUE(until([&] { return members.out.size() == 1; }))
+      << "it had come before the connection was ended";
+  EXPECT_EQ(c->state(), Peer::State::Open);
+  answer(pg::message('C', std::string("SELECT 1\0", 9)));
+  std::string got;
+  ASSERT_TRUE(until([&] { return (got += c->take()).size() >= 20; }));
+  EXPECT_EQ(got[0], 'C');
+  ASSERT_TRUE(until([&] { return c->state() == Peer::State::Finished; }));
+}
+TEST_F(SessionTest, WhatComesAfterTheEndIsNotSentOnAndResetsNothing) {
+  const auto c = welcomed();
+  atTheLastCall([] {});
+  ASSERT_TRUE(until([&] { return c->state() != Peer::State::Open; }));
+  c->put(query("1"));  // it crosses the end of the connection
+  for (int k = 0; k < 5; ++k) pass();
+  EXPECT_EQ(c->state(), Peer::State::Finished) << "a close over unread bytes is a reset";
+  EXPECT_EQ(members.sent, 0);
+  close(c->fd);
+  c->fd = -1;
+  EXPECT_TRUE(until([&] { return done; })) << "the client has closed too";
+}
+// The answer is still in our hands when the client asks no more: a reset would take it along.
+TEST_F(SessionTest, AnAnswerThatIsNotWrittenOutYetGoesBeforeTheEnd) {
+  const auto c = welcomed();
+  c->put(query("1"));
+  ASSERT_TRUE(until([&] { return members.out.size() == 1; }));
+  atTheLastCall([] {});
+  const std::string value(1 << 20, 'v');
+  answer(pg::message('C', value));
+  c->put(query("2"));  // while it does not read
+  for (int k = 0; k < 20; ++k) pass();
+  std::size_t got = 0;
+  const bool whole =
+      until([&] { return (got += c->take().size()) >= value.size() || c->state() == Peer::State::Reset; });
+  EXPECT_TRUE(whole);
+  EXPECT_GE(got, value.size()) << "cut short by a reset";
+}
+// Half a second is over and it rests on: the program still ends.
+TEST_F(SessionTest, AClientThatNeverClosesDoesNotKeepTheProgram) {
+  const auto c = welcomed();
+  atTheLastCall([] {});
+  EXPECT_TRUE(until([&] { return done; }));
+}
+TEST_F(SessionTest, AHalfRequestAtTheLastCallIsGivenItsTimeAndThenTheEnd) {
+  const auto c = welcomed();
+  c->put(query("1").substr(0, 10));
+  pass();
+  atTheLastCall([] {});
+  EXPECT_EQ(c->state(), Peer::State::Open);
+  c->put(query("1").substr(10));
+  ASSERT_TRUE(until([&] { return members.out.size() == 1; }));
+}
+// With the input full nothing more is read; libevent sees no end then.
+TEST_F(SessionTest, AClientThatLeavesBehindAFullInputEndsItsRequest) {
+  auto c = welcomed();
+  c->put(query("1"));
+  ASSERT_TRUE(until([&] { return members.out.size() == 1; }));
+  std::string much;
+  while (much.size() < 100000) much += query("2");
+  c->put(much);
+  for (int k = 0; k < 20; ++k) pass();
+  c.reset();  // closes
+  // Well before the request's own end, at 8 s.
+  EXPECT_TRUE(until([&] { return members.out.empty(); }, 5s)) << "its attempt goes on for nobody";
+  EXPECT_EQ(members.sent, 1) << "nor is what it pipelined sent on";
+}
+// Room is made for those that ask by ending one that rests: not one whose request has just come.
+TEST_F(SessionTest, WhoseRequestHasJustComeIsNotEndedForAnother) {
+  std::vector<std::unique_ptr<Peer>> all;
+  for (std::size_t k = 0; k < config.askingClients; ++k) {
+    all.push_back(welcomed());
+    all.back()->put(pg::query(""));
+    ASSERT_TRUE(until([&] { return !all.back()->take().empty(); }));
+  }
+  const auto late = welcomed();
+  late->put(pg::query(""));
+  // The one that has rested longest asks before that is read; whichever is taken first, it is not cut off.
+  all[0]->put(query("1"));
+  ASSERT_TRUE(until([&] { return members.out.size() == 1; }));
+  EXPECT_EQ(all[0]->state(), Peer::State::Open);
+}
+
+}  // namespace
+}  // namespace sablespur
