A request's time runs from its last byte; a reset behind a full input ends it, no spin

At fault: Session::takeStatement counted `d` from when the request was taken up, not from its last byte.

The spin: a profile of the proxy showed epoll_wait, libevent's dispatch, and none of our functions: events for which nothing is called. libevent tells of EPOLLERR as readable and writable (epoll.c); Session::watchReading had registered EV_CLOSED alone for a client whose input is full, so its reset was never told and came again at once.

What comes to the module after its time is refused at once and goes nowhere (giveUpAt). What is not read for now is in no event; Clients asks those by poll(2) each 20 ms whether the client has gone. Level trace tells the id with which a request was taken up ("taken").

Tests seen to fail on the program before: SessionTest.AClientThatResetsBehindAFullInputEndsItsRequestAndTheLoopSleeps, SessionTest.ARequestsTimeRunsWhileItStandsBehindAnother, FinalAnswer.WhatComesAfterItsTimeIsRefusedAtOnceAndGoesNowhere.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -618,7 +618,7 @@
     // client is told to come back while that is still of use to it.
     if (!r.reached && r.outstanding == 0)
       end = std::min(end, r.arrived + scaled(r.q.deadline - r.arrived, kUnheard) + usually(r.q.cls));
-    return std::max(end - usually(r.q.cls), r.attempts.empty() ? r.arrived + Time(1) : Time(0));
+    return std::max(end - usually(r.q.cls), r.arrived + Time(r.attempts.empty() && end > r.arrived));
   }
   // Guards against queues that make everything late. A request goes out only where it is likely to earn its
   // worth. An idle member takes any: the way back stays open.
--- a/src/front/pg/clients.cpp
+++ b/src/front/pg/clients.cpp
@@ -1,5 +1,6 @@
 #include "front/pg/clients.hpp"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -21,6 +22,9 @@
 constexpr Time kShortOf = std::chrono::milliseconds(500);
 // How often all clients are looked at for what takes too long.
 constexpr Time kRound = std::chrono::milliseconds(100);
+// How often those that are not read are asked whether their client has gone: a fifth of the 0.1 s from which
+// on nothing may begin for it.
+constexpr Time kEnds = std::chrono::milliseconds(20);
 constexpr int kAskAgain = 8;  // clients that look idle, before one is closed all the same
 
 }  // namespace
@@ -46,6 +50,9 @@
       base, -1, EV_PERSIST, [](evutil_socket_t, short, void* self) { static_cast<Clients*>(self)->round(); },
       this));
   startTimer(round_.get(), kRound);
+  ends_.reset(event_new(
+      base, -1, EV_PERSIST,
+      [](evutil_socket_t, short, void* self) { static_cast<Clients*>(self)->lookForEnds(); }, this));
   lastCall_.reset(event_new(
       base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<Clients*>(self)->stopListening(); },
       this));
@@ -169,6 +176,25 @@
   for (Session* s : over) s->spare(now) == 3 ? closed(*s) : s->end();
 }
 
+// Guards against a loop that never sleeps. libevent tells of a reset as readable and writable, whatever was
+// asked for (epoll.c, EPOLLERR): an event for EV_CLOSED alone is not called, and the system reports the reset
+// again at once. So what is not read is in no event, and is asked by poll(2).
+void Clients::watchEnd(Session& s, bool on) {
+  if (on ? !unread_.insert(&s).second : unread_.erase(&s) == 0) return;
+  if (unread_.empty())
+    event_del(ends_.get());
+  else if (!event_pending(ends_.get(), EV_TIMEOUT, nullptr))
+    startTimer(ends_.get(), kEnds);
+}
+void Clients::lookForEnds() {
+  std::vector<pollfd> asked;
+  std::vector<Session*> whose(unread_.begin(), unread_.end());
+  for (const Session* s : whose) asked.push_back({s->socket(), POLLRDHUP, 0});
+  if (poll(asked.data(), asked.size(), 0) <= 0) return;
+  for (std::size_t k = 0; k < whose.size(); ++k)
+    if (asked[k].revents != 0) closed(*whose[k]);
+}
+
 void Clients::closed(Session& s) {
   sessions_.erase(&s);
   if (acceptor_)
--- a/src/front/pg/clients.hpp
+++ b/src/front/pg/clients.hpp
@@ -42,6 +42,8 @@
   Session* mostSpare(int least, const Session* but = nullptr);  // null: none
   void round();
   void firstAsked(const Session& by);
+  void watchEnd(Session&, bool on);  // of one that is not read for now
+  void lookForEnds();
   pg::Key newKey(Session&, std::size_t length);  // the session takes it out of keys_ at its end
   void cancel(const pg::Key&);                   // by a CancelRequest; a wrong key changes nothing
   void stopListening();
@@ -61,11 +63,12 @@
   std::size_t asking_ = 0;   // sessions that have asked something
   std::size_t outside_ = 0;  // sessions that the Gate has not let in
   std::unique_ptr<Acceptor> acceptor_;
-  Event lastCall_, round_;
+  Event lastCall_, round_, ends_;
   bool draining_ = false;
   std::function<void()> done_;
   std::unordered_set<std::string> openIds_;           // of the requests that are out
   std::unordered_map<std::uint32_t, Session*> keys_;  // by the process number that a session was told
+  std::unordered_set<Session*> unread_;               // not read for now; none that has ended
   std::unordered_map<Session*, std::unique_ptr<Session>> sessions_;
 };
 
--- a/src/front/pg/session.cpp
+++ b/src/front/pg/session.cpp
@@ -64,6 +64,7 @@
       [](bufferevent*, void* self) { static_cast<Session*>(self)->flushed(); },
       [](bufferevent*, short what, void* self) { static_cast<Session*>(self)->event(what); }, this);
   bufferevent_setwatermark(bev_.get(), EV_READ, 0, kReadAhead);
+  evbuffer_add_cb(input(), inputChanged, this);
   const auto us = owner_.config_.unreadAnswer.count();
   const timeval unread{static_cast<time_t>(us / 1000000), static_cast<suseconds_t>(us % 1000000)};
   bufferevent_set_timeouts(bev_.get(), nullptr, &unread);
@@ -72,6 +73,8 @@
   if (hidden) outside(true);
 }
 Session::~Session() {
+  evbuffer_remove_cb(input(), inputChanged, this);
+  owner_.watchEnd(*this, false);
   if (request_ != 0) owner_.left(request_);
   outside(false);
   if (owner_.gate_) owner_.gate_->left(place_);
@@ -242,21 +245,14 @@
   lastActive_ = owner_.engine_.now();
   shutdown(bufferevent_getfd(bev_.get()), SHUT_WR);
 }
-// Guards against requests of a client that has gone: with reading off libevent would not see its end.
+// Guards against requests of a client that has gone: with reading off libevent does not see its end.
 void Session::watchReading(bool on) {
   if (on == reading_) return;
   reading_ = on;
   (on ? bufferevent_enable : bufferevent_disable)(bev_.get(), EV_READ);
-  if (on) return gone_.reset();
-  gone_.reset(event_new(
-      bufferevent_get_base(bev_.get()), bufferevent_getfd(bev_.get()), EV_CLOSED,
-      [](evutil_socket_t, short, void* of) {
-        auto* const s = static_cast<Session*>(of);
-        s->owner_.closed(*s);
-      },
-      this));
-  event_add(gone_.get(), nullptr);
+  owner_.watchEnd(*this, !on);
 }
+evutil_socket_t Session::socket() const { return bufferevent_getfd(bev_.get()); }
 bool Session::looksAlive(Time now) {
   if (paused_ && !ending_ && evbuffer_get_length(input()) > 0) readSoon();
   paused_ = false;
@@ -329,6 +325,13 @@
   return true;
 }
 
+void Session::inputChanged(evbuffer*, const evbuffer_cb_info* change, void* of) {
+  auto& s = *static_cast<Session*>(of);
+  s.arrivals_.taken(change->n_deleted);
+  const bool full = change->orig_size + change->n_added >= std::max(kReadAhead, s.reserved_);
+  if (change->n_added > 0) s.arrivals_.came(change->n_added, s.owner_.engine_.now(), full);
+}
+
 void Session::read() {
   if (ending_) return discard();
   while (request_ == 0 && !ending_ && !paused_ && evbuffer_get_length(output()) < kUnread) {
@@ -565,6 +568,7 @@
   }
   if (evbuffer_get_length(input()) < whole) return false;
   asked();
+  lastByte_ = arrivals_.of(whole);
   if (head->type == 'X') {
     evbuffer_drain(input(), whole);
     end();
@@ -613,6 +617,7 @@
     return false;
   }
   asked();
+  lastByte_ = arrivals_.of(static_cast<std::size_t>(end.pos) + 1);
   evbuffer_drain(input(), 1);
   Buffer statement = newBuffer();
   evbuffer_remove_buffer(input(), statement.get(), static_cast<std::size_t>(end.pos));  // NUL included
@@ -731,9 +736,10 @@
   q.cls = static_cast<int>(cls - classes.begin());
   q.group = comment.cluster;
   const auto& settings = owner_.config_.settings.classes[static_cast<std::size_t>(q.cls)];
-  q.deadline = now + (comment.waitLength > 0
-                          ? Time(std::chrono::milliseconds(std::min(comment.waitMs, kLongestWaitMs)))
-                          : settings.deadline);
+  // Its client's time runs from its last byte, also while it stands behind others here.
+  q.deadline = lastByte_ + (comment.waitLength > 0
+                                ? Time(std::chrono::milliseconds(std::min(comment.waitMs, kLongestWaitMs)))
+                                : settings.deadline);
   if (comment.after > 0)
     q.tokenMs = std::max(0.001f, static_cast<float>(static_cast<double>(now.count()) / 1e3 -
                                                     static_cast<double>(comment.after)));
@@ -757,6 +763,9 @@
   id_ = std::move(id);
   if (owner_.gate_) owner_.gate_->busy(place_);
   request_ = owner_.request(*this, q, std::move(message), place_);
+  if (tracing())
+    logEvent(LogLevel::Trace, "taken",
+             {{"r", request_}, {"id", id_}, {"left_ms", (q.deadline - now).count() / 1000}});
 }
 void Session::forget() {
   if (!id_.empty()) owner_.openIds_.erase(id_);
--- a/src/front/pg/session.hpp
+++ b/src/front/pg/session.hpp
@@ -12,6 +12,7 @@
 #include "core/event.hpp"
 #include "core/workers.hpp"
 #include "front/gate.hpp"
+#include "front/pg/arrivals.hpp"
 #include "front/pg/login.hpp"
 #include "front/pg/prepared.hpp"
 #include "translate/settings.hpp"
@@ -42,6 +43,7 @@
   void cancelled();
 
   const pg::Key& key() const { return key_; }
+  evutil_socket_t socket() const;
   bool idle() { return request_ == 0 && !ending_ && !batch_ && evbuffer_get_length(input()) == 0; }
   // How readily this client gives up its place to a new one; 0: not at all.
   int spare(Time now);
@@ -64,6 +66,7 @@
   evbuffer* output() { return bufferevent_get_output(bev_.get()); }
   std::string_view pull(std::size_t n);  // the first bytes of the input, in one piece
 
+  static void inputChanged(evbuffer*, const evbuffer_cb_info*, void* of);
   void event(short what);
   void flushed();
   void read();
@@ -133,13 +136,14 @@
   bool asked_ = false, ending_ = false, retiring_ = false;
   bool lingering_ = false;    // its last word is said; what still comes is thrown away
   bool paused_ = false;       // until the next round
-  bool reading_ = true;       // EV_READ is enabled
-  Event gone_;                // else this tells that the client has closed
+  bool reading_ = true;       // EV_READ is enabled; else Clients looks for the client's end
   std::string id_;            // of the request that is out
   RequestId request_ = 0;     // that is out; 0: none
   std::size_t reserved_ = 0;  // of the account's bytes, for the message at hand
   std::size_t held_ = 0;      // the same, for what is prepared
   std::size_t discarded_ = 0;
+  Arrivals arrivals_;  // of what stands in the input
+  Time lastByte_{};    // when that of the message at hand came
   Time lastActive_{};  // when it came, or had its last answer
   Time halfSince_{};   // since when there is input that makes no whole message; 0: there is none
 };
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -37,6 +37,15 @@
   t.end(id, Result::Timeout);
   EXPECT_EQ(t.out.of("refuse", id).size(), 1u);
 }
+TEST(FinalAnswer, WhatComesAfterItsTimeIsRefusedAtOnceAndGoesNowhere) {
+  for (const int cls : {kAny, kWrite, kKeyedGroup}) {
+    Bench t;
+    t.teachPrimary(1);
+    const RequestId id = t.ask(cls, 0, 0, -20);
+    EXPECT_TRUE(t.sends(id).empty()) << cls;
+    EXPECT_EQ(t.out.of("refuse", id).size(), 1u) << cls;
+  }
+}
 Settings lateWritesCount() {
   Settings s = settings();
   s.classes[kWrite].lateWorth = 0.5;  // else the aim ends the wait
--- a/tests/session_test.cpp
+++ b/tests/session_test.cpp
@@ -12,6 +12,7 @@
 
 #include "core/engine.hpp"
 #include "core/system.hpp"
+#include "front/pg/arrivals.hpp"
 #include "front/pg/clients.hpp"
 #include "scenario.hpp"
 #include "wire/pg/codec.hpp"
@@ -26,9 +27,11 @@
 struct HeldMembers : Members {  // what is sent stays out
   std::set<RequestId> out;
   int sent = 0;
+  Time until{};  // of the last
   void listed(MemberId, const Address&, bool, Time) override {}
-  void send(RequestId id, int, MemberId, Time, std::shared_ptr<const Message>) override {
+  void send(RequestId id, int, MemberId, Time end, std::shared_ptr<const Message>) override {
     out.insert(id), ++sent;
+    until = end;
   }
   void start(RequestId, int, bool) override {}
   void cancel(RequestId id, int) override { out.erase(id); }
@@ -113,8 +116,8 @@
     EXPECT_TRUE(until([&] { return (got += p->take()).size() > 6 && got[got.size() - 6] == 'Z'; }));
     return p;
   }
-  static std::string query(const std::string& id) {
-    return pg::query("SELECT 1 /* id=" + id + ",c=read,d=7000,cluster=3 */");
+  static std::string query(const std::string& id, int waitMs = 7000) {
+    return pg::query("SELECT 1 /* id=" + id + ",c=read,d=" + std::to_string(waitMs) + ",cluster=3 */");
   }
   // Called in the very pass in which the last call comes, and before it: what `act` does happens between the
   // system's last look at the sockets and the closing of what rests.
@@ -212,6 +215,99 @@
   EXPECT_TRUE(until([&] { return members.out.empty(); }, 5s)) << "its attempt goes on for nobody";
   EXPECT_EQ(members.sent, 1) << "nor is what it pipelined sent on";
 }
+// libevent tells of a reset as readable and writable: an event for the client's end alone is not called, and
+// the loop turns without rest until the request's time is up (join+brink+mass: 15 s of processor time).
+TEST_F(SessionTest, AClientThatResetsBehindAFullInputEndsItsRequestAndTheLoopSleeps) {
+  auto c = welcomed();
+  c->put(query("1"));
+  ASSERT_TRUE(until([&] { return members.out.size() == 1; }));
+  std::string much;
+  while (much.size() < 100000) much += query("2");
+  c->put(much);
+  for (int k = 0; k < 20; ++k) pass();
+  const linger atOnce{1, 0};
+  setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+  c.reset();
+  EXPECT_TRUE(until([&] { return members.out.empty(); }, 2s)) << "its attempt goes on for nobody";
+  EXPECT_EQ(members.sent, 1) << "nor is what it pipelined sent on";
+}
+TEST_F(SessionTest, TheLoopSleepsWhileAFullInputWaits) {
+  const auto c = welcomed();
+  c->put(query("1"));
+  ASSERT_TRUE(until([&] { return members.out.size() == 1; }));
+  std::string much;
+  while (much.size() < 100000) much += query("2");
+  c->put(much);
+  for (int k = 0; k < 20; ++k) pass();
+  int passes = 0;
+  for (const auto end = std::chrono::steady_clock::now() + 400ms; std::chrono::steady_clock::now() < end;
+       ++passes) {
+    event_base_loop(base.get(), EVLOOP_ONCE);
+    engine.turn();
+  }
+  EXPECT_LT(passes, 100) << "it is looked at every 20 ms, and the rest of the time nothing happens";
+  EXPECT_EQ(members.out.size(), 1u);
+}
+// herd+pipeline+brink+mass: what stood behind another was given its whole time anew when it was taken up, and
+// its client left with no answer.
+TEST_F(SessionTest, ARequestsTimeRunsWhileItStandsBehindAnother) {
+  const auto c = welcomed();
+  const Time written = engine.now();
+  c->put(query("1") + query("2", 3000) + query("3", 200));
+  ASSERT_TRUE(until([&] { return members.out.size() == 1; }));
+  std::this_thread::sleep_for(300ms);
+  answer(pg::message('C', std::string("SELECT 1\0", 9)));
+  ASSERT_TRUE(until([&] { return members.sent == 2; }));
+  EXPECT_LE(members.until, written + 3200ms) << "3 s from its last byte, and not from when it was taken up";
+  EXPECT_GE(members.until, written + 2990ms);
+  answer(pg::message('C', std::string("SELECT 1\0", 9)));
+  std::string got;
+  ASSERT_TRUE(until([&] { return (got += c->take()).find("53300") != std::string::npos; }))
+      << "its time was up while it waited: that is told at once";
+  EXPECT_EQ(members.sent, 2) << "no data server has to do with it";
+  EXPECT_EQ(c->state(), Peer::State::Open);
+}
+TEST_F(SessionTest, ATimeRunsFromTheLastByteOfARequestThatComesInPieces) {
+  const auto c = welcomed();
+  c->put(query("1", 2000).substr(0, 30));
+  pass();
+  std::this_thread::sleep_for(200ms);
+  const Time last = engine.now();
+  c->put(query("1", 2000).substr(30));
+  ASSERT_TRUE(until([&] { return members.out.size() == 1; }));
+  EXPECT_GE(members.until, last + 1990ms);
+}
+TEST(Arrivals, AByteHasTheTimeOfItsPart) {
+  Arrivals a;
+  a.came(10, 1s, false);
+  a.came(5, 2s, false);
+  EXPECT_EQ(a.of(10), Arrivals::Time(1s));
+  EXPECT_EQ(a.of(11), Arrivals::Time(2s));
+  a.taken(12);
+  EXPECT_EQ(a.of(3), Arrivals::Time(2s));
+  a.taken(3);
+  EXPECT_EQ(a.spans(), 0u);
+}
+TEST(Arrivals, WhatWaitedBehindAFullInputCameWithItAtTheLatest) {
+  Arrivals a;
+  a.came(100, 1s, true);
+  a.taken(50);
+  a.came(50, 3s, true);  // it may have been in the system all the time
+  a.taken(50);
+  a.came(20, 5s, false);  // the system has no more
+  a.came(10, 6s, false);
+  EXPECT_EQ(a.of(70), Arrivals::Time(1s));
+  EXPECT_EQ(a.of(71), Arrivals::Time(6s));
+}
+TEST(Arrivals, InputThatTricklesTakesABoundedMemoryAndCountsAsEarlier) {
+  Arrivals a;
+  for (int k = 0; k < 10000; ++k) a.came(1, Arrivals::Time(1s) + k * 10ms, false);
+  EXPECT_LE(a.spans(), 256u);
+  EXPECT_EQ(a.of(1), Arrivals::Time(1s));
+  EXPECT_LE(a.of(10000), Arrivals::Time(1s) + 9999 * 10ms);
+  a.taken(10000);
+  EXPECT_EQ(a.spans(), 0u);
+}
 // Room is made for those that ask by ending one that rests: not one whose request has just come.
 TEST_F(SessionTest, WhoseRequestHasJustComeIsNotEndedForAnother) {
   std::vector<std::unique_ptr<Peer>> all;
