Nothing is begun for a client that wrote and left before it was accepted or read

Cause, read and then forced by test: with the descriptors full, connections wait in the listener's backlog; a client that wrote its request and closed is accepted all the same. libevent reads what came first and tells of the end in its next look at the socket, after the turn in which Session::takeStatement has handed the request on. The same holds for what is pipelined when the end comes while an answer goes out (Session::answered, settle).

Changed: takeStatement asks the system by poll(2) (POLLRDHUP) whether the client has gone before it hands a request on.

Tests seen to fail without it: SessionTest.WhoLeftBeforeItWasAcceptedIsNotServed, SessionTest.WhoLeavesAsItsAnswerGoesOutHasNothingMoreBegun.

--- a/src/front/pg/session.cpp
+++ b/src/front/pg/session.cpp
@@ -1,6 +1,7 @@
 #include "front/pg/session.hpp"
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -239,6 +240,10 @@
   return evbuffer_get_length(input()) > 0 ||
          recv(bufferevent_getfd(bev_.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
+bool Session::clientGone() const {
+  pollfd asked{socket(), POLLRDHUP, 0};
+  return poll(&asked, 1, 0) > 0;
+}
 // Guards what was written against our own close: on unread bytes that would reset the connection.
 void Session::endSending() {
   lingering_ = true;
@@ -724,6 +729,9 @@
       return;
     return reject("42601", comment.fault, false);
   }
+  // Guards the data servers against work for a client that wrote and left while it waited to be accepted or
+  // read: libevent tells of the end only after what came before it.
+  if (clientGone()) return lingers();
   // Guards the one final answer that an id stands for: data servers know a request by it.
   std::string id(comment.id);
   if (owner_.openIds_.count(id) > 0) return reject("42710", "this id is that of an open request", false);
--- a/src/front/pg/session.hpp
+++ b/src/front/pg/session.hpp
@@ -55,6 +55,7 @@
   void retire();
   // Something has come that was not taken yet, in the system or here.
   bool unread();
+  bool clientGone() const;  // it has closed its end, whatever it wrote before that
   // Guards against clients that hold a place and do not ask: they are owed an end within 3 s. False: this one
   // is to be closed.
   bool looksAlive(Time now);
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <ctime>
+#include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <thread>
 
 #include "config/config.hpp"
@@ -292,6 +294,58 @@
     list expect watch after=6
   )");
 }
+struct Use {
+  std::size_t resident = 0, descriptors = 0;  // bytes, number
+};
+Use useOf(int pid) {
+  const std::string proc = "/proc/" + std::to_string(pid);
+  Use u;
+  std::size_t pages = 0;
+  std::ifstream(proc + "/statm") >> pages >> pages;
+  u.resident = pages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+  for ([[maybe_unused]] const auto& entry : std::filesystem::directory_iterator(proc + "/fd"))
+    ++u.descriptors;
+  return u;
+}
+// The whole fleet: 350 proxies that talk, 400 data servers, lists that come whole, indented and in pieces.
+TEST(Proxy, ManyPeersAndMembersCostBoundedMemoryAndDescriptors) {
+#if defined(__SANITIZE_ADDRESS__)
+  constexpr std::size_t kMost = std::size_t{256} << 20;  // what is freed is kept for a while
+#else
+  constexpr std::size_t kMost = std::size_t{16} << 20;
+#endif
+  Setting s;
+  s.balancers = s.peers = 350;
+  Scenario t(s);
+  t.run("s2 wait idle 1");
+  const Use before = useOf(t.pid());
+  const std::string one = t.list(2, "active", 0);
+  const std::string address =
+      one.substr(one.find("127.0.0.1:"), one.find("\",\"zone") - one.find("127.0.0.1:"));
+  const auto many = [&](int generation) {
+    std::string list = R"({"generation":)" + std::to_string(generation) + R"(,"reset":true,"instances":[)";
+    for (int k = 0; k < 400; ++k)
+      list += std::string(k ? "," : "") + R"({"instanceId":"s-)" + std::to_string(1000 + k) +
+              R"(","hostPort":")" + address +
+              R"(","zone":"a","cell":3,"lifecycle":"active","weight":1.0,"startedAtMs":0})";
+    return list + "]}";
+  };
+  std::string pieces;
+  const std::string whole = many(8);
+  for (std::size_t at = 0; at < whole.size(); at += 700)
+    pieces += "list send raw " + whole.substr(at, 700) + "\n";
+  t.run("s2 serves v\nlist send line " + many(6) +
+        "\nlist close\nlist expect watch after=6\nlist send indented " + many(7) +
+        "\nlist close\nlist expect watch after=7\n" + pieces + "list close\nlist expect watch after=8");
+  t.serveFor(std::chrono::seconds(8));  // each member's connection is dialed at a moment of its own
+  t.run("c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */\nc1 expect row v");
+  const Use after = useOf(t.pid());
+  EXPECT_LT(after.resident, before.resident + kMost);
+  EXPECT_LE(after.descriptors, 1024u);
+  std::cout << "resident " << before.resident / 1024 << " KiB, " << after.resident / 1024
+            << " KiB with 400 members and 350 peers; descriptors " << before.descriptors << ", "
+            << after.descriptors << std::endl;
+}
 TEST(Proxy, AListThatWasCutIsNoList) {
   Scenario t;
   const std::string whole = t.list(2, "leaving", 6);
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -91,8 +91,13 @@
                                     .count()
                               : 0)
       << "}";
-  s << R"(]},"settings":{"allowed":{"attemptsCap":8,"cancel":true,"dialTimeoutUs":250000,"idleCloseUs":)"
-    << setting.idleCloseUs
+  s << "]}";
+  if (setting.peers > 0) s << R"(,"peer_listen":"127.0.0.1:0","peers":[)";
+  for (int k = 0; k < setting.peers; ++k)
+    s << (k ? "," : "") << "\"127.78." << k / 250 << "." << k % 250 + 1 << ":9\"";
+  s << (setting.peers > 0 ? "]" : "") << R"(,"settings":{"allowed":{"peers":)"
+    << (setting.peers > 0 ? "true" : "false")
+    << R"(,"attemptsCap":8,"cancel":true,"dialTimeoutUs":250000,"idleCloseUs":)" << setting.idleCloseUs
     << R"(,"maxRetryAfterUs":1000000,"parallelTries":false,"probing":true,"retryAfter":true},"balancers":)"
     << setting.balancers << R"(,
 "classes":[{"deadlineUs":9000000,"effect":"safe","lateWorth":0.0,"name":"read","promiseUs":8000000,"worth":1.0},
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -52,6 +52,7 @@
 struct Setting {  // what a scenario's configuration may choose
   int servers = 2;
   int balancers = 3;  // proxies of the tier
+  int peers = 0;      // so many others may be sent datagrams; 0: proxies do not talk
   std::string idleCloseUs = "15000000";
   int controlPort = 0;  // where staff call; 0: nowhere
   int sockets = 1024, memoryMb = 192;
--- a/tests/session_test.cpp
+++ b/tests/session_test.cpp
@@ -308,6 +308,29 @@
   a.taken(10000);
   EXPECT_EQ(a.spans(), 0u);
 }
+// It wrote and left while it stood in the listener's backlog: what it wrote is read before its end is.
+TEST_F(SessionTest, WhoLeftBeforeItWasAcceptedIsNotServed) {
+  const int before = members.sent;
+  {
+    const Peer gone(clients->port());
+    gone.put(pg::startup("api", "ledger") + query("1") + query("2"));
+  }  // closes
+  for (int k = 0; k < 20; ++k) pass();
+  EXPECT_EQ(members.sent, before) << "nothing is begun for a client that has gone";
+  const auto c = welcomed();
+  c->put(query("3"));
+  EXPECT_TRUE(until([&] { return members.out.size() == 1; })) << "the others are served";
+}
+// The same of what it pipelined, if its end comes while an answer goes out.
+TEST_F(SessionTest, WhoLeavesAsItsAnswerGoesOutHasNothingMoreBegun) {
+  auto c = welcomed();
+  c->put(query("1") + query("2"));
+  ASSERT_TRUE(until([&] { return members.out.size() == 1; }));
+  c.reset();
+  answer(pg::message('C', std::string("SELECT 1\0", 9)));  // before the loop has seen the end
+  for (int k = 0; k < 5; ++k) pass();
+  EXPECT_EQ(members.sent, 1);
+}
 // Room is made for those that ask by ending one that rests: not one whose request has just come.
 TEST_F(SessionTest, WhoseRequestHasJustComeIsNotEndedForAnother) {
   std::vector<std::unique_ptr<Peer>> all;
