--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -398,6 +398,18 @@
     proxy expect exit 0
   )");
 }
+// New settings, and in the next moment the discovery that they name tells of a drain.
+TEST(Proxy, ADrainRightAfterAReloadIsKept) {
+  Scenario t;
+  t.run("s2 wait idle 2\nproxy reload moved\nlist expect watch after=5\nlist send line " +
+        t.list(2, "leaving", 6) + R"(
+    s2 expect drained
+    c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    s1 expect query id=1
+    s1 send row v
+    c1 expect row v
+  )");
+}
 // The whole of the memory that the settings may give; a statement too long to be read ahead takes its part of
 // it.
 TEST(Proxy, BoundsLongStatementsTogetherByTheMemoryConfigured) {
--- a/tests/session_test.cpp
+++ b/tests/session_test.cpp
@@ -331,6 +331,145 @@
   for (int k = 0; k < 5; ++k) pass();
   EXPECT_EQ(members.sent, 1);
 }
+// ---- crossings of pipelining, batches and cancels
+// -----------------------------------------------------------
+const std::string kDone = pg::message('C', std::string("SELECT 1\0", 9));
+
+// It is accepted with the rest of the backlog in the very instant of the last call.
+TEST_F(SessionTest, ANewcomerAtTheLastCallHasItsTimeToSpeak) {
+  std::unique_ptr<Peer> c;
+  atTheLastCall([&] { c = std::make_unique<Peer>(clients->port()); });
+  c->put(pg::startup("api", "ledger") + query("1"));
+  ASSERT_TRUE(until([&] { return members.out.size() == 1; })) << "it was not cut off before it could speak";
+  answer(kDone);
+  std::string got;
+  EXPECT_TRUE(until([&] { return (got += c->take()).find(kDone) != std::string::npos; }));
+}
+TEST_F(SessionTest, ANewcomerAtTheLastCallThatSaysNothingIsEnded) {
+  std::unique_ptr<Peer> c;
+  atTheLastCall([&] { c = std::make_unique<Peer>(clients->port()); });
+  EXPECT_TRUE(until([&] { return c->state() == Peer::State::Finished; }, 2s));
+  EXPECT_TRUE(until([&] { return done; }, 2s));
+}
+TEST_F(SessionTest, WhatIsPipelinedAtTheLastCallIsAnsweredInOrderThenTheEndComes) {
+  const auto c = welcomed();
+  c->put(query("1") + query("2") + query("3"));
+  ASSERT_TRUE(until([&] { return members.out.size() == 1; }));
+  atTheLastCall([] {});
+  std::string got, wanted;
+  for (int k = 1; k <= 3; ++k) {
+    ASSERT_TRUE(until([&] { return members.sent == k; })) << k;
+    const std::string one = pg::message('C', "SELECT " + std::to_string(k) + std::string(1, '\0'));
+    answer(one);
+    wanted += one + pg::message('Z', "I");
+  }
+  EXPECT_TRUE(until([&] { return (got += c->take()).size() >= wanted.size(); }));
+  EXPECT_EQ(got, wanted);
+  EXPECT_TRUE(until([&] { return c->state() == Peer::State::Finished; }));
+}
+TEST_F(SessionTest, ABatchAtTheLastCallEndsWithItsSync) {
+  config.extended = true;
+  const auto c = welcomed();
+  const std::string none("\0\0", 2);
+  c->put(pg::message('P', std::string(1, '\0') + "SELECT 1 /* id=1,c=read,d=7000,cluster=3 */" +
+                              std::string(1, '\0') + none) +
+         pg::message('B', none + none + none + none) +
+         pg::message('E', std::string(1, '\0') + std::string(4, '\0')));
+  ASSERT_TRUE(until([&] { return members.out.size() == 1; }));
+  atTheLastCall([] {});
+  answer(kDone);
+  for (int k = 0; k < 20; ++k) pass();
+  EXPECT_EQ(c->state(), Peer::State::Open) << "its Sync is still to come";
+  c->take();
+  c->put(pg::message('S', ""));
+  std::string got;
+  EXPECT_TRUE(until([&] { return (got += c->take()).size() >= 6; }));
+  EXPECT_EQ(got, pg::message('Z', "I"));
+  EXPECT_TRUE(until([&] { return c->state() == Peer::State::Finished; }));
+}
+TEST_F(SessionTest, ARefusedOneInTheMiddleTakesNoAnswerOfTheOthers) {
+  const auto c = welcomed();
+  c->put(query("1") + pg::query("SELECT 1 /* id=2,c=nobody,d=7000,cluster=3 */") + query("3"));
+  ASSERT_TRUE(until([&] { return members.out.size() == 1; }));
+  answer(kDone);
+  ASSERT_TRUE(until([&] { return members.out.size() == 1; })) << "what stands behind it comes next";
+  answer(kDone);
+  std::string got, types;
+  ASSERT_TRUE(until([&] {
+    got += c->take();
+    types.clear();
+    for (std::size_t at = 0; at + 5 <= got.size(); at += 1 + pg::readInt32(got.data() + at + 1))
+      types += got[at];
+    return types.size() >= 6;
+  }));
+  EXPECT_EQ(types, "CZEZCZ");
+}
+TEST_F(SessionTest, ASecondSignalChangesNothing) {
+  const auto c = welcomed();
+  c->put(query("1"));
+  ASSERT_TRUE(until([&] { return members.out.size() == 1; }));
+  atTheLastCall([] {});
+  clients->drain([] { ADD_FAILURE() << "the first drain goes on"; });
+  answer(kDone);
+  std::string got;
+  EXPECT_TRUE(until([&] { return (got += c->take()).find(kDone) != std::string::npos; }));
+  EXPECT_TRUE(until([&] { return c->state() == Peer::State::Finished; }));
+}
+// The key of a client that has been welcomed, from its BackendKeyData.
+struct Keyed {
+  std::unique_ptr<Peer> peer;
+  pg::Key key;
+};
+TEST_F(SessionTest, ACancelAndAnAnswerThatCrossLeaveOneFinalAnswer) {
+  for (const bool answerFirst : {false, true}) {
+    Keyed c{std::make_unique<Peer>(clients->port()), {}};
+    c.peer->put(pg::startup("api", "ledger"));
+    std::string got;
+    ASSERT_TRUE(until([&] { return (got += c.peer->take()).size() > 6 && got[got.size() - 6] == 'Z'; }));
+    for (std::size_t at = 0; at + 5 <= got.size(); at += 1 + pg::readInt32(got.data() + at + 1))
+      if (got[at] == 'K')
+        c.key = *pg::parseKeyData(got.substr(at + 5, pg::readInt32(got.data() + at + 1) - 4));
+    c.peer->put(query(answerFirst ? "1" : "2"));
+    ASSERT_TRUE(until([&] { return members.out.size() == 1; }));
+    if (answerFirst) answer(kDone);
+    Ending e;  // else it stands in the same turn, behind the cancel
+    e.result = Result::Ok;
+    e.answer = {newBuffer(), &pg::reader(), false};
+    append(e.answer.messages.get(), kDone);
+    const Peer caller(clients->port());
+    caller.put(pg::cancel(c.key));
+    if (!answerFirst) {
+      const RequestId id = *members.out.begin();
+      for (int k = 0; k < 5; ++k) event_base_loop(base.get(), EVLOOP_NONBLOCK | EVLOOP_ONCE);
+      engine.ended(id, 0, 2, std::move(e));
+      engine.turn();
+    }
+    got.clear();
+    for (int k = 0; k < 20; ++k) {
+      pass();
+      got += c.peer->take();
+    }
+    EXPECT_EQ(got.find(kDone) != std::string::npos, answerFirst);
+    EXPECT_EQ(got.find("57014") != std::string::npos, !answerFirst);
+    EXPECT_EQ(std::count(got.begin(), got.end(), 'Z'), 1) << "one ReadyForQuery";
+    members.out.clear();
+  }
+}
+// The retry is decided and called off in one turn: nothing of it stays out.
+TEST_F(SessionTest, AFailureThatCrossesItsClientsLeavingLeavesNoAttemptOut) {
+  auto c = welcomed();
+  c->put(query("1"));
+  ASSERT_TRUE(until([&] { return members.out.size() == 1; }));
+  const RequestId id = *members.out.begin();
+  members.out.clear();
+  Ending e;
+  e.result = Result::ConnectFailed;
+  engine.ended(id, 0, 2, std::move(e));
+  c.reset();  // closes; both are told in the next turn
+  pass();
+  pass();
+  EXPECT_TRUE(members.out.empty());
+}
 // Room is made for those that ask by ending one that rests: not one whose request has just come.
 TEST_F(SessionTest, WhoseRequestHasJustComeIsNotEndedForAnother) {
   std::vector<std::unique_ptr<Peer>> all;
