Log: age and generation of lists, how long calls were out, requests to draining servers

Cause: the logs of the incident could not tell a call that was given up from one that failed, nor how old the list was. Change: endpoint_list_received with both generations and the age of the list before; generation in endpoint_changed; after, out_ms, bytes and lists in discovery_watch_closed; request_sent_to_draining with the request, the server and the reason.

--- a/src/app/discovery_source.cpp
+++ b/src/app/discovery_source.cpp
@@ -18,8 +18,8 @@
 
 class RegistrySource final : public ConfiguredDiscovery {
  public:
-  RegistrySource(event_base* base, EndpointUpdater& updater, const Config& config)
-      : watch_(base, updater, config.discovery) {}
+  RegistrySource(event_base* base, const Clock& clock, EndpointUpdater& updater, const Config& config)
+      : watch_(base, clock, updater, config.discovery) {}
   void watch(std::uint64_t after) override { watch_.watch(after); }
   void updateSettings(const Config& config) override {
     if (keepsSource(config, Source::Registry)) watch_.changeAddress(config.discovery);
@@ -72,8 +72,7 @@
   return policy;
 }
 
-std::unique_ptr<ConfiguredDiscovery> createDiscoverySource(event_base* base,
-                                                           [[maybe_unused]] const Clock& clock,
+std::unique_ptr<ConfiguredDiscovery> createDiscoverySource(event_base* base, const Clock& clock,
                                                            EndpointUpdater& updater, const Config& config) {
   switch (config.source) {
     case Source::Fixed:
@@ -87,7 +86,7 @@
     case Source::Registry:
       break;
   }
-  return std::make_unique<RegistrySource>(base, updater, config);
+  return std::make_unique<RegistrySource>(base, clock, updater, config);
 }
 
 }  // namespace sablespur
--- a/src/discovery/registry/watch.cpp
+++ b/src/discovery/registry/watch.cpp
@@ -14,9 +14,11 @@
 
 }  // namespace
 
-RegistryWatch::RegistryWatch(event_base* base, EndpointListConsumer& taker, const Address& address)
+RegistryWatch::RegistryWatch(event_base* base, const Clock& clock, EndpointListConsumer& consumer,
+                             const Address& address)
     : base_(base),
-      consumer_(taker),
+      clock_(clock),
+      consumer_(consumer),
       address_(address),
       silenceTimer_(event_new(
           base, -1, 0,
@@ -40,6 +42,7 @@
   closeConnection();
   response_ = http::Response();
   stream_ = EndpointListStream();
+  call_ = CallRecord{after, clock_.now()};
   reserve_.release();
   const int fd = systemCalls().socket(address_.v6() ? AF_INET6 : AF_INET);
   connection_.reset(bufferevent_socket_new(base_, fd, 0));
@@ -75,6 +78,7 @@
   while (evbuffer_peek(in, -1, nullptr, &part, 1) > 0) {
     if (!response_.feed({static_cast<const char*>(part.iov_base), part.iov_len}, body))
       return fail("malformed response");
+    call_.bytes += part.iov_len;
     evbuffer_drain(in, part.iov_len);
   }
   if (response_.status() != 0 && response_.status() != 200)
@@ -83,6 +87,7 @@
   bool alive = !begun && response_.status() == 200;
   std::vector<std::string> lists;
   const bool fine = stream_.feed(body, lists, alive);
+  call_.lists += lists.size();
   try {
     for (const std::string& list : lists) consumer_.endpointsListed(parseEndpointList(list));
   } catch (const BadInput& e) {
@@ -95,7 +100,12 @@
 
 void RegistryWatch::fail(const char* why) {
   if (!connection_) return;  // already reported
-  logEvent(LogLevel::Warning, "discovery_watch_closed", {{"why", why}});
+  logEvent(LogLevel::Warning, "discovery_watch_closed",
+           {{"why", why},
+            {"after", call_.after},
+            {"out_ms", (clock_.now() - call_.openedAt).count() / 1000},
+            {"bytes", call_.bytes},
+            {"lists", call_.lists}});
   closeConnection();
   consumer_.discoveryFailed(why);
 }
--- a/src/discovery/registry/watch.hpp
+++ b/src/discovery/registry/watch.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "discovery/endpoint_list.hpp"
+#include "engine/clock.hpp"
 #include "engine/engine.hpp"
 #include "engine/event.hpp"
 #include "engine/system_calls.hpp"
@@ -11,7 +12,8 @@
 
 class RegistryWatch final : public DiscoverySource {
  public:
-  RegistryWatch(event_base*, EndpointListConsumer&, const Address&);
+  // The clock and the consumer have to outlive it.
+  RegistryWatch(event_base*, const Clock&, EndpointListConsumer&, const Address&);
   ~RegistryWatch() override;
   // Begins a watch of changes after this generation. One that is open ends without a report.
   void watch(std::uint64_t after) override;
@@ -22,13 +24,23 @@
   void closeConnection();
   void fail(const char* why);
 
+  // What the log tells of the call when it ends.
+  struct CallRecord {
+    std::uint64_t after = 0;  // changes after this generation were asked for
+    Clock::Time openedAt{};
+    std::size_t bytes = 0;
+    std::size_t lists = 0;
+  };
+
   event_base* const base_;
+  const Clock& clock_;
   EndpointListConsumer& consumer_;
   Address address_;
   BufferEvent connection_;
   Event silenceTimer_;
   http::Response response_;
   EndpointListStream stream_;
+  CallRecord call_;
   ReservedDescriptor reserve_;  // held while there is no connection, so that the next one finds a descriptor
 };
 
--- a/src/engine/endpoint_registry.hpp
+++ b/src/engine/endpoint_registry.hpp
@@ -19,8 +19,17 @@
   struct Endpoint {
     std::string name;
     std::uint64_t gossipTag = 0;
-    bool ready = false;  // by the endpoint list
+    bool ready = false;                           // by the endpoint list
+    std::optional<balancer::Time> notReadySince;  // empty while it is ready
     std::optional<balancer::Time> healthCheckSentAt;
+
+    void setReady(bool isReady, balancer::Time now) {
+      ready = isReady;
+      if (isReady)
+        notReadySince.reset();
+      else if (!notReadySince)
+        notReadySince = now;
+    }
   };
 
   // The endpoint's id; assigns one if the name is new.
--- a/src/engine/endpoint_updater.cpp
+++ b/src/engine/endpoint_updater.cpp
@@ -21,14 +21,15 @@
   }
 }
 
-void logChange(const DiscoveredEndpoint& endpoint) {
+void logChange(const DiscoveredEndpoint& endpoint, std::uint64_t generation) {
   logEvent(LogLevel::Info, "endpoint_changed",
            {{"name", endpoint.name},
             {"state", stateName(endpoint.state)},
             {"address", endpoint.address.text()},
             {"group", endpoint.group},
             {"weight", endpoint.weight},
-            {"started_ms", endpoint.startedMs}});
+            {"started_ms", endpoint.startedMs},
+            {"generation", generation}});
 }
 
 }  // namespace
@@ -49,6 +50,7 @@
 }
 
 void EndpointUpdater::endpointsListed(EndpointList list) {
+  logReceived(list);
   table_.applyUpdate(clock_.now(), std::move(list));
   deliverDueLists();
 }
@@ -61,6 +63,19 @@
   deliverDueLists();
 }
 
+// How old the list had grown tells whether a change came late, and the two generations whether the source
+// went back.
+void EndpointUpdater::logReceived(const EndpointList& list) const {
+  const auto now = clock_.now();
+  const auto lastUpdate = table_.view(now).lastUpdate;
+  logEvent(LogLevel::Info, "endpoint_list_received",
+           {{"generation", list.generation},
+            {"known_generation", table_.generation()},
+            {"whole", list.reset},
+            {"entries", list.instances.size()},
+            {"list_age_ms", lastUpdate ? (now - *lastUpdate).count() / 1000 : -1}});
+}
+
 void EndpointUpdater::logFailure(Clock::Time now, const std::string& why) {
   if (failureLoggedAt_ && now - *failureLoggedAt_ < kFailureLogInterval) return;
   failureLoggedAt_ = now;
@@ -74,7 +89,7 @@
 void EndpointUpdater::deliverDueLists() {
   const auto now = clock_.now();
   while (auto list = table_.nextUpdate(now)) {
-    for (const DiscoveredEndpoint& endpoint : list->instances) logChange(endpoint);
+    for (const DiscoveredEndpoint& endpoint : list->instances) logChange(endpoint, list->generation);
     consumer_.endpointsListed(std::move(*list));
   }
   if (const auto at = table_.nextDeadline())
--- a/src/engine/endpoint_updater.hpp
+++ b/src/engine/endpoint_updater.hpp
@@ -31,6 +31,7 @@
 
  private:
   void deliverDueLists();
+  void logReceived(const EndpointList&) const;
   void logFailure(Clock::Time now, const std::string& why);
 
   const Clock& clock_;
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -57,6 +57,8 @@
 
   // Empty for an endpoint that is not known (any more).
   std::string endpointName(EndpointId id) const { return endpoints_.name(id); }
+  // Requests that went to an endpoint listed as draining or gone for over half of the grace.
+  std::uint64_t sendsToDraining() const { return sendsToDraining_; }
   bool hasPendingEvents() const { return !events_.empty(); }
   void runTurn();
   // Forgets endpoints that are gone and have nothing in flight; runTurn() does so once a second.
@@ -114,6 +116,9 @@
   void handle(engine_event::SuspensionChanged&);
   void handle(engine_event::SettingsUpdated&);
 
+  // Counts and logs a request that goes to an endpoint that has been draining for long.
+  void recordSend(RequestId, EndpointId, const char* reason);
+
   // Answers: what the client is sent, what other proxies and the reference clock learn.
   void respond(const PendingRequest&, AttemptEnd&);
   void shareStatus(const engine_event::AttemptEnded&);
@@ -151,6 +156,7 @@
   std::vector<std::function<void()>> actions_;  // in the order in which they take effect
   std::unordered_map<RequestId, PendingRequest> requests_;
   RequestId lastRequest_ = 0;
+  std::uint64_t sendsToDraining_ = 0;
 
   EndpointRegistry endpoints_;
   EndpointStartTimes startTimes_;
--- a/src/engine/engine_actions.cpp
+++ b/src/engine/engine_actions.cpp
@@ -12,6 +12,7 @@
   const int attempt = static_cast<int>(request.attempts.size());
   request.attempts.push_back({endpoint, now_});
   trace::attemptSent(id, attempt, endpoints_, endpoint);
+  recordSend(id, endpoint, attempt == 0 ? "first_attempt" : "retry");
   actions_.emplace_back([this, id, attempt, endpoint, until, message = request.message] {
     if (neighbours_.attempts) neighbours_.attempts->attemptSent(id, attempt, endpointName(endpoint));
     neighbours_.backend->send(id, attempt, endpoint, until, message);
--- a/src/engine/engine_events.cpp
+++ b/src/engine/engine_events.cpp
@@ -7,6 +7,7 @@
 
 #include "engine/engine.hpp"
 #include "engine/engine_trace.hpp"
+#include "logging/log.hpp"
 
 namespace sablespur {
 
@@ -48,11 +49,27 @@
   const auto it = requests_.find(event.request);
   const bool fit = it != requests_.end() &&
                    balancer_->maySendNow(now_, event.request, it->second.attempt(event.attempt).endpoint);
+  if (fit) recordSend(event.request, it->second.attempt(event.attempt).endpoint, "connection_ready");
   actions_.emplace_back([this, id = event.request, attempt = event.attempt, fit] {
     neighbours_.backend->continueAttempt(id, attempt, fit);
   });
 }
 
+// A server that was listed as draining for half of the grace should have got its last request by now.
+void Engine::recordSend(RequestId id, EndpointId to, const char* reason) {
+  const auto* const endpoint = endpoints_.find(to);
+  const bool ready = !endpoint || !endpoint->notReadySince;
+  if (ready || now_ - *endpoint->notReadySince <= config_.settings.drainGrace / 2) return;
+  ++sendsToDraining_;
+  const auto request = requests_.find(id);
+  logEvent(LogLevel::Warning, "request_sent_to_draining",
+           {{"id", request == requests_.end() ? std::string() : request->second.message->id},
+            {"endpoint", endpoint->name},
+            {"draining_ms", (now_ - *endpoint->notReadySince).count() / 1000},
+            {"reason", reason},
+            {"count", sendsToDraining_}});
+}
+
 void Engine::handle(engine_event::AttemptEnded& event) {
   AttemptEnd& end = event.end;
   shareStatus(event);
@@ -196,7 +213,7 @@
       startTimes_.startOf(listed.id, started, inInitialLists, now_, reference_.offset()).value_or(Time(0));
   listed.suspended = suspended_.count(discovered.name) > 0;
   startTimes_.recordListed(listed);
-  endpoints_.find(listed.id)->ready = ready;
+  endpoints_.find(listed.id)->setReady(ready, now_);
   endpoints_.recordListed(discovered.name);
   const Time warmAt = listed.started > Time(0) ? listed.started + config_.settings.warmUpPeriod : Time(0);
   neighbours_.backend->endpointListed(listed.id, discovered.address, ready && !listed.suspended, warmAt);
@@ -214,7 +231,7 @@
   for (const balancer::ListedEndpoint& endpoint : listed) listedIds.insert(endpoint.id);
   for (const auto& [name, id] : endpoints_.idsByName()) {
     if (listedIds.count(id) > 0) continue;
-    endpoints_.find(id)->ready = false;
+    endpoints_.find(id)->setReady(false, now_);
     neighbours_.backend->endpointListed(id, Address(), false, Time(0));
   }
 }
--- a/tests/system_calls_test.cpp
+++ b/tests/system_calls_test.cpp
@@ -849,7 +849,8 @@
     std::uint64_t generation() const override { return 1; }
   } taker;
   const int nobodyListens = bound(SOCK_STREAM);
-  RegistryWatch watch(base.get(), taker, nameOf(nobodyListens));
+  const Clock clock;
+  RegistryWatch watch(base.get(), clock, taker, nameOf(nobodyListens));
   watch.watch(1);
   for (int k = 0; k < 3; ++k) event_base_loop(base.get(), EVLOOP_NONBLOCK);
   EXPECT_EQ(taker.failures, 1);
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -24,6 +24,7 @@
 
 struct WatchTest : testing::Test {
   EventBase base{event_base_new()};
+  Clock clock;
   Taken taken;
   int listener = -1;
   std::unique_ptr<RegistryWatch> watch;
@@ -39,7 +40,7 @@
     sockaddr_storage a{};
     socklen_t n = sizeof a;
     getsockname(listener, reinterpret_cast<sockaddr*>(&a), &n);
-    watch = std::make_unique<RegistryWatch>(base.get(), taken,
+    watch = std::make_unique<RegistryWatch>(base.get(), clock, taken,
                                             Address::fromSocket(reinterpret_cast<const sockaddr*>(&a)));
   }
   void TearDown() override {
