Tests that fail: a slow call, a slow list and an older list leave a drained server in use

Each is a real process with a stand-in registry. Seen failing on the program as it is: - a call answered after 2.8 s: the log shows why=silent out_ms=2500 bytes=0 for each call, without end; - a list of about 170 bytes, one each 25 ms: given up 3 s after its begin, then again; - an older whole list after 'left': endpoint_changed state=active, and 20 of 20 reads went to the removed server.

--- /dev/null
+++ b/tests/discovery_delay_test.cpp
@@ -0,0 +1,70 @@
+// In a run with injected faults, proxies sent dozens of requests to servers that had been draining or removed
+// for longer than the grace. The registry had told the change, and the proxy was not there to hear it: it
+// gave up each call after 2.5 s, though the call was only slow, and the next one waited at the end of the
+// same queue. A list that came in pieces was given up in the same way, and a list that was older than the
+// known one brought a removed server back.
+//
+// With a registry that answers each call after 2.8 s the log of the program as it was reads
+//   event=discovery_watch_closed why=silent after=5 out_ms=2500 bytes=0 lists=0
+// again and again, each 2.5 to 3.1 s, with nothing between; 533 requests in 5.5 s went to the drained server.
+// The tests hold the order of events and not their times; the times are those of CallSchedule's tests.
+#include "scenario.hpp"
+
+namespace sablespur::test {
+namespace {
+
+constexpr const char* kReadGoesToThePrimary = R"(
+  c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+  s1 expect query id=1
+  s1 send row v
+  c1 expect row v
+)";
+
+// The first watch falls silent, the call after it is slow: it is answered after the proxy has called once
+// more.
+TEST(DiscoveryDelay, ACallThatIsOnlySlowIsStillTaken) {
+  Scenario t;
+  t.run(R"(
+    s2 wait idle 2
+    list expect call after=5
+    list expect calls 3
+    list choose 2
+    list expect kept
+    list answers
+  )");
+  t.run("list send line " + t.list(2, "leaving", 6) + "\ns2 expect drained\n" + kReadGoesToThePrimary);
+}
+
+// Each byte makes the list longer, and all of them together take longer than a watch may be silent.
+TEST(DiscoveryDelay, AListThatGrowsSlowlyIsWaitedFor) {
+  Scenario t;
+  t.run(R"(
+    s2 wait idle 2
+    list close
+    list expect call after=5
+    list answers
+  )");
+  t.run("list drips " + t.list(2, "leaving", 6) + "\ns2 expect drained\nlist expect kept\n" +
+        kReadGoesToThePrimary);
+}
+
+// A registry that has just come back, or one of several, may know less than the proxy.
+TEST(DiscoveryDelay, AnOlderListDoesNotBringARemovedServerBack) {
+  Scenario t;
+  t.run("s1 serves primary\ns2 serves replica\ns2 wait idle 2\nlist send line " + t.list(2, "left", 6) + R"(
+    s2 expect drained
+    list close
+    list expect watch after=6
+    list send line )" +
+        t.wholeList(5) + R"(
+    proxy expect log event=endpoint_list_received generation=5 known_generation=6
+  )");
+  for (int k = 0; k < 20; ++k) {
+    t.run("c1 send query SELECT 1 /* id=" + std::to_string(k) + R"(,c=read,d=7000,cluster=3 */
+      c1 expect row primary
+    )");
+  }
+}
+
+}  // namespace
+}  // namespace sablespur::test
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -194,6 +194,7 @@
     run("proxy expect log event=endpoint_changed name=s-" + std::to_string(servers_.size()));
     return;
   }
+  if (!setting_.firstList) return run("list expect call after=5");
   run(R"(
     list expect watch after=)" +
       std::string(setting_.ini ? "0" : "5") + R"(
@@ -227,14 +228,27 @@
   if (testing::Test::HasFailure()) std::fputs(log_.c_str(), stderr);
 }
 
-std::string Scenario::list(int server, const std::string& lifecycle, int generation) const {
+std::string Scenario::instance(int server, const std::string& lifecycle) const {
   std::ostringstream s;
-  s << R"({"generation":)" << generation << R"(,"reset":false,"instances":[{"instanceId":"s-)" << server
-    << R"(","hostPort":"127.0.0.1:)" << servers_[static_cast<std::size_t>(server - 1)].port
-    << R"(","zone":"a","cell":3,"lifecycle":")" << lifecycle << R"(","weight":1.0,"startedAtMs":0}]})";
+  s << R"({"instanceId":"s-)" << server << R"(","hostPort":"127.0.0.1:)"
+    << servers_[static_cast<std::size_t>(server - 1)].port << R"(","zone":"a","cell":3,"lifecycle":")"
+    << lifecycle << R"(","weight":1.0,"startedAtMs":0})";
   return s.str();
 }
 
+std::string Scenario::list(int server, const std::string& lifecycle, int generation) const {
+  return R"({"generation":)" + std::to_string(generation) + R"(,"reset":false,"instances":[)" +
+         instance(server, lifecycle) + "]}";
+}
+
+std::string Scenario::wholeList(int generation) const {
+  std::string instances;
+  for (int server = 1; server <= static_cast<int>(servers_.size()); ++server)
+    instances += (server > 1 ? "," : "") + instance(server, "active");
+  return R"({"generation":)" + std::to_string(generation) + R"(,"reset":true,"instances":[)" + instances +
+         "]}";
+}
+
 void Scenario::run(const std::string& text) {
   std::istringstream lines(text);
   for (std::string line; !testing::Test::HasFatalFailure() && std::getline(lines, line);) {
@@ -651,7 +665,34 @@
   if (what != "part" && what != "spoilt") c->busy = false;
 }
 
+void Scenario::expectCalls(std::size_t count) {
+  const auto come = [&] {
+    return watches_.size() >= count &&
+           std::next(watches_.begin(), static_cast<std::ptrdiff_t>(count) - 1)->in.find("\r\n\r\n") !=
+               std::string::npos;
+  };
+  until(come, "so many calls");
+}
+
+void Scenario::dripNext() {
+  constexpr auto kBetweenBytes = std::chrono::milliseconds(25);
+  const auto now = std::chrono::steady_clock::now();
+  if (!drip_.to || drip_.left.empty() || drip_.to->ended || now < drip_.next) return;
+  put(drip_.to->fd, "1\r\n" + drip_.left.substr(0, 1) + "\r\n");
+  drip_.left.erase(0, 1);
+  drip_.next = now + kBetweenBytes;
+}
+
 void Scenario::discovery(const std::string& verb, const std::string& what, const std::string& rest) {
+  if (verb == "choose") {
+    chosen_ = &*std::next(watches_.begin(), std::stoi(what) - 1);
+    return;
+  }
+  if (what == "calls") return expectCalls(std::stoul(rest));
+  if (what == "kept") {
+    EXPECT_FALSE(chosenCall().ended) << at_;
+    return;
+  }
   if (verb == "expect") {
     std::string request;
     until(
@@ -670,7 +711,7 @@
     return;
   }
   ASSERT_FALSE(watches_.empty()) << at_;
-  const int fd = watches_.back().fd;
+  const int fd = chosenCall().fd;
   const auto chunk = [&](const std::string& text) {
     std::ostringstream head;
     head << std::hex << text.size() << "\r\n" << text << "\r\n";
@@ -688,7 +729,11 @@
       text += c == ',' || c == '{' || c == '[' ? std::string(1, c) + "\n  " : std::string(1, c);
     chunk(text + "\n");
   } else if (verb == "trickles") {
-    trickling_ = &watches_.back();
+    trickling_ = &chosenCall();
+  } else if (verb == "answers") {
+    put(fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  } else if (verb == "drips") {
+    drip_ = {&chosenCall(), what + (rest.empty() ? "" : " " + rest) + "\n", {}};
   } else if (what == "bits") {  // the same in chunks of one byte each
     for (const char byte : rest + "\n") chunk(std::string(1, byte));
   } else if (what == "status") {
@@ -822,6 +867,7 @@
     if (ready(d.c.fd)) read(d.c);
   for (Connection& c : watches_)
     if (ready(c.fd)) read(c);
+  dripNext();
   if (trickling_ && !trickling_->ended) put(trickling_->fd, "1\r\n \r\n");
   accepted(listListener_, watches_);
   for (Server& s : servers_) {
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -20,6 +20,8 @@
 //   c1 expect refused   with 53300, when to come back, and an end   c1 send header TEXT   before its startup
 //   list expect watch TEXT   list send line JSON   list close
 //   list send indented JSON   over many lines   list send raw TEXT   as it is   list trickles   a blank at a time, for ever
+//   list expect calls N   so many in all; list choose N   what follows goes to the N-th; list answers   its head
+//   list drips JSON   a line in chunks of a byte each 25 ms; list expect kept   the proxy has not ended the call
 //   dns publish s2 [KEY=VALUE ...]   dns withdraw s2   dns mood NAME   dns move DOMAIN
 //   proxy send TERM   proxy expect exit 0   proxy expect log TEXT   proxy expect quiet   proxy reload moved|broken|same
 // clang-format on
@@ -63,6 +65,7 @@
   int descriptors = 0;       // RLIMIT_NOFILE of the process; 0: as it is
   int inherited = 0;         // descriptors that are open in it from the start, beside its own
   std::string more;          // sections of our form, as they are
+  bool firstList = true;     // the first call is answered before the scenario begins
   bool justStarted = false;  // the data servers that are known at the start began at that moment
 };
 
@@ -98,6 +101,7 @@
   std::string status(bool json = false);              // what `sablespur status` prints, both streams
   std::size_t logged(const std::string& text) const;  // how often
   std::string list(int server, const std::string& lifecycle, int generation) const;  // a change, in one line
+  std::string wholeList(int generation) const;  // all servers, active, in one line
 
  private:
   struct Connection {
@@ -140,6 +144,10 @@
   lab::Reply reply(Desk&);
   void server(Server&, const std::string& verb, const std::string& what, const std::string& rest);
   void discovery(const std::string& verb, const std::string& what, const std::string& rest);
+  void expectCalls(std::size_t count);
+  Connection& chosenCall() { return chosen_ ? *chosen_ : watches_.back(); }
+  void dripNext();
+  std::string instance(int server, const std::string& lifecycle) const;  // an entry of a list
   void dns(const std::string& verb, const std::string& what, const std::string& rest);
   void proxy(const std::string& verb, const std::string& rest);
   void pump();
@@ -167,6 +175,12 @@
   int listListener_ = -1;
   Connection* trickling_ = nullptr;  // a watch that gets a blank in each pass
   std::list<Connection> watches_;
+  Connection* chosen_ = nullptr;  // the call that gets what is sent; null: the latest
+  struct Drip {
+    Connection* to = nullptr;
+    std::string left;
+    std::chrono::steady_clock::time_point next;
+  } drip_;
   struct FreeBase {
     void operator()(event_base* b) const { event_base_free(b); }
   };
