--- a/src/app/discovery_source.cpp
+++ b/src/app/discovery_source.cpp
@@ -19,7 +19,7 @@
 class RegistrySource final : public ConfiguredDiscovery {
  public:
   RegistrySource(event_base* base, const Clock& clock, EndpointUpdater& updater, const Config& config)
-      : watch_(base, clock, updater, config.discovery) {}
+      : watch_(base, clock, updater, config.discovery, config.seed) {}
   void watch(std::uint64_t after) override { watch_.watch(after); }
   void updateSettings(const Config& config) override {
     if (keepsSource(config, Source::Registry)) watch_.changeAddress(config.discovery);
--- /dev/null
+++ b/src/discovery/call_schedule.cpp
@@ -0,0 +1,248 @@
+#include "discovery/call_schedule.hpp"
+
+#include <algorithm>
+
+namespace sablespur {
+namespace {
+
+constexpr std::uint64_t kBackoffSalt = 1;
+constexpr std::uint64_t kSpacingSalt = 2;
+constexpr double kBackoffJitter = 0.5;  // a backoff is 0.5 to 1.5 of its value
+constexpr double kSpacingJitter = 0.1;
+constexpr std::size_t kMaxCallsInTime = 3;  // that are made while the list is not overdue yet
+
+}  // namespace
+
+const char* toString(CallReason reason) {
+  switch (reason) {
+    case CallReason::FirstCall:
+      return "first call";
+    case CallReason::Retry:
+      return "retry";
+    case CallReason::WatchSilent:
+      return "watch silent";
+    case CallReason::ListOverdue:
+      return "list overdue";
+    case CallReason::Moved:
+      return "registry moved";
+  }
+  return "";
+}
+
+const char* toString(CloseReason reason) {
+  switch (reason) {
+    case CloseReason::Superseded:
+      return "superseded";
+    case CloseReason::Silent:
+      return "silent";
+    case CloseReason::Unanswered:
+      return "unanswered";
+    case CloseReason::MakesRoom:
+      return "makes room";
+  }
+  return "";
+}
+
+// ---- what happened --------------------------------------------------------------------------------------
+void CallSchedule::start(Time now) {
+  if (started_) return;
+  started_ = true;
+  unconfirmedSince_ = now;
+  notBefore_ = now;
+}
+
+void CallSchedule::moved(Time now) {
+  hasCalled_ = false;
+  hasMoved_ = true;
+  unconfirmedSince_ = now;
+  notBefore_ = now;
+  backoff_ = kMinBackoff;
+  for (Call& call : calls_) call.isElsewhere = true;
+}
+
+void CallSchedule::opened(Time now, CallId id) {
+  calls_.push_back({id, now, now});
+  hasCalled_ = true;
+  lastOpenedAt_ = now;
+  ++openings_;
+}
+
+void CallSchedule::progressed(Time now, CallId id) {
+  Call* const call = find(id);
+  if (!call || call->phase == Phase::Following) return;
+  call->progressAt = now;
+  call->phase = Phase::Receiving;
+}
+
+void CallSchedule::confirmed(Time now, CallId id) {
+  Call* const call = find(id);
+  if (!call) return;
+  const bool isFirst = call->phase != Phase::Following;
+  call->phase = Phase::Following;
+  call->progressAt = now;
+  if (call->isElsewhere) return;
+  if (call->isOutdated) return;
+  if (isFirst) winner_ = id;
+  unconfirmedSince_ = now;
+  confirmedAt_ = now;
+  backoff_ = kMinBackoff;
+}
+
+void CallSchedule::outdated(Time now, CallId id) {
+  Call* const call = find(id);
+  if (!call) return;
+  call->phase = Phase::Following;
+  call->progressAt = now;
+  if (call->isElsewhere || call->isOutdated) return;
+  call->isOutdated = true;
+  notBefore_ = now + nextBackoff();
+}
+
+// A service that asks for a longer pause gets it as far as the deadline of the list allows.
+void CallSchedule::ended(Time now, CallId id, std::optional<Time> retryAfter) {
+  const auto found =
+      std::find_if(calls_.begin(), calls_.end(), [id](const Call& call) { return call.id == id; });
+  if (found == calls_.end()) return;
+  const bool wasElsewhere = found->isElsewhere;
+  calls_.erase(found);
+  if (wasElsewhere) return;
+  Time pause = nextBackoff();
+  if (retryAfter) {
+    const Time untilSecondCall = unconfirmedSince_ + kSecondCallAge - now;
+    const Time longest = untilSecondCall > Time(0) ? untilSecondCall : kLateCallSpacing;
+    pause = std::max(pause, std::min(*retryAfter, longest));
+  }
+  notBefore_ = now + pause;
+}
+
+void CallSchedule::closed(CallId id) {
+  calls_.erase(std::remove_if(calls_.begin(), calls_.end(), [id](const Call& call) { return call.id == id; }),
+               calls_.end());
+}
+
+// ---- what is to be done ---------------------------------------------------------------------------------
+CallSchedule::Decision CallSchedule::decide(Time now) {
+  Decision decision;
+  if (!started_) return decision;
+  closeSuperseded(decision);
+  closeHopeless(now, decision);
+  if (now < nextOpening()) return decision;
+  decision.open = reasonToOpen();
+  if (calls_.size() >= kMaxCalls) close(decision, leastUsefulIndex(), CloseReason::MakesRoom);
+  return decision;
+}
+
+std::optional<CallSchedule::Time> CallSchedule::nextDeadline() const {
+  if (!started_) return std::nullopt;
+  Time next = nextOpening();
+  for (const Call& call : calls_) {
+    if (call.phase == Phase::Receiving) next = std::min(next, call.progressAt + kResponseSilence);
+    if (call.phase == Phase::Waiting) next = std::min(next, call.openedAt + kPatience);
+  }
+  return winner_ ? Time(0) : next;
+}
+
+std::optional<CallSchedule::CallId> CallSchedule::leastUsefulCall() const {
+  if (calls_.empty()) return std::nullopt;
+  return calls_[leastUsefulIndex()].id;
+}
+
+CallSchedule::Call* CallSchedule::find(CallId id) {
+  const auto found =
+      std::find_if(calls_.begin(), calls_.end(), [id](const Call& call) { return call.id == id; });
+  return found == calls_.end() ? nullptr : &*found;
+}
+
+void CallSchedule::close(Decision& decision, std::size_t index, CloseReason reason) {
+  decision.close.push_back({calls_[index].id, reason});
+  calls_.erase(calls_.begin() + static_cast<std::ptrdiff_t>(index));
+}
+
+void CallSchedule::closeSuperseded(Decision& decision) {
+  if (!winner_) return;
+  for (std::size_t index = calls_.size(); index-- > 0;)
+    if (calls_[index].id != *winner_) close(decision, index, CloseReason::Superseded);
+  winner_.reset();
+}
+
+void CallSchedule::closeHopeless(Time now, Decision& decision) {
+  for (std::size_t index = calls_.size(); index-- > 0;) {
+    const Call& call = calls_[index];
+    if (call.phase == Phase::Receiving && now >= call.progressAt + kResponseSilence)
+      close(decision, index, CloseReason::Silent);
+    else if (call.phase == Phase::Waiting && now >= call.openedAt + kPatience)
+      close(decision, index, CloseReason::Unanswered);
+  }
+}
+
+bool CallSchedule::mayAnswer(const Call& call) const {
+  return !call.isElsewhere && call.phase != Phase::Following;
+}
+
+std::size_t CallSchedule::callsThatMayAnswer() const {
+  return static_cast<std::size_t>(
+      std::count_if(calls_.begin(), calls_.end(), [this](const Call& call) { return mayAnswer(call); }));
+}
+
+// The watch that keeps the list up to date, silent or not.
+const CallSchedule::Call* CallSchedule::followedCall() const {
+  for (const Call& call : calls_)
+    if (call.phase == Phase::Following && !call.isElsewhere && !call.isOutdated) return &call;
+  return nullptr;
+}
+
+CallSchedule::Time CallSchedule::nextOpening() const {
+  const Call* const followed = followedCall();
+  const Time silentAt = followed ? followed->progressAt + kWatchSilence : Time(0);
+  const std::size_t outstanding = callsThatMayAnswer();
+  return std::max({notBefore_, silentAt, outstanding > 0 ? nextFurtherOpening(outstanding) : Time(0)});
+}
+
+// A further call beside the outstanding ones, which are not given up.
+CallSchedule::Time CallSchedule::nextFurtherOpening(std::size_t outstanding) const {
+  const Time age = outstanding == 1 ? kSecondCallAge : kThirdCallAge;
+  const Time byAge = std::max(unconfirmedSince_ + age, lastOpenedAt_ + kCallSpacing);
+  const bool inTime = outstanding < kMaxCallsInTime && byAge < unconfirmedSince_ + kListDeadline;
+  if (inTime) return byAge;
+  return lastOpenedAt_ + jittered(kLateCallSpacing, kSpacingJitter, kSpacingSalt, openings_);
+}
+
+// Former addresses and silent watches first; then the second oldest of the outstanding calls, as the oldest
+// is the next in the registry's queue.
+std::size_t CallSchedule::leastUsefulIndex() const {
+  std::optional<std::size_t> elsewhere;
+  std::optional<std::size_t> silent;
+  std::vector<std::size_t> outstanding;
+  for (std::size_t index = 0; index < calls_.size(); ++index) {
+    if (mayAnswer(calls_[index]))
+      outstanding.push_back(index);
+    else if (calls_[index].isElsewhere)
+      elsewhere = elsewhere.value_or(index);
+    else
+      silent = silent.value_or(index);
+  }
+  if (silent) return *silent;
+  if (elsewhere) return *elsewhere;
+  return outstanding.size() > 1 ? outstanding[1] : outstanding.front();
+}
+
+CallReason CallSchedule::reasonToOpen() const {
+  if (!hasCalled_) return hasMoved_ ? CallReason::Moved : CallReason::FirstCall;
+  if (callsThatMayAnswer() > 0) return CallReason::ListOverdue;
+  return followedCall() ? CallReason::WatchSilent : CallReason::Retry;
+}
+
+CallSchedule::Time CallSchedule::nextBackoff() {
+  const Time backoff = jittered(backoff_, kBackoffJitter, kBackoffSalt, ++failures_);
+  backoff_ = std::min(2 * backoff_, kMaxBackoff);
+  return backoff;
+}
+
+// Between (1 - share) and (1 + share) of the span.
+CallSchedule::Time CallSchedule::jittered(Time span, double share, std::uint64_t salt,
+                                          std::uint64_t count) const {
+  const double factor = 1 - share + 2 * share * random_.fraction(salt, count);
+  return Time(static_cast<std::int64_t>(factor * static_cast<double>(span.count())));
+}
+
+}  // namespace sablespur
--- a/src/discovery/endpoint_list.cpp
+++ b/src/discovery/endpoint_list.cpp
@@ -12,7 +12,7 @@
          a.group == b.group && a.state == b.state && a.weight == b.weight && a.startedMs == b.startedMs;
 }
 
-bool EndpointListStream::feed(std::string_view bytes, std::vector<std::string>& complete, bool& alive) {
+bool EndpointListStream::feed(std::string_view bytes, std::vector<std::string>& complete) {
   constexpr std::size_t kLongest = 4 << 20;
   std::size_t taken = 0;  // bytes up to here are in text_, or belong to no list
   const auto take = [&](std::size_t end) {
@@ -21,9 +21,11 @@
   };
   for (std::size_t k = 0; k < bytes.size(); ++k) {
     const char c = bytes[k];
+    const bool isBlank = c == ' ' || c == '\t' || c == '\r' || c == '\n';
+    significantBytes_ += inString_ || !isBlank;
     if (depth_ == 0) {
-      alive = alive || c == '\n' || c == '{';
-      if (c == ' ' || c == '\t' || c == '\r' || c == '\n') continue;
+      emptyLines_ += c == '\n';
+      if (isBlank) continue;
       if (c != '{') return false;
       taken = k;
     }
@@ -36,7 +38,6 @@
     inString_ = c == '"';
     depth_ += (c == '{' || c == '[') - (c == '}' || c == ']');
     if (depth_ > 0) continue;
-    alive = true;
     take(k + 1);
     complete.push_back(std::move(list_));
     list_.clear();
--- a/src/discovery/endpoint_list.hpp
+++ b/src/discovery/endpoint_list.hpp
@@ -52,12 +52,20 @@
 // with its last brace, so one that was cut off is never given out. Its size is bounded.
 class EndpointListStream {
  public:
-  // Appends the text of lists that have ended to `complete`. Sets `alive` if a list began or ended, or a line
-  // ended between two, as an idle watch sends it. False if there is something that is no object, or a list is
-  // too long; the stream must not be fed again then.
-  bool feed(std::string_view bytes, std::vector<std::string>& complete, bool& alive);
+  // Appends the text of lists that have ended to `complete`. False if there is something that is no object,
+  // or a list is too long; the stream must not be fed again then.
+  bool feed(std::string_view bytes, std::vector<std::string>& complete);
+
+  // Bytes of lists so far, blanks between their parts not counted: what grows with each sign of progress.
+  std::size_t significantBytes() const { return significantBytes_; }
+  // Lines that ended between two lists so far, as an idle watch sends them.
+  std::size_t emptyLines() const { return emptyLines_; }
+  // A list has begun and not ended.
+  bool isInList() const { return depth_ > 0; }
 
  private:
+  std::size_t significantBytes_ = 0;
+  std::size_t emptyLines_ = 0;
   std::string list_;  // of the list that has begun
   int depth_ = 0;     // of braces and brackets; 0: between two lists
   bool inString_ = false, afterBackslash_ = false;
--- a/src/discovery/endpoint_table.cpp
+++ b/src/discovery/endpoint_table.cpp
@@ -14,6 +14,10 @@
 // A withdrawn name whose penalty has decayed to this is forgotten.
 constexpr double kNegligiblePenalty = 0.02;
 
+// How long an older list cannot bring back one that has left, and how many of them are remembered.
+constexpr EndpointTable::Time kTombstoneRetention = std::chrono::minutes(10);
+constexpr std::size_t kMaxTombstones = 8192;
+
 std::int64_t unixMs(EndpointTable::Time time) { return time.count() / 1000; }
 
 DiscoveredEndpoint asGone(DiscoveredEndpoint endpoint) {
@@ -96,33 +100,86 @@
   removeExpired(now);
 }
 
+void EndpointTable::adoptKnown(Time now, const EndpointList& known) {
+  generation_ = known.generation;
+  for (const DiscoveredEndpoint& endpoint : known.instances) {
+    if (endpoint.state == Lifecycle::Gone) continue;
+    Entry& entry = entries_[endpoint.name];
+    entry.presenceChangedAt = now;
+    entry.present = true;
+    entry.published = true;
+    entry.endpoint = endpoint;
+    entry.lastPublished = endpoint;
+    entry.generation = known.generation;
+  }
+}
+
 void EndpointTable::applyUpdate(Time now, EndpointList list) {
   recordList(now);
   fromRegistry_ = true;
-  if (list.generation < generation_) keepDraining(list);
+  removeOldTombstones(now);
+  dropContradictions(list);
+  keepDraining(list);
+  if (list.reset) removeUnlisted(now, list);
   generation_ = list.generation;
-  if (list.reset) removeUnlisted(list);
   for (const DiscoveredEndpoint& endpoint : list.instances) {
+    const auto known = entries_.find(endpoint.name);
     if (endpoint.state == Lifecycle::Gone) {
-      entries_.erase(endpoint.name);
+      if (known == entries_.end()) continue;
+      recordLeft(now, endpoint.name, known->second, list.generation);
+      entries_.erase(known);
       continue;
     }
+    tombstones_.erase(endpoint.name);
     Entry& entry = entries_[endpoint.name];
+    const bool staysDraining = entry.present && entry.generation > list.generation &&
+                               entry.endpoint.state == Lifecycle::Draining &&
+                               endpoint.startedMs <= entry.endpoint.startedMs;
     if (!entry.present) entry.presenceChangedAt = now;
     entry.present = true;
     entry.published = true;
     entry.endpoint = endpoint;
     entry.lastPublished = endpoint;
+    if (!staysDraining) entry.generation = list.generation;
   }
   registryUpdates_.push_back(std::move(list));
 }
 
+// Whether an older list tells of an earlier life of this endpoint: of one that has left since, or of the
+// process before the one that runs.
+bool EndpointTable::contradictsNewerList(const DiscoveredEndpoint& endpoint, std::uint64_t generation) const {
+  const auto tombstone = tombstones_.find(endpoint.name);
+  if (tombstone != tombstones_.end())
+    return endpoint.state != Lifecycle::Gone && generation < tombstone->second.generation &&
+           endpoint.startedMs <= tombstone->second.startedMs;
+  const auto known = entries_.find(endpoint.name);
+  if (known == entries_.end() || generation >= known->second.generation) return false;
+  // One that has left may come without its start.
+  const bool tellsStart = endpoint.state != Lifecycle::Gone || endpoint.startedMs > 0;
+  return tellsStart && endpoint.startedMs < known->second.endpoint.startedMs;
+}
+
+// In a whole list the newer knowledge stands in the place of what contradicts it.
+void EndpointTable::dropContradictions(EndpointList& list) const {
+  std::vector<DiscoveredEndpoint> kept;
+  kept.reserve(list.instances.size());
+  for (DiscoveredEndpoint& endpoint : list.instances) {
+    if (!contradictsNewerList(endpoint, list.generation)) {
+      kept.push_back(std::move(endpoint));
+      continue;
+    }
+    const auto known = entries_.find(endpoint.name);
+    if (list.reset && known != entries_.end()) kept.push_back(known->second.endpoint);
+  }
+  list.instances = std::move(kept);
+}
+
 // A list may be older than what is known, as after a change of address or an outage of discovery. An endpoint
 // that has begun to drain does not become ready by it, unless it has started anew.
 void EndpointTable::keepDraining(EndpointList& list) const {
   for (DiscoveredEndpoint& endpoint : list.instances) {
     const auto known = entries_.find(endpoint.name);
-    if (known == entries_.end()) continue;
+    if (known == entries_.end() || known->second.generation <= list.generation) continue;
     const DiscoveredEndpoint& before = known->second.endpoint;
     if (before.state == Lifecycle::Draining && endpoint.state == Lifecycle::Ready &&
         endpoint.startedMs <= before.startedMs)
@@ -130,11 +187,46 @@
   }
 }
 
-void EndpointTable::removeUnlisted(const EndpointList& list) {
-  std::set<std::string_view> listed;
+// An older list may lack one that has come since: it stays, once, if it did not start long ago.
+void EndpointTable::removeUnlisted(Time now, EndpointList& list) {
+  wantsWholeList_ = false;
+  std::set<std::string> listed;
   for (const DiscoveredEndpoint& endpoint : list.instances) listed.insert(endpoint.name);
-  for (auto entry = entries_.begin(); entry != entries_.end();)
-    entry = listed.count(entry->first) > 0 ? std::next(entry) : entries_.erase(entry);
+  for (auto at = entries_.begin(); at != entries_.end();) {
+    Entry& entry = at->second;
+    const bool isListed = listed.count(at->first) > 0;
+    const bool mayBeNewer = entry.generation > list.generation && entry.endpoint.startedMs > 0;
+    if (!isListed && mayBeNewer && !entry.missedByOlderList) {
+      entry.missedByOlderList = true;
+      wantsWholeList_ = true;
+      list.instances.push_back(entry.endpoint);
+    } else if (!isListed) {
+      recordLeft(now, at->first, entry, list.generation);
+      at = entries_.erase(at);
+      continue;
+    } else {
+      entry.missedByOlderList = false;
+    }
+    ++at;
+  }
+}
+
+void EndpointTable::recordLeft(Time now, const std::string& name, const Entry& entry,
+                               std::uint64_t generation) {
+  if (tombstones_.size() >= kMaxTombstones) {
+    const auto oldest =
+        std::min_element(tombstones_.begin(), tombstones_.end(),
+                         [](const auto& a, const auto& b) { return a.second.leftAt < b.second.leftAt; });
+    tombstones_.erase(oldest);
+  }
+  tombstones_[name] = Tombstone{std::max(entry.generation, generation), entry.endpoint.startedMs, now};
+}
+
+void EndpointTable::removeOldTombstones(Time now) {
+  for (auto tombstone = tombstones_.begin(); tombstone != tombstones_.end();) {
+    const bool isOld = now - tombstone->second.leftAt >= kTombstoneRetention;
+    tombstone = isOld ? tombstones_.erase(tombstone) : std::next(tombstone);
+  }
 }
 
 void EndpointTable::recordFailure(Time now, std::string why) {
--- a/src/discovery/endpoint_table.hpp
+++ b/src/discovery/endpoint_table.hpp
@@ -14,6 +14,12 @@
 // - Of two names at one address the one that was there first is published, the other left out until that one
 // is
 //   withdrawn.
+// - A list with a lower generation than the known one takes nothing back: what has left or begun to drain
+// stays
+//   so until it starts anew or a newer list has it. Whom such a whole list lacks is gone if it started long
+//   ago; one that may have come since stays until a second whole list lacks it, which generation() asks for.
+//   A registry that has lost its generations and counts from 1 again is followed in the same way: its
+//   removals and drains hold at once, and its later lists are changes of its own history.
 // - Failures withdraw nothing until the list is older than `maxListAge`.
 #pragma once
 
@@ -48,6 +54,8 @@
   // All endpoints that a source without generations has. `first`: what is new in it has not just started, as
   // after a change of domain; the very first list is always taken so.
   void applySnapshot(Time now, std::vector<DiscoveredEndpoint> all, bool first = false);
+  // The list of the settings, which the engine has already.
+  void adoptKnown(Time now, const EndpointList&);
   // A list of a source with generations. Such a source counts returns and starts itself: no damping, no
   // inferred starts.
   void applyUpdate(Time now, EndpointList);
@@ -59,7 +67,10 @@
   // When something has to be published though no source reports anything.
   std::optional<Time> nextDeadline() const;
 
-  std::uint64_t generation() const { return generation_; }
+  // The generation after which changes are to be asked for; 0: a whole list is wanted.
+  std::uint64_t generation() const { return wantsWholeList_ ? 0 : generation_; }
+  // Of the last list.
+  std::uint64_t lastGeneration() const { return generation_; }
   void setPolicy(const EndpointTablePolicy& policy) { policy_ = policy; }
 
   // For `sablespur members`.
@@ -100,6 +111,14 @@
     DiscoveredEndpoint lastPublished;  // as the engine has or last had it
     unsigned incarnation = 1;          // above 1: part of the published name
     const char* exclusionReason = nullptr;
+    std::uint64_t generation = 0;  // of the list that told the state, from a registry
+    bool missedByOlderList = false;
+  };
+  // One that has left, as a registry told it.
+  struct Tombstone {
+    std::uint64_t generation = 0;
+    std::int64_t startedMs = 0;
+    Time leftAt{};
   };
   using NamedEntry = std::pair<const std::string*, Entry*>;
 
@@ -109,8 +128,12 @@
   void recordWithdrawal(Entry&, Time now);
   void removeExpired(Time now);
   bool isExpired(const Entry&, Time now) const;
+  bool contradictsNewerList(const DiscoveredEndpoint&, std::uint64_t generation) const;
+  void dropContradictions(EndpointList&) const;
   void keepDraining(EndpointList&) const;
-  void removeUnlisted(const EndpointList&);
+  void removeUnlisted(Time now, EndpointList&);
+  void recordLeft(Time now, const std::string& name, const Entry&, std::uint64_t generation);
+  void removeOldTombstones(Time now);
   std::optional<Time> listExpiry() const;
   std::vector<NamedEntry> entriesBySeniority();
   void exclude(const std::vector<NamedEntry>&, Time now) const;
@@ -119,7 +142,9 @@
 
   EndpointTablePolicy policy_;
   std::map<std::string, Entry> entries_;
+  std::map<std::string, Tombstone> tombstones_;  // by name
   std::uint64_t generation_ = 0;
+  bool wantsWholeList_ = false;
   bool hasList_ = false;                      // a first whole list has come
   bool fromRegistry_ = false;                 // the last list came with a generation
   std::deque<EndpointList> registryUpdates_;  // passed on as they came
--- a/src/discovery/registry/watch.cpp
+++ b/src/discovery/registry/watch.cpp
@@ -1,113 +1,138 @@
 #include "discovery/registry/watch.hpp"
 
-#include "discovery/endpoint_list.hpp"
-#include "logging/log.hpp"
+#include <utility>
 
 namespace sablespur {
-namespace {
-
-// A change counts as notified 6 s after discovery had it, whatever calls have failed meanwhile. A call is
-// answered or rejected within 2 s: a silent one is abandoned in time for a backoff and another call.
-constexpr Time kResponseTimeout = std::chrono::milliseconds(2500);
-// A registry that has vanished closes nothing; an open watch sends at least an empty line every 2 s.
-constexpr Time kSilenceTimeout = std::chrono::milliseconds(3000);
-
-}  // namespace
 
 RegistryWatch::RegistryWatch(event_base* base, const Clock& clock, EndpointListConsumer& consumer,
-                             const Address& address)
+                             const Address& address, std::uint64_t seed)
     : base_(base),
       clock_(clock),
       consumer_(consumer),
       address_(address),
-      silenceTimer_(event_new(
-          base, -1, 0,
-          [](evutil_socket_t, short, void* self) { static_cast<RegistryWatch*>(self)->fail("silent"); },
+      schedule_(seed),
+      timer_(event_new(
+          base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<RegistryWatch*>(self)->act(); },
           this)) {}
 
-RegistryWatch::~RegistryWatch() { closeConnection(); }
-
-// The descriptor is kept for the next connection: clients might have taken the last one by then.
-void RegistryWatch::closeConnection() {
-  if (!connection_) return;
-  const evutil_socket_t fd = bufferevent_getfd(connection_.get());
-  bufferevent_setfd(connection_.get(), -1);
-  connection_.reset();
-  if (fd >= 0) evutil_closesocket(fd);
-  event_del(silenceTimer_.get());
-  reserve_.reacquire();
-}
+RegistryWatch::~RegistryWatch() = default;
 
 void RegistryWatch::watch(std::uint64_t after) {
-  closeConnection();
-  response_ = http::Response();
-  stream_ = EndpointListStream();
-  call_ = CallRecord{after, clock_.now()};
-  reserve_.release();
-  const int fd = systemCalls().socket(address_.v6() ? AF_INET6 : AF_INET);
-  connection_.reset(bufferevent_socket_new(base_, fd, 0));
-  const std::string target = "/registry/instances?watch=1&after=" + std::to_string(after);
-  append(bufferevent_get_output(connection_.get()), http::formatGet(target, address_.text()));
-  bufferevent_enable(connection_.get(), EV_READ | EV_WRITE);
-  startTimer(silenceTimer_.get(), kResponseTimeout);
-  if (fd < 0 ||
-      bufferevent_socket_connect(connection_.get(), address_.data(), static_cast<int>(address_.size())) != 0)
-    return fail("no connection");
-  bufferevent_setcb(
-      connection_.get(), [](bufferevent*, void* self) { static_cast<RegistryWatch*>(self)->read(); }, nullptr,
-      [](bufferevent*, short what, void* self) {
-        if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
-          static_cast<RegistryWatch*>(self)->fail("connection ended");
-      },
-      this);
+  if (!hasList_) initialGeneration_ = after;
+  schedule_.start(clock_.now());
+  act();
 }
 
-// Continues from the known generation. The watch at the old address ends without a report: what it had still
-// to send, the new one sends.
 void RegistryWatch::changeAddress(const Address& address) {
   if (address == address_) return;
   address_ = address;
-  watch(consumer_.generation());
+  schedule_.moved(clock_.now());
+  act();
 }
 
-void RegistryWatch::read() {
-  evbuffer* const in = bufferevent_get_input(connection_.get());
-  evbuffer_iovec part;
-  std::string body;
-  const bool begun = response_.status() == 200;
-  while (evbuffer_peek(in, -1, nullptr, &part, 1) > 0) {
-    if (!response_.feed({static_cast<const char*>(part.iov_base), part.iov_len}, body))
-      return fail("malformed response");
-    call_.bytes += part.iov_len;
-    evbuffer_drain(in, part.iov_len);
-  }
-  if (response_.status() != 0 && response_.status() != 200)
-    return fail(("status " + std::to_string(response_.status())).c_str());
-  // Bytes that trickle in and amount to nothing are no sign of life.
-  bool alive = !begun && response_.status() == 200;
-  std::vector<std::string> lists;
-  const bool fine = stream_.feed(body, lists, alive);
-  call_.lists += lists.size();
-  try {
-    for (const std::string& list : lists) consumer_.endpointsListed(parseEndpointList(list));
-  } catch (const BadInput& e) {
-    return fail(e.what());
+RegistryWatch::View RegistryWatch::view() const {
+  View view;
+  view.generation = generationToAskFrom();
+  if (const auto confirmedAt = schedule_.confirmedAt()) view.confirmedAgo = clock_.now() - *confirmedAt;
+  view.openCalls = calls_.size();
+  view.calls = lastCall_;
+  view.failures = failures_;
+  view.lastEnding = lastEnding_;
+  return view;
+}
+
+std::uint64_t RegistryWatch::generationToAskFrom() const {
+  return hasList_ ? consumer_.generation() : initialGeneration_;
+}
+
+// Carries out what is due, and wakes up when something will be.
+void RegistryWatch::act() {
+  for (;;) {
+    const CallSchedule::Decision decision = schedule_.decide(clock_.now());
+    for (const CallSchedule::Closing& closing : decision.close) close(closing.call, toString(closing.reason));
+    if (!decision.open) break;
+    open(*decision.open);
   }
-  if (!fine) return fail("something that is no list, or too long");
-  if (alive) startTimer(silenceTimer_.get(), kSilenceTimeout);
-  if (response_.complete()) fail("watch ended");
+  if (const auto next = schedule_.nextDeadline()) startTimer(timer_.get(), *next - clock_.now());
+}
+
+void RegistryWatch::open(CallReason reason) {
+  const CallId id = ++lastCall_;
+  const std::uint64_t after = generationToAskFrom();
+  const bool isFurther = reason == CallReason::WatchSilent || reason == CallReason::ListOverdue;
+  logEvent(isFurther ? LogLevel::Warning : LogLevel::Debug, "discovery_call_opened",
+           {{"call", id}, {"why", toString(reason)}, {"after", after}, {"open_calls", calls_.size() + 1}});
+  if (tracing()) logEvent(LogLevel::Trace, "discovery_watch_opened", {{"after", after}});
+  if (reason == CallReason::WatchSilent) consumer_.discoveryFailed("silent");
+  RegistryCall::Owner& owner = *this;
+  auto call = std::make_unique<RegistryCall>(base_, owner, id, openSocket(), address_, after);
+  RegistryCall& started = *call;
+  const Clock::Time now = clock_.now();
+  calls_[id] = OpenCall{std::move(call), now};
+  schedule_.opened(now, id);
+  started.start();  // may end and destroy it
 }
 
-void RegistryWatch::fail(const char* why) {
-  if (!connection_) return;  // already reported
-  logEvent(LogLevel::Warning, "discovery_watch_closed",
+// Where no descriptor is left, the call that is of least use makes way. One is reserved for the time in which
+// none is open.
+int RegistryWatch::openSocket() {
+  const int family = address_.v6() ? AF_INET6 : AF_INET;
+  reserve_.release();
+  const int socket = systemCalls().socket(family);
+  const auto leastUseful = schedule_.leastUsefulCall();
+  if (socket >= 0 || !leastUseful) return socket;
+  schedule_.closed(*leastUseful);
+  close(*leastUseful, toString(CloseReason::MakesRoom));
+  reserve_.release();
+  return systemCalls().socket(family);
+}
+
+void RegistryWatch::close(CallId id, const char* why) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  const bool isSuperseded = why == std::string_view(toString(CloseReason::Superseded));
+  recordEnding(*found->second.call, why, isSuperseded ? LogLevel::Debug : LogLevel::Warning);
+  calls_.erase(found);
+  if (calls_.empty()) reserve_.reacquire();
+}
+
+void RegistryWatch::recordEnding(const RegistryCall& call, const std::string& why, LogLevel level) {
+  lastEnding_ = why;
+  logEvent(level, "discovery_watch_closed",
            {{"why", why},
-            {"after", call_.after},
-            {"out_ms", (clock_.now() - call_.openedAt).count() / 1000},
-            {"bytes", call_.bytes},
-            {"lists", call_.lists}});
-  closeConnection();
-  consumer_.discoveryFailed(why);
+            {"call", call.id()},
+            {"after", call.after()},
+            {"out_ms", (clock_.now() - calls_.at(call.id()).openedAt).count() / 1000},
+            {"bytes", call.bytes()},
+            {"lists", call.lists()}});
+}
+
+void RegistryWatch::reported(RegistryCall& call, RegistryCall::Report& report) {
+  const CallId id = call.id();
+  const Clock::Time now = clock_.now();
+  if (report.listGrew) schedule_.progressed(now, id);
+  for (EndpointList& list : report.lists) take(id, std::move(list));
+  if (report.lists.empty() && report.isIdle) schedule_.confirmed(now, id);
+  if (report.ending) {
+    const std::string why = std::move(*report.ending);
+    recordEnding(call, why, LogLevel::Warning);
+    calls_.erase(id);
+    if (calls_.empty()) reserve_.reacquire();
+    ++failures_;
+    schedule_.ended(now, id, report.retryAfter);
+    consumer_.discoveryFailed(why);
+  }
+  act();
+}
+
+void RegistryWatch::take(CallId id, EndpointList list) {
+  const bool isOlder = list.generation < generationToAskFrom();
+  hasList_ = true;
+  consumer_.endpointsListed(std::move(list));
+  if (isOlder)
+    schedule_.outdated(clock_.now(), id);
+  else
+    schedule_.confirmed(clock_.now(), id);
 }
 
 }  // namespace sablespur
--- a/src/discovery/registry/watch.hpp
+++ b/src/discovery/registry/watch.hpp
@@ -1,47 +1,71 @@
-// The watch of the HTTP registry: one connection at a time, from the request to the end of its response.
+// Follows the HTTP registry: carries out what CallSchedule decides, and gives on the lists that come.
 #pragma once
 
-#include "discovery/endpoint_list.hpp"
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "discovery/call_schedule.hpp"
+#include "discovery/registry/call.hpp"
 #include "engine/clock.hpp"
-#include "engine/engine.hpp"
-#include "engine/event.hpp"
+#include "engine/interfaces.hpp"
 #include "engine/system_calls.hpp"
-#include "protocol/http/http.hpp"
+#include "logging/log.hpp"
 
 namespace sablespur {
 
-class RegistryWatch final : public DiscoverySource {
+class RegistryWatch final : public DiscoverySource, private RegistryCall::Owner {
  public:
-  // The clock and the consumer have to outlive it.
-  RegistryWatch(event_base*, const Clock&, EndpointListConsumer&, const Address&);
+  // What `status` tells.
+  struct View {
+    std::uint64_t generation = 0;
+    std::optional<Clock::Time> confirmedAgo;  // empty: never yet
+    std::size_t openCalls = 0;
+    std::uint64_t calls = 0;     // made so far
+    std::uint64_t failures = 0;  // calls that have ended without being replaced
+    std::string lastEnding;      // why the last call ended or was closed; empty: none has
+  };
+
+  // The clock and the consumer have to outlive it. The seed spreads the calls of the fleet's proxies.
+  RegistryWatch(event_base*, const Clock&, EndpointListConsumer&, const Address&, std::uint64_t seed);
   ~RegistryWatch() override;
-  // Begins a watch of changes after this generation. One that is open ends without a report.
+  // Follows the list from the consumer's generation on. It goes on by itself: without effect if it does so
+  // already.
   void watch(std::uint64_t after) override;
-  void changeAddress(const Address&);  // continues the watch there; without effect for the same one
+  // Continues there. The watch at the former address stays until a list has come from the new one.
+  void changeAddress(const Address&);
+  View view() const;
 
  private:
-  void read();
-  void closeConnection();
-  void fail(const char* why);
+  using CallId = CallSchedule::CallId;
 
-  // What the log tells of the call when it ends.
-  struct CallRecord {
-    std::uint64_t after = 0;  // changes after this generation were asked for
-    Clock::Time openedAt{};
-    std::size_t bytes = 0;
-    std::size_t lists = 0;
-  };
+  void reported(RegistryCall&, RegistryCall::Report&) override;
+  void take(CallId, EndpointList);
+  void act();
+  void open(CallReason);
+  int openSocket();
+  void close(CallId, const char* why);
+  void recordEnding(const RegistryCall&, const std::string& why, LogLevel);
+  std::uint64_t generationToAskFrom() const;
 
   event_base* const base_;
   const Clock& clock_;
   EndpointListConsumer& consumer_;
   Address address_;
-  BufferEvent connection_;
-  Event silenceTimer_;
-  http::Response response_;
-  EndpointListStream stream_;
-  CallRecord call_;
-  ReservedDescriptor reserve_;  // held while there is no connection, so that the next one finds a descriptor
+  CallSchedule schedule_;
+  std::uint64_t initialGeneration_ = 0;  // of the list that was known before the first call
+  bool hasList_ = false;                 // a call has brought one
+  struct OpenCall {
+    std::unique_ptr<RegistryCall> call;
+    Clock::Time openedAt{};
+  };
+  std::map<CallId, OpenCall> calls_;
+  CallId lastCall_ = 0;
+  std::uint64_t failures_ = 0;
+  std::string lastEnding_;
+  Event timer_;                 // when the schedule has something to do
+  ReservedDescriptor reserve_;  // held while no call is open, so that the next one finds a descriptor
 };
 
 }  // namespace sablespur
--- a/src/engine/endpoint_updater.cpp
+++ b/src/engine/endpoint_updater.cpp
@@ -70,7 +70,7 @@
   const auto lastUpdate = table_.view(now).lastUpdate;
   logEvent(LogLevel::Info, "endpoint_list_received",
            {{"generation", list.generation},
-            {"known_generation", table_.generation()},
+            {"known_generation", table_.lastGeneration()},
             {"whole", list.reset},
             {"entries", list.instances.size()},
             {"list_age_ms", lastUpdate ? (now - *lastUpdate).count() / 1000 : -1}});
--- a/src/engine/endpoint_updater.hpp
+++ b/src/engine/endpoint_updater.hpp
@@ -19,6 +19,8 @@
   // The clock and the consumer have to outlive it.
   EndpointUpdater(event_base*, const Clock&, EndpointListConsumer&, const EndpointTablePolicy&);
 
+  // The list of the settings, which the consumer has already.
+  void adoptKnown(const EndpointList& known) { table_.adoptKnown(clock_.now(), known); }
   // From a source that gives the whole list each time; see EndpointTable::found.
   void found(std::vector<DiscoveredEndpoint>, bool first);
   // From a source whose lists have generations.
--- a/src/engine/engine_actions.cpp
+++ b/src/engine/engine_actions.cpp
@@ -50,7 +50,6 @@
 }
 
 void Engine::subscribe() {
-  trace::discoveryWatchOpened(list_.generation);
   actions_.emplace_back([this] { neighbours_.discovery->watch(list_.generation); });
 }
 
--- a/src/engine/engine_trace.cpp
+++ b/src/engine/engine_trace.cpp
@@ -46,9 +46,4 @@
   logEvent(LogLevel::Trace, "health_check_ended", {{"m", endpoints.name(endpoint)}, {"ok", ok}});
 }
 
-void discoveryWatchOpened(std::uint64_t after) {
-  if (!tracing()) return;
-  logEvent(LogLevel::Trace, "discovery_watch_opened", {{"after", after}});
-}
-
 }  // namespace sablespur::trace
--- a/src/engine/engine_trace.hpp
+++ b/src/engine/engine_trace.hpp
@@ -16,6 +16,5 @@
 void attemptEnded(RequestId, int attempt, const EndpointRegistry&, EndpointId, const AttemptEnd&);
 void healthCheckSent(const EndpointRegistry&, EndpointId);
 void healthCheckEnded(const EndpointRegistry&, EndpointId, bool ok);
-void discoveryWatchOpened(std::uint64_t after);
 
 }  // namespace sablespur::trace
--- a/src/protocol/http/http.cpp
+++ b/src/protocol/http/http.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <cstdint>
 #include <utility>
 
 namespace sablespur::http {
@@ -72,6 +73,13 @@
     chunked_ = sameName(value, "chunked");
     return chunked_;
   }
+  if (sameName(name, "Retry-After")) {
+    std::uint32_t seconds = 0;
+    const char* const end = value.data() + value.size();
+    const auto [stop, error] = std::from_chars(value.data(), end, seconds);
+    if (error == std::errc() && stop == end) retryAfter_ = std::chrono::seconds(seconds);
+    return true;
+  }
   if (sameName(name, "Content-Length")) {
     hasLength_ = true;
     const char* const end = value.data() + value.size();
--- a/src/protocol/http/http.hpp
+++ b/src/protocol/http/http.hpp
@@ -2,7 +2,9 @@
 // A body may be chunked, have a Content-Length, or run to the end of the connection. Pure: no sockets.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -18,7 +20,9 @@
   // HTTP as described above, a line exceeds 8 KiB, or bytes follow the end of the body; the connection is
   // then of no further use.
   bool feed(std::string_view bytes, std::string& body);
-  int status() const { return status_; }                       // 0 until the status line was parsed
+  int status() const { return status_; }  // 0 until the status line was parsed
+  // After how long the peer wants to be called again; only as a number of seconds.
+  std::optional<std::chrono::seconds> retryAfter() const { return retryAfter_; }
   bool complete() const { return state_ == State::Complete; }  // the whole body was parsed
 
  private:
@@ -46,6 +50,7 @@
   State state_ = State::StatusLine;
   std::string line_;  // the part of the current line that has arrived
   int status_ = 0;
+  std::optional<std::chrono::seconds> retryAfter_;
   bool chunked_ = false;
   bool hasLength_ = false;     // there is a Content-Length
   std::size_t bytesLeft_ = 0;  // of this chunk, or of a body with a Content-Length
--- /dev/null
+++ b/tests/call_schedule_test.cpp
@@ -0,0 +1,309 @@
+// When the registry is called, in simulated time: one proxy before calls that are slow, fail or are lost, and
+// fleets before a registry that works through its calls one at a time.
+#include "discovery/call_schedule.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+
+namespace sablespur {
+namespace {
+
+using namespace std::chrono_literals;
+using Time = CallSchedule::Time;
+using CallId = CallSchedule::CallId;
+
+constexpr Time kStep = 10ms;
+// A change counts as told 6 s after the silence; the grace is 1 s, and the rule leaves 50 ms of slack. A
+// process may be held up for 0.15 s.
+constexpr Time kLine = 7050ms;
+constexpr Time kHoldUp = 150ms;
+
+// What becomes of one call.
+struct Fate {
+  enum class Kind { List, Failure, Silence } kind = Kind::List;
+  Time after{};
+};
+
+// One proxy whose watch has brought its last line at 0 and is silent from then on. Returns when the list is
+// confirmed again, by calls that end as `fates` say; later ones are answered at once.
+struct SilentWatch {
+  explicit SilentWatch(std::uint64_t seed) : schedule(seed) {
+    schedule.start(0ms);
+    EXPECT_EQ(schedule.decide(0ms).open, CallReason::FirstCall);
+    schedule.opened(0ms, ++last);
+    schedule.confirmed(0ms, last);
+    schedule.decide(0ms);
+  }
+
+  Time confirmedAgain(const std::vector<Fate>& fates, Time until = 60s) {
+    std::map<CallId, std::pair<Time, Fate>> out;
+    for (Time now = kStep; now < until; now += kStep) {
+      for (auto at = out.begin(); at != out.end();) {
+        const auto [opened, fate] = at->second;
+        const bool isDue = fate.kind != Fate::Kind::Silence && now >= opened + fate.after;
+        if (isDue && fate.kind == Fate::Kind::List) return now;
+        if (isDue) schedule.ended(now, at->first, std::nullopt);
+        at = isDue ? out.erase(at) : std::next(at);
+      }
+      const CallSchedule::Decision decision = schedule.decide(now);
+      for (const auto& closing : decision.close) out.erase(closing.call);
+      mostOpen = std::max(mostOpen, schedule.openCalls());
+      if (!decision.open) continue;
+      const std::size_t index = calls++;
+      schedule.opened(now, ++last);
+      out[last] = {now, index < fates.size() ? fates[index] : Fate{}};
+    }
+    return until;
+  }
+
+  CallSchedule schedule;
+  CallId last = 0;
+  std::size_t calls = 0;
+  std::size_t mostOpen = 0;
+};
+
+constexpr Fate answeredAfter(Time time) { return {Fate::Kind::List, time}; }
+constexpr Fate failedAfter(Time time) { return {Fate::Kind::Failure, time}; }
+constexpr Fate neverAnswered() { return {Fate::Kind::Silence, 0ms}; }
+
+// The silence begins right after a line, when it takes longest to be noticed.
+TEST(CallSchedule, ConfirmsTheListInTimeWhateverOneCallDoes) {
+  const std::vector<std::pair<std::string, std::vector<Fate>>> rows{
+      {"at once", {answeredAfter(0ms)}},
+      {"after 2.2 s", {answeredAfter(2200ms), neverAnswered(), neverAnswered()}},
+      {"after 2.8 s", {answeredAfter(2800ms), answeredAfter(2800ms), answeredAfter(2800ms)}},
+      {"after 3.0 s", {answeredAfter(3000ms), answeredAfter(3000ms), answeredAfter(3000ms)}},
+      {"after 4.0 s", {answeredAfter(4000ms), answeredAfter(4000ms), answeredAfter(4000ms)}},
+      {"two 503 after 1.4 s", {failedAfter(1400ms), failedAfter(1400ms), answeredAfter(1400ms)}},
+      {"two lost", {neverAnswered(), neverAnswered(), answeredAfter(0ms)}},
+      {"one lost, one slow", {neverAnswered(), answeredAfter(2800ms)}},
+  };
+  for (const auto& [name, fates] : rows) {
+    SCOPED_TRACE(name);
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+      SilentWatch watch(seed);
+      EXPECT_LE(watch.confirmedAgain(fates), kLine - kHoldUp) << "seed " << seed;
+    }
+  }
+}
+
+// 2.4 s until the silence is noticed and 5 s for the answer: the line cannot be held, but the list comes.
+TEST(CallSchedule, ACallThatTakesTooLongForTheLineIsTakenAllTheSame) {
+  SilentWatch watch(1);
+  EXPECT_EQ(watch.confirmedAgain({answeredAfter(5s), answeredAfter(5s), answeredAfter(5s)}), 7400ms);
+  EXPECT_LE(watch.mostOpen, CallSchedule::kMaxCalls);
+}
+
+// Random delays, failures and losses, as many as leave time for one answer: what the sum of all may take.
+TEST(CallSchedule, RandomFailuresTogetherStayWithinTheLine) {
+  const char* const given = std::getenv("CALL_SCHEDULE_SEEDS");
+  const std::uint64_t seeds = given ? std::strtoull(given, nullptr, 10) : 200;
+  constexpr Time kLongestAnswer[] = {4400ms, 2700ms, 1400ms};  // by the number of calls that fail
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    std::mt19937_64 random(seed);
+    const auto below = [&random](Time time) {
+      return Time(static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(time.count() + 1)));
+    };
+    const std::size_t failures = random() % 3;
+    std::vector<Fate> fates;
+    for (std::size_t k = 0; k < failures; ++k)
+      fates.push_back(random() % 2 ? neverAnswered() : failedAfter(below(1400ms)));
+    for (int k = 0; k < 4; ++k) fates.push_back(answeredAfter(below(kLongestAnswer[failures])));
+    SilentWatch watch(seed);
+    ASSERT_LE(watch.confirmedAgain(fates), kLine - kHoldUp) << "seed " << seed;
+    ASSERT_LE(watch.mostOpen, CallSchedule::kMaxCalls) << "seed " << seed;
+  }
+}
+
+// For as long as nothing can be reached, a further call is made often enough to find the registry within 6 s
+// of its return, and no more often.
+TEST(CallSchedule, AsksOnWhileNothingIsAnsweredAndAtABoundedRate) {
+  SilentWatch watch(3);
+  const std::vector<Fate> lost(1000, neverAnswered());
+  EXPECT_EQ(watch.confirmedAgain(lost, 120s), 120s);
+  EXPECT_GE(watch.calls, 30u);
+  EXPECT_LE(watch.calls, 40u);
+  EXPECT_LE(watch.mostOpen, CallSchedule::kMaxCalls);
+}
+
+TEST(CallSchedule, WaitsAsLongAsItIsToldWhereTheDeadlineAllowsIt) {
+  const auto openedAgainAfter = [](Time confirmedAgo, std::optional<Time> retryAfter) {
+    SilentWatch watch(1);
+    watch.schedule.decide(2400ms);
+    watch.schedule.opened(2400ms, ++watch.last);
+    watch.schedule.ended(confirmedAgo, watch.last, retryAfter);
+    return *watch.schedule.nextDeadline() - confirmedAgo;
+  };
+  EXPECT_LE(openedAgainAfter(2400ms, std::nullopt), 300ms);
+  EXPECT_EQ(openedAgainAfter(2400ms, 1s), 1s);
+  EXPECT_EQ(openedAgainAfter(2400ms, 60s), 1600ms) << "the second call is due at 4 s";
+  EXPECT_EQ(openedAgainAfter(20s, 60s), CallSchedule::kLateCallSpacing);
+}
+
+TEST(CallSchedule, AListThatGrowsIsWaitedForAndOneThatStopsIsNot) {
+  SilentWatch watch(1);
+  CallSchedule& schedule = watch.schedule;
+  schedule.decide(2400ms);
+  const CallId call = ++watch.last;
+  schedule.opened(2400ms, call);
+  for (Time now = 2500ms; now <= 12s; now += 500ms) {
+    schedule.progressed(now, call);
+    for (const auto& closing : schedule.decide(now).close) EXPECT_NE(closing.call, call);
+  }
+  bool isClosed = false;
+  for (const auto& closing : schedule.decide(12s + CallSchedule::kResponseSilence).close)
+    isClosed = isClosed || (closing.call == call && closing.reason == CloseReason::Silent);
+  EXPECT_TRUE(isClosed);
+}
+
+// The drains that the former address tells are followed until the new one has told a list.
+TEST(CallSchedule, AWatchAtAFormerAddressGoesOnUntilTheNewOneHasAnswered) {
+  SilentWatch watch(1);
+  CallSchedule& schedule = watch.schedule;
+  schedule.moved(1s);
+  EXPECT_EQ(schedule.decide(1s).open, CallReason::Moved);
+  schedule.opened(1s, ++watch.last);
+  const CallId former = watch.last - 1;
+  for (Time now = 1s; now < 7s; now += kStep)
+    for (const auto& closing : schedule.decide(now).close) EXPECT_NE(closing.call, former);
+  schedule.confirmed(7s, watch.last);
+  const CallSchedule::Decision decision = schedule.decide(7s);
+  ASSERT_EQ(decision.close.size(), 1u);
+  EXPECT_EQ(decision.close[0].call, former);
+  EXPECT_EQ(decision.close[0].reason, CloseReason::Superseded);
+}
+
+TEST(CallSchedule, AnOlderListIsFollowedUpByAnotherCall) {
+  CallSchedule schedule(1);
+  schedule.start(0ms);
+  schedule.opened(0ms, 1);
+  schedule.outdated(100ms, 1);
+  EXPECT_FALSE(schedule.confirmedAt());
+  ASSERT_TRUE(schedule.nextDeadline());
+  EXPECT_LE(*schedule.nextDeadline(), 500ms);
+  EXPECT_EQ(schedule.decide(500ms).open, CallReason::Retry);
+}
+
+// A registry that works through its calls one at a time, first come, first served, and does not notice when a
+// caller has left. One that has waited for longer than `patience` is turned away, which costs nothing.
+class CrowdedFleet {
+ public:
+  struct Outcome {
+    Time slowest{};  // until every proxy had its list
+    std::size_t calls = 0;
+  };
+
+  CrowdedFleet(std::size_t proxies, Time serviceTime, std::optional<Time> patience)
+      : serviceTime_(serviceTime), patience_(patience) {
+    for (std::size_t k = 0; k < proxies; ++k) {
+      proxies_.push_back(std::make_unique<SilentWatch>(k + 1));
+      const Time phase = 2000ms * static_cast<std::int64_t>(k) / static_cast<std::int64_t>(proxies);
+      starts_.push_back(phase);  // the last line of its watch came then; its clock counts from there
+    }
+  }
+
+  Outcome run(Time until) {
+    Outcome outcome;
+    std::size_t unconfirmed = proxies_.size();
+    confirmed_.assign(proxies_.size(), false);
+    for (Time now{}; now < until && unconfirmed > 0; now += kStep) {
+      turnAway(now);
+      unconfirmed -= serve(now, outcome);
+      for (std::size_t k = 0; k < proxies_.size(); ++k) call(now, k, outcome);
+    }
+    if (unconfirmed > 0) outcome.slowest = until;
+    return outcome;
+  }
+
+ private:
+  struct Queued {
+    std::size_t proxy;
+    CallId call;
+    Time at;
+  };
+  Time local(std::size_t proxy, Time now) const { return std::max(now - starts_[proxy], Time(0)); }
+
+  void turnAway(Time now) {
+    while (patience_ && !queue_.empty() && now - queue_.front().at > *patience_) {
+      const Queued first = queue_.front();
+      queue_.pop_front();
+      proxies_[first.proxy]->schedule.ended(local(first.proxy, now), first.call, std::nullopt);
+    }
+  }
+
+  std::size_t serve(Time now, Outcome& outcome) {
+    std::size_t newlyConfirmed = 0;
+    while (!queue_.empty() && std::max(busyUntil_, queue_.front().at) + serviceTime_ <= now) {
+      const Queued first = queue_.front();
+      queue_.pop_front();
+      busyUntil_ = std::max(busyUntil_, first.at) + serviceTime_;
+      proxies_[first.proxy]->schedule.confirmed(local(first.proxy, now), first.call);
+      if (confirmed_[first.proxy]) continue;
+      confirmed_[first.proxy] = true;
+      outcome.slowest = std::max(outcome.slowest, now);
+      ++newlyConfirmed;
+    }
+    return newlyConfirmed;
+  }
+
+  void call(Time now, std::size_t proxy, Outcome& outcome) {
+    if (confirmed_[proxy]) return;
+    SilentWatch& watch = *proxies_[proxy];
+    if (!watch.schedule.decide(local(proxy, now)).open) return;
+    watch.schedule.opened(local(proxy, now), ++watch.last);
+    queue_.push_back({proxy, watch.last, now});
+    ++outcome.calls;
+  }
+
+  const Time serviceTime_;
+  const std::optional<Time> patience_;
+  std::vector<std::unique_ptr<SilentWatch>> proxies_;
+  std::vector<Time> starts_;
+  std::vector<bool> confirmed_;
+  std::deque<Queued> queue_;
+  Time busyUntil_{};
+};
+
+constexpr std::size_t kFleets[] = {6, 60, 350, 900};
+
+// All watches fall silent at once, and one round of calls keeps the registry busy for 2 s.
+TEST(CrowdedRegistry, AFleetThatCallsAtOnceIsServedInTimeWithOneCallEach) {
+  for (const std::size_t proxies : kFleets) {
+    SCOPED_TRACE(proxies);
+    CrowdedFleet fleet(proxies, Time(2s) / static_cast<std::int64_t>(proxies), std::nullopt);
+    const CrowdedFleet::Outcome outcome = fleet.run(60s);
+    EXPECT_LE(outcome.slowest, kLine - kHoldUp);
+    EXPECT_LE(outcome.calls, proxies * 5 / 4);
+  }
+}
+
+// A round of 10 s cannot be in time. Each proxy keeps its place, so the crowd ends when the round does, and
+// the calls that are made beside stay behind it.
+TEST(CrowdedRegistry, ASlowRegistryComesOutOfItsCrowd) {
+  for (const std::size_t proxies : kFleets) {
+    SCOPED_TRACE(proxies);
+    CrowdedFleet fleet(proxies, Time(10s) / static_cast<std::int64_t>(proxies), std::nullopt);
+    const CrowdedFleet::Outcome outcome = fleet.run(120s);
+    EXPECT_LE(outcome.slowest, 30s);
+    EXPECT_LE(outcome.calls, proxies * 4);
+  }
+}
+
+// The same where a call that has waited for 2 s is turned away: it comes again after a pause.
+TEST(CrowdedRegistry, AFleetThatIsTurnedAwayComesAgainAtABoundedRate) {
+  for (const std::size_t proxies : kFleets) {
+    SCOPED_TRACE(proxies);
+    CrowdedFleet fleet(proxies, Time(10s) / static_cast<std::int64_t>(proxies), 2s);
+    const CrowdedFleet::Outcome outcome = fleet.run(120s);
+    EXPECT_LE(outcome.slowest, 30s);
+    EXPECT_LE(outcome.calls, proxies * 12);
+  }
+}
+
+}  // namespace
+}  // namespace sablespur
--- a/tests/cost_test.cpp
+++ b/tests/cost_test.cpp
@@ -249,9 +249,8 @@
   constexpr std::size_t kPiece = 4096;
   EndpointListStream stream;
   std::vector<std::string> whole;
-  bool alive = false;
   for (std::size_t at = 0; at < text.size(); at += kPiece)
-    EXPECT_TRUE(stream.feed(std::string_view(text).substr(at, kPiece), whole, alive));
+    EXPECT_TRUE(stream.feed(std::string_view(text).substr(at, kPiece), whole));
   EXPECT_EQ(whole.size(), 1u);
   return parseEndpointList(whole.at(0));
 }
--- a/tests/discovery_delay_test.cpp
+++ b/tests/discovery_delay_test.cpp
@@ -42,6 +42,7 @@
     s2 wait idle 2
     list close
     list expect call after=5
+    list choose 2
     list answers
   )");
   t.run("list drips " + t.list(2, "leaving", 6) + "\ns2 expect drained\nlist expect kept\n" +
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -160,39 +160,44 @@
   for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
     EndpointListStream s;
     std::vector<std::string> whole;
-    bool alive = false;
-    ASSERT_TRUE(s.feed(stream.substr(0, cut), whole, alive)) << cut;
+    ASSERT_TRUE(s.feed(stream.substr(0, cut), whole)) << cut;
     const std::size_t before = whole.size();
     EXPECT_EQ(before, cut >= stream.size() ? 2u : cut > one.size() ? 1u : 0u) << cut;
-    ASSERT_TRUE(s.feed(stream.substr(cut), whole, alive)) << cut;
+    ASSERT_TRUE(s.feed(stream.substr(cut), whole)) << cut;
     EXPECT_EQ(whole, (std::vector<std::string>{one, two})) << cut;
   }
 }
+// An empty line says that nothing has changed; bytes of a list say that something has. Blanks say nothing.
 TEST(List, OnlyWhatMakesSenseByItselfIsASignOfLife) {
-  const auto alive = [](EndpointListStream& s, const std::string& bytes) {
+  struct Signs {
+    std::size_t lines, bytes;
+    bool operator==(const Signs& other) const { return lines == other.lines && bytes == other.bytes; }
+  };
+  const auto signs = [](EndpointListStream& s, const std::string& bytes) {
+    const std::size_t lines = s.emptyLines(), before = s.significantBytes();
     std::vector<std::string> whole;
-    bool is = false;
-    EXPECT_TRUE(s.feed(bytes, whole, is)) << bytes;
-    return is;
+    EXPECT_TRUE(s.feed(bytes, whole)) << bytes;
+    return Signs{s.emptyLines() - lines, s.significantBytes() - before};
   };
   EndpointListStream s;
-  EXPECT_TRUE(alive(s, "\n"));
-  EXPECT_FALSE(alive(s, "  \r"));
-  EXPECT_TRUE(alive(s, "{"));
-  EXPECT_FALSE(alive(s, "\"a\":\n[1,\n\n2"));
-  EXPECT_TRUE(alive(s, "]}"));
+  EXPECT_EQ(signs(s, "\n"), (Signs{1, 0}));
+  EXPECT_EQ(signs(s, "  \r"), (Signs{0, 0}));
+  EXPECT_EQ(signs(s, "{"), (Signs{0, 1}));
+  EXPECT_TRUE(s.isInList());
+  EXPECT_EQ(signs(s, "\n  \n"), (Signs{0, 0}));
+  EXPECT_EQ(signs(s, "\"a\":\n[1,\n\n2"), (Signs{0, 8}));
+  EXPECT_EQ(signs(s, "]}"), (Signs{0, 2}));
+  EXPECT_FALSE(s.isInList());
   for (const std::string bad : {"x", "]", "{} }", "HTTP", "\"a\""}) {
     EndpointListStream other;
     std::vector<std::string> whole;
-    bool is = false;
-    EXPECT_FALSE(other.feed(bad, whole, is)) << bad;
+    EXPECT_FALSE(other.feed(bad, whole)) << bad;
   }
   EndpointListStream endless;
   std::vector<std::string> whole;
-  bool is = false;
-  EXPECT_TRUE(endless.feed("{\"a\":\"", whole, is));
+  EXPECT_TRUE(endless.feed("{\"a\":\"", whole));
   bool goesOn = true;
-  for (int k = 0; k < 100 && goesOn; ++k) goesOn = endless.feed(std::string(64 << 10, 'a'), whole, is);
+  for (int k = 0; k < 100 && goesOn; ++k) goesOn = endless.feed(std::string(64 << 10, 'a'), whole);
   EXPECT_FALSE(goesOn) << "a list without end costs its connection, not the memory";
 }
 
--- a/tests/system_calls_test.cpp
+++ b/tests/system_calls_test.cpp
@@ -850,7 +850,7 @@
   } taker;
   const int nobodyListens = bound(SOCK_STREAM);
   const Clock clock;
-  RegistryWatch watch(base.get(), clock, taker, nameOf(nobodyListens));
+  RegistryWatch watch(base.get(), clock, taker, nameOf(nobodyListens), 1);
   watch.watch(1);
   for (int k = 0; k < 3; ++k) event_base_loop(base.get(), EVLOOP_NONBLOCK);
   EXPECT_EQ(taker.failures, 1);
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -22,6 +22,8 @@
   std::uint64_t generation() const override { return 7; }
 };
 
+constexpr std::uint64_t kSeed = 1;
+
 struct WatchTest : testing::Test {
   EventBase base{event_base_new()};
   Clock clock;
@@ -40,8 +42,8 @@
     sockaddr_storage a{};
     socklen_t n = sizeof a;
     getsockname(listener, reinterpret_cast<sockaddr*>(&a), &n);
-    watch = std::make_unique<RegistryWatch>(base.get(), clock, taken,
-                                            Address::fromSocket(reinterpret_cast<const sockaddr*>(&a)));
+    watch = std::make_unique<RegistryWatch>(
+        base.get(), clock, taken, Address::fromSocket(reinterpret_cast<const sockaddr*>(&a)), kSeed);
   }
   void TearDown() override {
     empty();
@@ -84,7 +86,7 @@
   fillTable();  // whatever the end of the watch has left
   for (int k = 0; k < 3; ++k) pass();
   fillTable();
-  watch->watch(7);
+  ASSERT_TRUE(until([&] { return watch->view().calls == 2; }));
   for (int k = 0; k < 3; ++k) pass();
   EXPECT_EQ(taken.failures, 1) << "no socket was to be had";
   empty();
