--- a/tests/discovery_delay_test.cpp
+++ b/tests/discovery_delay_test.cpp
@@ -49,6 +49,17 @@
         kReadGoesToThePrimary);
 }
 
+// Where lists are pushed, an agent on the proxy's machine has them, and the proxy has to ask it all the same.
+// The program as it was never did: on ten of fifteen days of 20 to 40 s, 123 to 1,549 requests went to
+// drained servers.
+TEST(DiscoveryDelay, AnAgentThatListsArePushedToIsWatched) {
+  Setting pushed;
+  pushed.discovery = "automatic";
+  Scenario t(pushed);
+  t.run("s2 wait idle 2\nlist send line " + t.list(2, "leaving", 6) + "\ns2 expect drained\n" +
+        kReadGoesToThePrimary);
+}
+
 // A registry that has just come back, or one of several, may know less than the proxy.
 TEST(DiscoveryDelay, AnOlderListDoesNotBringARemovedServerBack) {
   Scenario t;
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -102,7 +102,8 @@
     << setting.balancers << R"(,
 "classes":[{"deadlineUs":9000000,"effect":"safe","lateWorth":0.0,"name":"read","promiseUs":8000000,"worth":1.0},
 {"deadlineUs":9000000,"effect":"keyed","group":"cell","lateWorth":0.5,"memorySpanUs":9000000,"name":"write",
-"promiseUs":8000000,"worth":6.0}],"discovery":"subscribe","goal":{"whole":0.55,"worstClass":0.3},
+"promiseUs":8000000,"worth":6.0}],"discovery":")"
+    << setting.discovery << R"(","goal":{"whole":0.55,"worstClass":0.3},
 "obligations":{"coldUs":18000000,"drainGraceUs":1000000,"fallMultiple":2.5,"fallUs":1500000,
 "mustAskInUs":10000000,"startCapacity":0.21},"report":{"how":"pull","names":["x0","x1","inflight"]},
 "specifics":{"checks":"silent","classBoundUs":[5000000,0],"consistency":["bounded","write"],"holdsForUs":0,
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -61,12 +61,13 @@
   bool dnssd = false;                // found by service records; in our form
   bool ini = false;                  // settings in our form, by `serve --config`
   std::string dataServers, clients;  // more lines of these sections of our form
-  std::string speaks;        // what data servers speak from the first connection on, as by "s2 speaks"
-  int descriptors = 0;       // RLIMIT_NOFILE of the process; 0: as it is
-  int inherited = 0;         // descriptors that are open in it from the start, beside its own
-  std::string more;          // sections of our form, as they are
-  bool firstList = true;     // the first call is answered before the scenario begins
-  bool justStarted = false;  // the data servers that are known at the start began at that moment
+  std::string speaks;   // what data servers speak from the first connection on, as by "s2 speaks"
+  int descriptors = 0;  // RLIMIT_NOFILE of the process; 0: as it is
+  int inherited = 0;    // descriptors that are open in it from the start, beside its own
+  std::string more;     // sections of our form, as they are
+  std::string discovery = "subscribe";  // or automatic: an agent on this machine has the list pushed to it
+  bool firstList = true;                // the first call is answered before the scenario begins
+  bool justStarted = false;             // the data servers that are known at the start began at that moment
 };
 
 std::string configuration(const Setting&, int discoveryPort, const std::vector<int>& serverPorts);
