Discovery: the proxy watches the registry whatever the settings say of how lists come

Cause: src/balancer/balancer.cpp, Balancer::endpointsListed, asks for the list in DiscoveryMode::Subscribe alone; with pushed lists nothing else opened the watch of the agent, and the proxy served by the list of its settings for ever. Ruled out: the agent's own delay (the log had no list and no call at all). Change: Proxy::start begins the watch. RegistryWatch goes on by itself, so the balancer's own request is without effect.

--- a/src/app/proxy.cpp
+++ b/src/app/proxy.cpp
@@ -64,6 +64,9 @@
 
 void Proxy::start() {
   engine_.start(backends_, *discovery_);
+  // The balancer asks for the list only where it has to be asked for; an agent that it is pushed to needs a
+  // watch as well.
+  discovery_->watch(config_.known.generation);
   logEvent(LogLevel::Info, "listening", {{"name", config_.name}, {"port", clients_.port()}});
 }
 
