Tests of moves, ends and new processes; one fails: a new process goes on by its known list

The one of a new process fails on the present program: the read went to the replica that had begun to drain 1.3 s after the start, with the first call unanswered.

--- a/tests/discovery_delay_test.cpp
+++ b/tests/discovery_delay_test.cpp
@@ -8,11 +8,15 @@
 //   event=discovery_watch_closed why=silent after=5 out_ms=2500 bytes=0 lists=0
 // again and again, each 2.5 to 3.1 s, with nothing between; 533 requests in 5.5 s went to the drained server.
 // The tests hold the order of events and not their times; the times are those of CallSchedule's tests.
+#include <chrono>
+
 #include "scenario.hpp"
 
 namespace sablespur::test {
 namespace {
 
+using namespace std::chrono_literals;
+
 constexpr const char* kReadGoesToThePrimary = R"(
   c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
   s1 expect query id=1
@@ -60,6 +64,96 @@
         kReadGoesToThePrimary);
 }
 
+// The list of the settings may be old: a server that it names may have begun to drain long ago. A new process
+// uses it for less than the grace, and then waits for the registry's answer.
+TEST(DiscoveryDelay, ANewProcessUsesItsKnownListNoLongerThanTheGrace) {
+  Setting unanswered;
+  unanswered.firstList = false;
+  Scenario t(unanswered);
+  t.run("s1 serves primary\ns2 serves replica\ns2 wait idle 1");
+  t.serveFor(1s);
+  t.run("c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */");
+  t.serveFor(300ms);
+  t.run("list answers\nlist send line " + t.list(2, "leaving", 6) + "\nc1 expect row primary");
+}
+
+// Where the registry turns the first call away, nothing has been told: the known list is better than none.
+TEST(DiscoveryDelay, ANewProcessServesByItsKnownListWhileTheRegistryIsDown) {
+  Setting unanswered;
+  unanswered.firstList = false;
+  Scenario t(unanswered);
+  t.run("s1 serves primary\ns2 serves replica\nlist send status 503 Service Unavailable");
+  t.serveFor(1s);
+  t.run(R"(
+    c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    c1 expect row replica
+  )");
+}
+
+// The new address does not answer yet. What the former one tells meanwhile holds.
+TEST(DiscoveryDelay, AFormerAddressIsHeardUntilTheNewOneAnswers) {
+  Scenario t;
+  t.run(R"(
+    s2 wait idle 2
+    proxy reload moved
+    list expect call after=5
+    list choose 1
+  )");
+  t.run("list send line " + t.list(2, "leaving", 6) + "\ns2 expect drained\n" + kReadGoesToThePrimary);
+  t.run("list choose 2\nlist answers\nlist send line " + t.list(2, "left", 7) +
+        "\nproxy expect log name=s-2 state=gone");
+}
+
+// Moved twice before the first address has answered: the last one counts.
+TEST(DiscoveryDelay, OfTwoMovesTheLastAddressIsFollowed) {
+  Scenario t;
+  t.run(R"(
+    s2 wait idle 2
+    proxy reload moved
+    list expect call after=5
+    proxy reload moved
+    list expect call after=5
+    list choose 3
+    list answers
+  )");
+  t.run("list send line " + t.list(2, "leaving", 6) + "\ns2 expect drained\n" + kReadGoesToThePrimary);
+}
+
+// The process ends, its watch is silent, and a request is still out: the next one goes by the new list.
+TEST(DiscoveryDelay, ADrainIsFollowedWhileTheProcessEnds) {
+  Scenario t;
+  t.run(R"(
+    s2 wait idle 2
+    c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    c2 send query
+    c2 expect empty
+    s2 expect query id=1
+    list expect call after=5
+    list choose 2
+    proxy send TERM
+    c2 send query SELECT 1 /* id=2,c=read,d=7000,cluster=3 */
+    s2 expect another id=2
+    list answers
+  )");
+  t.run("list send line " + t.list(2, "leaving", 6) + R"(
+    proxy expect log name=s-2 state=leaving
+    s2 send row w
+    c2 expect row w
+    proxy expect exit 0
+  )");
+}
+
+// A registry that has lost its generations counts from 1 again. What it tells from then on is not taken for
+// old.
+TEST(DiscoveryDelay, ARegistryThatCountsFromOneAgainIsFollowed) {
+  Scenario t;
+  t.run("s2 wait idle 2\nlist close\nlist expect watch after=5\nlist send line " + t.wholeList(1) + R"(
+    list expect watch after=1
+    list send line {"generation":1,"reset":false,"instances":[]}
+    list send line )" +
+        t.list(2, "leaving", 2) + "\ns2 expect drained\n" + kReadGoesToThePrimary);
+}
+
 // A registry that has just come back, or one of several, may know less than the proxy.
 TEST(DiscoveryDelay, AnOlderListDoesNotBringARemovedServerBack) {
   Scenario t;
