Balancer: the list known at the start is used for most of the grace, then discovery is waited for

Cause: Balancer::endpointsListed took the cached list of the settings for confirmed; a new process whose first call was out for 2.8 s sent to servers that had begun to drain before its start. Ruled out: a check of health in its place (a draining server answers it). Change: KnownList holds sends back from 70% of the grace on, until discovery has told a list or failed, for 6 s at most.

--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -147,6 +147,7 @@
   const auto found = context.requests.find(id);
   const Endpoint* const endpoint = context.findEndpoint(to);
   if (found == context.requests.end() || !endpoint || !isUsable(context.settings, *endpoint)) return false;
+  if (context.knownList.isTooOld(context.settings, now)) return false;
   const PendingRequest& pending = found->second;
   if (!repeatIsSafe(context, pending)) return false;
   const Group& group = context.groups[endpoint->listed.group];
--- a/src/balancer/context.hpp
+++ b/src/balancer/context.hpp
@@ -9,6 +9,7 @@
 #include "balancer/balancer.hpp"
 #include "balancer/discovery_poller.hpp"
 #include "balancer/fleet_traffic.hpp"
+#include "balancer/known_list.hpp"
 #include "balancer/latency_statistics.hpp"
 #include "balancer/local_hash.hpp"
 #include "balancer/retry_budget.hpp"
@@ -57,6 +58,7 @@
   SessionCommits sessionCommits;
   FleetTraffic traffic;
   DiscoveryPoller discovery;
+  KnownList knownList;
   WorkIndex work;
 
   std::uint64_t listUpdates = 1;  // lists and changes of it taken in; 0 stands for none
--- a/src/balancer/settings.hpp
+++ b/src/balancer/settings.hpp
@@ -69,6 +69,8 @@
   bool cancelAllowed = false;
   bool parallelAttemptsAllowed = false;
   bool retryAfterAllowed = false;
+  bool knownListMayBeOld = false;           // a cached first list may be older than what discovery counts
+                                            // as told; discovery is asked at once
   bool removedEndpointsStayUsable = false;  // only Lifecycle::Draining binds, not Lifecycle::Gone
   int maxAttempts = 1;                      // for one request
   int proxyCount = 1;                       // proxies in front of the same endpoints, this one included
--- a/src/config/json_config.cpp
+++ b/src/config/json_config.cpp
@@ -169,6 +169,7 @@
   config.known = readEndpointList(jsonField<element>(root, "known", ""), "known.");
   const auto settings = jsonField<element>(root, "settings", "");
   readBalancerSettings(settings, config);
+  config.settings.knownListMayBeOld = true;
   readNames(settings, config);
   const auto allowed = jsonField<element>(settings, "allowed", "settings.");
   readTimeouts(allowed, config);
