Endpoint table: an older list names none that the newest one lacks

Ruled out: a lost tombstone (none was ever written for it). Change: the newest generation of a history is kept; what an older list names and the newest one lacks has left, unless it started after the newest one came. A list that cannot belong to the same history (a later start, the lack of one that started long ago, or nothing ready left at the second whole list) begins a new one.

--- a/src/discovery/endpoint_table.cpp
+++ b/src/discovery/endpoint_table.cpp
@@ -102,6 +102,8 @@
 
 void EndpointTable::adoptKnown(Time now, const EndpointList& known) {
   generation_ = known.generation;
+  newestGeneration_ = known.generation;
+  newestListAt_ = now;
   for (const DiscoveredEndpoint& endpoint : known.instances) {
     if (endpoint.state == Lifecycle::Gone) continue;
     Entry& entry = entries_[endpoint.name];
@@ -118,6 +120,10 @@
   recordList(now);
   fromRegistry_ = true;
   removeOldTombstones(now);
+  if (list.generation >= newestGeneration_ || startsAnotherHistory(list)) {
+    newestGeneration_ = list.generation;
+    newestListAt_ = now;
+  }
   dropContradictions(list);
   keepDraining(list);
   if (list.reset) removeUnlisted(now, list);
@@ -145,20 +151,51 @@
   registryUpdates_.push_back(std::move(list));
 }
 
+// Whether a list with a lower generation than the newest one cannot be an earlier list of the same registry.
+bool EndpointTable::startsAnotherHistory(const EndpointList& list) const {
+  std::set<std::string_view> listed;
+  bool hasReady = false;
+  for (const DiscoveredEndpoint& endpoint : list.instances) {
+    listed.insert(endpoint.name);
+    const auto known = entries_.find(endpoint.name);
+    const bool startsLater = known != entries_.end() && list.generation < known->second.generation &&
+                             endpoint.startedMs > known->second.endpoint.startedMs;
+    if (startsLater) return true;
+    hasReady =
+        hasReady || (endpoint.state == Lifecycle::Ready && !contradictsNewerList(endpoint, list.generation));
+  }
+  if (!list.reset) return false;
+  bool hadReady = false;
+  for (const auto& [name, entry] : entries_) {
+    const bool isReady = entry.endpoint.state == Lifecycle::Ready;
+    const bool isLacking = listed.count(name) == 0;
+    if (isLacking && entry.endpoint.startedMs == 0) return true;
+    hadReady = hadReady || isReady;
+    hasReady = hasReady || (isReady && isLacking && !entry.missedByOlderList);
+  }
+  return hadReady && !hasReady;
+}
+
 // Whether an older list tells of an earlier life of this endpoint: of one that has left since, or of the
 // process before the one that runs.
 bool EndpointTable::contradictsNewerList(const DiscoveredEndpoint& endpoint, std::uint64_t generation) const {
+  const bool isGone = endpoint.state == Lifecycle::Gone;
   const auto tombstone = tombstones_.find(endpoint.name);
-  if (tombstone != tombstones_.end())
-    return endpoint.state != Lifecycle::Gone && generation < tombstone->second.generation &&
-           endpoint.startedMs <= tombstone->second.startedMs;
+  if (tombstone != tombstones_.end() && generation < tombstone->second.generation)
+    return !isGone && endpoint.startedMs <= tombstone->second.startedMs;
   const auto known = entries_.find(endpoint.name);
-  if (known == entries_.end() || generation >= known->second.generation) return false;
+  if (known == entries_.end()) return !isGone && hasLeftSince(endpoint, generation);
+  if (generation >= known->second.generation) return false;
   // One that has left may come without its start.
-  const bool tellsStart = endpoint.state != Lifecycle::Gone || endpoint.startedMs > 0;
+  const bool tellsStart = !isGone || endpoint.startedMs > 0;
   return tellsStart && endpoint.startedMs < known->second.endpoint.startedMs;
 }
 
+// The newest list lacks it; only one that has started after that list came may be new all the same.
+bool EndpointTable::hasLeftSince(const DiscoveredEndpoint& unknown, std::uint64_t generation) const {
+  return generation < newestGeneration_ && unknown.startedMs <= unixMs(newestListAt_);
+}
+
 // In a whole list the newer knowledge stands in the place of what contradicts it.
 void EndpointTable::dropContradictions(EndpointList& list) const {
   std::vector<DiscoveredEndpoint> kept;
--- a/src/discovery/endpoint_table.hpp
+++ b/src/discovery/endpoint_table.hpp
@@ -18,8 +18,11 @@
 // stays
 //   so until it starts anew or a newer list has it. Whom such a whole list lacks is gone if it started long
 //   ago; one that may have come since stays until a second whole list lacks it, which generation() asks for.
-//   A registry that has lost its generations and counts from 1 again is followed in the same way: its
-//   removals and drains hold at once, and its later lists are changes of its own history.
+//   One that the known list lacks has left since, unless it started after that list came.
+// - A registry that has lost its generations and counts from 1 again is told apart from an old answer by what
+// an
+//   earlier list of the same history cannot hold: a later start, or the lack of one that started long ago.
+//   Its lists then count as new, also where nothing ready would be left otherwise.
 // - Failures withdraw nothing until the list is older than `maxListAge`.
 #pragma once
 
@@ -128,7 +131,9 @@
   void recordWithdrawal(Entry&, Time now);
   void removeExpired(Time now);
   bool isExpired(const Entry&, Time now) const;
+  bool startsAnotherHistory(const EndpointList&) const;
   bool contradictsNewerList(const DiscoveredEndpoint&, std::uint64_t generation) const;
+  bool hasLeftSince(const DiscoveredEndpoint& unknown, std::uint64_t generation) const;
   void dropContradictions(EndpointList&) const;
   void keepDraining(EndpointList&) const;
   void removeUnlisted(Time now, EndpointList&);
@@ -144,6 +149,8 @@
   std::map<std::string, Entry> entries_;
   std::map<std::string, Tombstone> tombstones_;  // by name
   std::uint64_t generation_ = 0;
+  std::uint64_t newestGeneration_ = 0;  // of the registry's history so far
+  Time newestListAt_{};                 // when that came
   bool wantsWholeList_ = false;
   bool hasList_ = false;                      // a first whole list has come
   bool fromRegistry_ = false;                 // the last list came with a generation
