Engine: the registry's first list is not taken for that of the settings

Cause: Engine::handle(EndpointsListed) called a list cached while no endpoint was known and the generation was 0; where the settings name no server, the registry's first list was taken so as well, and KnownList held all requests back for 6 s. Ruled out: the registry (the list was there after 1 ms). Change: only the list that start() queues is cached.

--- a/src/engine/engine_events.cpp
+++ b/src/engine/engine_events.cpp
@@ -181,7 +181,7 @@
 }
 
 void Engine::handle(engine_event::EndpointsListed& event) {
-  const bool cached = !endpoints_.everHadEndpoints() && list_.generation == 0;
+  const bool cached = list_.applied == 0;  // that of the settings, which start() has queued
   const ListKind received = event.list.reset ? ListKind::Full : ListKind::Delta;
   list_.generation = event.list.generation;
   applyList(cached ? ListKind::Cached : received, event.list);
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -6,6 +6,7 @@
 
 #include <cerrno>
 #include <map>
+#include <utility>
 
 #include "engine/file_descriptor.hpp"
 #include "engine/timer_queue.hpp"
@@ -129,6 +130,35 @@
   engine.runTurn();
   EXPECT_TRUE(members.ready[1]);
 }
+// A soak found it: where the settings name no server, the registry's first list passed for one of the
+// settings, and requests waited for another one for 6 s.
+TEST(EngineStart, TheFirstListOfDiscoveryCountsAsSuchWhereTheSettingsNameNoServer) {
+  Time steady{};
+  ClockSource source;
+  source.steady = [&steady] { return steady; };
+  const EventBase base(event_base_new());
+  Config config = parseConfig(test::configuration({}, 1, {11, 12}));
+  const std::vector<DiscoveredEndpoint> servers = std::exchange(config.known, {}).instances;
+  Engine engine(base.get(), config, source);
+  FakeMembers members;
+  FakeLists lists;
+  engine.start(members, lists);
+  engine.runTurn();
+  engine.endpointsListed({1, true, servers});
+  engine.runTurn();
+  steady += std::chrono::seconds(2);
+  Asker asker;
+  balancer::Request request;
+  request.group = 3;
+  request.deadline = engine.now() + std::chrono::seconds(5);
+  engine.request(asker, request, RequestMessage{newBuffer(), newBuffer(), nullptr, {}, {}});
+  engine.runTurn();
+  for (const EndpointId checked : std::vector<EndpointId>(members.probes))
+    engine.healthCheckEnded(checked, true,
+                            {static_cast<double>(engine.now().count()) / 1e6, checked == 1 ? 1.0 : 0.0, 0.0});
+  engine.runTurn();
+  EXPECT_EQ(members.sent.size(), 1u);
+}
 // On a long day every data server is replaced by a new one with a new name.
 TEST_F(EngineTest, ForgetsWhatIsGoneAndQuietAndGivesNoIdTwice) {
   const RequestId id = ask();  // out at member 2
