--- a/lab/audit.cpp
+++ b/lab/audit.cpp
@@ -28,6 +28,14 @@
 
 void Audit::withdrawn(Time at, int server) { withdrawnAt_[server] = at; }
 
+void Audit::restarted(int proxy) {
+  const auto isOf = [proxy](const auto& entry) { return entry.first.first == proxy; };
+  for (auto entry = outSince_.begin(); entry != outSince_.end();)
+    entry = isOf(*entry) ? outSince_.erase(entry) : std::next(entry);
+  for (auto entry = in_.begin(); entry != in_.end();)
+    entry = isOf(*entry) ? in_.erase(entry) : std::next(entry);
+}
+
 void Audit::told(Time at, int proxy, int server, bool in) {
   const auto key = std::make_pair(proxy, server);
   const auto was = in_.find(key);
@@ -111,6 +119,9 @@
 }
 
 void Audit::felled(Time at, int server) { breaks(at, "felled", "server " + std::to_string(server)); }
+void Audit::crashed(Time at, int proxy, int status) {
+  breaks(at, "crashed", "proxy " + std::to_string(proxy) + " ended with " + std::to_string(status));
+}
 void Audit::cold(double multiple) { worstCold_ = std::max(worstCold_, multiple); }
 
 void Audit::request(Time at, const std::string& id, const std::string& key) {
--- a/lab/audit.hpp
+++ b/lab/audit.hpp
@@ -34,6 +34,7 @@
 
   // Of the list: what a proxy has been told of a server, by the stand-in that told it.
   void withdrawn(Time, int server);                 // by the script: from here on it is to be told
+  void restarted(int proxy);                        // a new process: it has been told nothing
   void told(Time, int proxy, int server, bool in);  // in: it may be sent work
 
   // Of the servers.
@@ -50,6 +51,7 @@
   void ended(Time, std::uint64_t token, bool served);       // answered, or its connection ended
   void ran(Time, const std::string& key, Time droppedFor);  // a write took effect, and it was not a repeat
   void felled(Time, int server);
+  void crashed(Time, int proxy, int status);
   void cold(double multiple);
   void probe(Time) { ++probes_; }
 
--- a/lab/clients.cpp
+++ b/lab/clients.cpp
@@ -12,6 +12,7 @@
 namespace sablespur::lab {
 namespace {
 
+constexpr Time kLostAfter = std::chrono::milliseconds(500);  // past the deadline, by the rule
 constexpr Time kSlack = std::chrono::milliseconds(70);  // after the deadline an answer still counts as one
 constexpr std::size_t kMostIdle = 40;
 
@@ -90,7 +91,7 @@
     value_.clear();
     if (speaker_ && greeted_) askAsDesk();
     if (!speaker_) put(bev_.get(), postgres::query(request_.statement));
-    late_.in(request_.deadline + kSlack - o_.c_.now());
+    late_.in(request_.deadline + (o_.s_.strictEnds ? kLostAfter : kSlack) - o_.c_.now());
   }
   bool busy() const { return busy_; }
   bool greeted() const { return greeted_; }
@@ -250,7 +251,9 @@
       o.door_.in(o.comingBack_.begin()->first - o.c_.now());
       return;
     }
+    const bool greeted = greeted_;
     remove();
+    if (busy && greeted && o.s_.strictEnds) o.judgeEnd(r);
     // Without an answer: a connection that ends is a failure that the client sees.
     if (busy) o.done(r, Got::Failed, "", Time(0));
   }
@@ -285,6 +288,17 @@
       retry_(c, [this] { again(); }) {}
 Clients::~Clients() = default;
 
+// A request may cross the end of its connection unread; one that was out for longer has been read.
+void Clients::judgeEnd(const Request& r) {
+  constexpr Time kCrossing = std::chrono::milliseconds(50);
+  const Time out = c_.now() - r.at;
+  if (r.at <= excusedUntil_) return audit_.hit("ended_by_kill");
+  if (out <= kCrossing) return audit_.hit("crossed_the_end");
+  const std::string why =
+      "its connection ended without an answer after " + std::to_string(out.count() / 1000) + " ms";
+  audit_.lost(r.id, why.c_str());
+}
+
 void Clients::callOff(const Speaker& s) { calls_.push_back(std::make_unique<Call>(*this, s.cancel())); }
 
 void Clients::start() {
--- a/lab/clients.hpp
+++ b/lab/clients.hpp
@@ -27,7 +27,8 @@
   bool loop = false;  // closed loop on one connection
   std::size_t valueBytes = 0;
   int groups = 2;
-  bool direct = false;  // to a data server, without a proxy
+  bool direct = false;      // to a data server, without a proxy
+  bool strictEnds = false;  // a connection that ends with a request out has lost it
   // Desks of a generation, whose values are checked byte by byte.
   std::optional<Version> version;
   std::string way = "simple";       // or extended, binary
@@ -47,6 +48,8 @@
   void stop();  // no new requests; what is out goes on
   void rate(double r) { s_.rate = r; }
   std::size_t open() const { return out_; }
+  // The proxy was killed: ends of connections are no fault of its for requests that were asked until then.
+  void excuseUntil(Time t) { excusedUntil_ = std::max(excusedUntil_, t); }
   // All desks at once: every idle connection is dropped, and so many new ones come.
   void reconnect(int connections);
   // How long connections took to be let in, from the first try on, ms; and how many were refused on the way.
@@ -72,12 +75,14 @@
   void ask(Request);
   Request make();
   void write(Request&, Time now);
+  void judgeEnd(const Request&);
   void done(Request&, Got, const std::string& value, Time retryAfter);
 
   Context& c_;
   Audit& audit_;
   const std::vector<ClassModel>& classes_;
   ClientSettings s_;
+  Time excusedUntil_{-1};
   const std::string prefix_;
   sockaddr_in target_{};
   Timer next_;
--- a/lab/experiment.cpp
+++ b/lab/experiment.cpp
@@ -169,6 +169,7 @@
     std::string server, version;
     bool loop = false;
     apply(s, {{"rate", number(c.rate)},
+              {"strict_ends", put(c.strictEnds, readFlag)},
               {"retries", count(c.retries)},
               {"asks_again", count(c.asksAgain)},
               {"doubles", share(c.doubles)},
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -15,6 +15,7 @@
 
 #include "lab/report.hpp"
 #include "lab/run.hpp"
+#include "lab/soak.hpp"
 
 namespace {
 
@@ -134,6 +135,20 @@
   return outcome.broken() == 0 ? 0 : 1;
 }
 
+// "3..7", or "3" for one.
+bool readSeeds(const std::string& text, SoakOptions& soak) {
+  unsigned long long first = 0, last = 0;
+  const int read = std::sscanf(text.c_str(), "%llu..%llu", &first, &last);
+  if (read == 1) last = first;
+  if (read < 1 || last < first) {
+    std::fprintf(stderr, "--seeds '%s' is no FIRST..LAST\n", text.c_str());
+    return false;
+  }
+  soak.firstSeed = first;
+  soak.lastSeed = last;
+  return true;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -155,10 +170,23 @@
   CLI::App* const sweeping = app.add_subcommand(
       "store-sweep", "end a ledger's life at every byte, spoil its sectors, look at what opens again");
   sweeping->allow_extras();  // its own options: --share, --seed, --threads
+  SoakOptions soak;
+  std::string seeds = "1..10";
+  soak.directory = (fs::temp_directory_path() / "sablespur-soak").string();
+  soak.program = program;
+  CLI::App* const soaking =
+      app.add_subcommand("soak", "seeded runs under overlapping faults; exit 1 if a rule is broken");
+  soaking->add_option("--seeds", seeds, "FIRST..LAST")->capture_default_str();
+  soaking->add_option("--jobs", soak.jobs, "runs side by side")
+      ->capture_default_str()
+      ->check(CLI::Range(1, 16));
+  soaking->add_option("--out", soak.directory, "folder for settings and logs")->capture_default_str();
+  soaking->add_option("--proxy", soak.program, "the proxy's program")->capture_default_str();
   CLI11_PARSE(app, argc, argv);
   try {
     if (sweeping->parsed()) return storeSweep(argv[0], sweeping->remaining());
     if (listing->parsed()) return list(dir);
+    if (soaking->parsed()) return readSeeds(seeds, soak) ? playSoak(soak) : 1;
     std::vector<sablespur::Fault> faults;
     Experiment e = demo->parsed() ? parseExperiment(kDemo, "demo", faults) : readExperiment(file, faults);
     if (!faults.empty()) return complain(faults);
--- a/lab/registry.cpp
+++ b/lab/registry.cpp
@@ -1,5 +1,6 @@
 #include "lab/registry.hpp"
 
+#include <algorithm>
 #include <cstdio>
 #include <stdexcept>
 
@@ -7,6 +8,11 @@
 namespace {
 
 constexpr Time kQuiet = std::chrono::seconds(2);  // an empty line comes so often
+constexpr std::size_t kPieceSize = 64;
+constexpr Time kBetweenPieces = std::chrono::milliseconds(10);
+constexpr Time kCountsAsTold = std::chrono::seconds(6);
+constexpr std::size_t kMostHistory = 16;  // whole lists that are kept for Mood::Older
+constexpr std::uint64_t kOlderBy = 3;     // changes
 
 std::string chunk(const std::string& text) {
   char size[16];
@@ -18,7 +24,11 @@
 
 class Registry::Connection {
  public:
-  Connection(Registry& r, evutil_socket_t fd) : r_(r), quiet_(r.c_, [this] { pause(); }) {
+  Connection(Registry& r, evutil_socket_t fd)
+      : r_(r),
+        quiet_(r.c_, [this] { pause(); }),
+        answer_(r.c_, [this] { answer(); }),
+        piece_(r.c_, [this] { sendPiece(); }) {
     bev_.reset(bufferevent_socket_new(r.c_.loop.get(), fd, BEV_OPT_CLOSE_ON_FREE));
     bufferevent_setcb(
         bev_.get(), [](bufferevent*, void* self) { static_cast<Connection*>(self)->read(); },
@@ -35,18 +45,33 @@
   }
   ~Connection() { r_.connections_.erase(this); }
   void changed() {
-    if (!watches_) return;
-    const std::string line = r_.changes(known_, false);
+    if (!watches_ || silent_ || r_.mood_ == Mood::Cut) return;
+    send(r_.changes(known_, false));
     known_ = r_.generation_;
-    put(bev_.get(), chunk(line));
     quiet_.in(kQuiet);
   }
+  void silence() { silent_ = silent_ || watches_; }
 
  private:
   void pause() {
-    put(bev_.get(), chunk("\n"));
+    if (silent_ || r_.mood_ == Mood::Cut) return;
+    if (known_ < r_.generation_) return changed();  // it catches up
+    if (left_.empty()) put(bev_.get(), chunk("\n"));
     quiet_.in(kQuiet);
   }
+  // A list, at once or in pieces.
+  void send(const std::string& list) {
+    left_ += list;
+    if (r_.mood_ == Mood::Pieces || left_.size() > list.size()) return piece_.in(kBetweenPieces);
+    put(bev_.get(), chunk(left_));
+    left_.clear();
+  }
+  void sendPiece() {
+    const std::string piece = left_.substr(0, kPieceSize);
+    left_.erase(0, piece.size());
+    if (!piece.empty()) put(bev_.get(), chunk(piece));
+    if (!left_.empty()) piece_.in(kBetweenPieces);
+  }
   void read() {
     evbuffer* const in = bufferevent_get_input(bev_.get());
     const std::size_t n = evbuffer_get_length(in);
@@ -54,6 +79,13 @@
     evbuffer_copyout(in, text.data(), n);
     if (text.find("\r\n\r\n") == std::string::npos) return;
     evbuffer_drain(in, n);
+    request_ = text;
+    if (r_.mood_ == Mood::Cut) return;
+    if (r_.mood_ == Mood::Slow && !r_.down_) return answer_.in(r_.delay_);
+    answer();
+  }
+  void answer() {
+    const std::string& text = request_;
     if (r_.down_) {
       last_ = true;
       return put(bev_.get(), "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
@@ -63,8 +95,9 @@
     put(bev_.get(), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     const std::uint64_t from =
         after == std::string::npos ? 0 : std::strtoull(text.c_str() + after + 6, nullptr, 10);
-    put(bev_.get(), chunk(r_.changes(from, from == 0 || from > r_.generation_)));
-    known_ = r_.generation_;
+    const auto older = r_.olderList();
+    send(older ? older->second : r_.changes(from, from == 0 || from > r_.generation_));
+    known_ = older ? older->first : r_.generation_;
     if (watches_) return quiet_.in(kQuiet);
     last_ = true;
     put(bev_.get(), "0\r\n\r\n");
@@ -72,13 +105,14 @@
 
   Registry& r_;
   BufferEventPtr bev_;
-  Timer quiet_;
+  Timer quiet_, answer_, piece_;
+  std::string request_, left_;
   std::uint64_t known_ = 0;
-  bool watches_ = false, last_ = false;
+  bool watches_ = false, last_ = false, silent_ = false;
 };
 
 Registry::Registry(Context& c, std::function<void(const std::string&, bool)> onTold)
-    : c_(c), onTold_(std::move(onTold)) {
+    : c_(c), onTold_(std::move(onTold)), tell_(c, [this] { tellAll(); }) {
   const sockaddr_in a = loopbackAddress(0, 1, 0);
   listener_.reset(evconnlistener_new_bind(
       c.loop.get(),
@@ -116,13 +150,48 @@
   entries_[name] = {"\"instanceId\":\"" + name + "\",\"lifecycle\":\"left\"", false, true, ++generation_};
   changed();
 }
+// The whole list as it was some changes ago; nothing unless the mood asks for it.
+std::optional<std::pair<std::uint64_t, std::string>> Registry::olderList() const {
+  if (mood_ != Mood::Older) return std::nullopt;
+  const auto older = history_.lower_bound(generation_ - std::min(generation_, kOlderBy));
+  if (older == history_.end()) return std::nullopt;
+  return *older;
+}
+
+void Registry::tellAll() {
+  if (down_ || mood_ == Mood::Cut) return;  // counted anew when it can be reached
+  for (const auto& [name, e] : entries_) onTold_(name, e.in && !e.gone);
+}
+void Registry::tellAllAfter(Time from) { tell_.in(from + kCountsAsTold - c_.now()); }
+
+void Registry::mood(Mood mood, Time delay) {
+  const bool wasCut = mood_ == Mood::Cut;
+  mood_ = mood;
+  delay_ = delay;
+  silentSince_ = c_.now();
+  if (mood == Mood::WatchesSilent || mood == Mood::Cut)
+    for (Connection* c : connections_) c->silence();
+  if (wasCut) tellAllAfter(c_.now());
+}
+void Registry::resetWatches() {
+  while (!connections_.empty()) delete *connections_.begin();
+}
+
 void Registry::changed() {
+  std::string whole;
+  for (const auto& [name, e] : entries_)
+    if (!e.gone) whole += (whole.empty() ? "{" : ",{") + e.json + "}";
+  history_[generation_] =
+      "{\"generation\":" + std::to_string(generation_) + ",\"reset\":true,\"instances\":[" + whole + "]}\n";
+  if (history_.size() > kMostHistory) history_.erase(history_.begin());
   if (down_) return;
+  tellAllAfter(mood_ == Mood::WatchesSilent ? silentSince_ : c_.now());
   const std::set<Connection*> all = connections_;
   for (Connection* c : all) c->changed();
 }
 void Registry::down(bool on) {
   down_ = on;
+  if (!on) tellAllAfter(c_.now());
   while (on && !connections_.empty()) delete *connections_.begin();
 }
 
--- a/lab/registry.hpp
+++ b/lab/registry.hpp
@@ -4,8 +4,10 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "lab/context.hpp"
 
@@ -22,6 +24,18 @@
   void left(const std::string& name);
   void down(bool);  // watches end, new calls get 503
 
+  // How it answers from now on. The page's clock counts a change as told after 6 s in each of these.
+  enum class Mood {
+    Well,
+    WatchesSilent,  // the open ones; new calls are answered
+    Cut,            // nothing is said to anybody
+    Slow,           // each call is answered after the delay
+    Pieces,         // lists come in small pieces
+    Older           // calls are answered with the whole list of some changes ago, and catch up later
+  };
+  void mood(Mood, Time delay = {});
+  void resetWatches();
+
  private:
   class Connection;
   struct Entry {
@@ -31,6 +45,9 @@
   };
   std::string changes(std::uint64_t after, bool whole);
   void changed();
+  std::optional<std::pair<std::uint64_t, std::string>> olderList() const;  // its generation and text
+  void tellAll();
+  void tellAllAfter(Time);
 
   Context& c_;
   const std::function<void(const std::string&, bool)> onTold_;
@@ -38,6 +55,10 @@
   bool down_ = false;
   std::uint64_t generation_ = 1;
   std::map<std::string, Entry> entries_;
+  std::map<std::uint64_t, std::string> history_;  // whole lists by generation, the last few
+  Mood mood_ = Mood::Well;
+  Time delay_{}, silentSince_{};
+  Timer tell_;
   std::set<Connection*> connections_;
   ListenerPtr listener_;
 };
--- a/lab/run.cpp
+++ b/lab/run.cpp
@@ -33,7 +33,12 @@
 }
 
 Run::Run(const Experiment& e, const Options& o)
-    : e_(e), o_(o), c_(e.seed), steps_(c_, [this] { nextStep(); }), seconds_(c_, [this] { second(); }) {}
+    : e_(e),
+      o_(o),
+      c_(e.seed),
+      steps_(c_, [this] { nextStep(); }),
+      seconds_(c_, [this] { second(); }),
+      lag_(c_, [this] { measureLag(); }) {}
 Run::~Run() = default;
 
 std::string Run::settings(std::size_t k) const {
@@ -274,7 +279,7 @@
       if (p.names) p.names->mood(mood);
   } else if (what == "registry") {
     for (Proxy& p : proxies_)
-      if (p.registry) p.registry->down(w[1] == "down");
+      if (p.registry && !setRegistry(*p.registry, w[1])) complain("there is no mood " + w[1]);
   } else if (what == "logins") {  // "logins 200 3.0": so many at once, at the first proxy
     const auto version = versionOf(w[2]);
     if (!version) complain("there is no version " + w[2]);
@@ -295,18 +300,64 @@
     if (w[2] == "term" || w[2] == "kill") p.cpuGone += p.process->cpuSeconds() - p.cpuAtStart;
     if (w[2] == "term" || w[2] == "kill") p.cpuAtStart = 0;
     if (w[2] == "term")
-      p.process->signal(SIGTERM);
+      terminateProxy(p);
     else if (w[2] == "hup")
       p.process->signal(SIGHUP);
+    else if (w[2] == "stop")
+      p.process->signal(SIGSTOP);
+    else if (w[2] == "cont")
+      p.process->signal(SIGCONT);
     else if (w[2] == "kill")
-      p.process->kill();
+      killProxy(p);
     else if (w[2] == "start")
-      p.process->start([this, k](int port) { proxies_[k].clients->target(loopbackAddress(0, 1, port)); });
+      startProxy(k);
     else
-      complain("a proxy can be sent term, hup, kill or start");
+      complain("a proxy can be sent term, hup, stop, cont, kill or start");
   }
 }
 
+void Run::terminateProxy(Proxy& p) {
+  if (!p.terminatedAt) p.terminatedAt = c_.now();
+  p.process->signal(SIGTERM);
+}
+
+// What SIGKILL finds unanswered is lost if it came more than 0.7 s after SIGTERM; without SIGTERM nothing is.
+void Run::killProxy(Proxy& p) {
+  constexpr Time kTakenAfterTerm = std::chrono::milliseconds(700);
+  p.clients->excuseUntil(p.terminatedAt ? *p.terminatedAt + kTakenAfterTerm : c_.now());
+  p.process->kill();
+}
+
+void Run::startProxy(std::size_t k) {
+  Proxy& p = proxies_[k];
+  if (!p.process->running() && p.process->exitStatus() > 0)
+    audit_.crashed(c_.now(), static_cast<int>(k) + 1, p.process->exitStatus());
+  p.terminatedAt.reset();
+  audit_.restarted(static_cast<int>(k) + 1);
+  p.process->start([this, k](int port) { proxies_[k].clients->target(loopbackAddress(0, 1, port)); });
+}
+
+// False: there is no such mood.
+bool Run::setRegistry(Registry& registry, const std::string& mood) {
+  static const std::map<std::string, Registry::Mood> kMoods{{"well", Registry::Mood::Well},
+                                                            {"silent", Registry::Mood::WatchesSilent},
+                                                            {"cut", Registry::Mood::Cut},
+                                                            {"pieces", Registry::Mood::Pieces},
+                                                            {"older", Registry::Mood::Older}};
+  const std::string slow = "slow-";  // with the milliseconds of each call
+  if (mood == "down" || mood == "up")
+    registry.down(mood == "down");
+  else if (mood == "reset")
+    registry.resetWatches();
+  else if (mood.rfind(slow, 0) == 0)
+    registry.mood(Registry::Mood::Slow, std::chrono::milliseconds(std::atoi(mood.c_str() + slow.size())));
+  else if (const auto known = kMoods.find(mood); known != kMoods.end())
+    registry.mood(known->second);
+  else
+    return false;
+  return true;
+}
+
 void Run::nextStep() {
   const Time now = c_.now() - started_;
   while (step_ < e_.script.size() && e_.script[step_].at <= now) act(e_.script[step_++]);
@@ -342,6 +393,14 @@
   seconds_.in(std::chrono::seconds(1));
 }
 
+void Run::measureLag() {
+  constexpr Time kInterval = std::chrono::milliseconds(20);
+  const Time now = c_.now();
+  if (lagDue_ > Time(0)) worstLag_ = std::max(worstLag_, now - lagDue_);
+  lagDue_ = now + kInterval;
+  lag_.in(kInterval);
+}
+
 void Run::stop() { stopped_ = true; }
 
 Outcome Run::play() {
@@ -367,6 +426,7 @@
   power_ = std::make_unique<Power>(c_, *fleet_, audit_, std::move(hands));
   nextStep();
   seconds_.in(std::chrono::seconds(1));
+  measureLag();
   wait(o_.forEver ? std::chrono::hours(24 * 365) : e_.duration, [this] { return stopped_; });
   const Time loaded = c_.now() - started_;
   const double cpuUsed = cpu();
@@ -464,6 +524,7 @@
   if (power_) power_->figures(f);
   f["crashes"] = static_cast<double>(crashed);
   f["resident_mb"] = peak;
+  f["worst_lag_ms"] = static_cast<double>(worstLag_.count()) / 1e3;
   f["proxy_cpu_share"] = f["proxy_cpu_s"] / seconds / static_cast<double>(proxies_.size());
   if (f["requests"] > 0 && through > 0)
     f["proxy_cpu_us_per_request"] = 1e6 * f["proxy_cpu_s"] / static_cast<double>(through);
--- a/lab/run.hpp
+++ b/lab/run.hpp
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,7 @@
   event_base* loop() { return c_.loop.get(); }
   const Audit& audit() const { return audit_; }
   const Fleet& fleet() const { return *fleet_; }
+  Time startedAt() const { return started_; }  // of the load and the script
 
  private:
   struct Proxy {
@@ -61,6 +63,7 @@
     sockaddr_in address{};
     std::string settingsPath;
     bool ready = false;
+    std::optional<Time> terminatedAt;  // of the process that runs
     double cpuAtStart = 0, cpuGone = 0;
   };
   void open();
@@ -68,7 +71,12 @@
   void withdraw(DataServer&);
   void list(DataServer&);
   void act(const Step&);
+  static bool setRegistry(Registry&, const std::string& mood);
+  void terminateProxy(Proxy&);
+  void killProxy(Proxy&);
+  void startProxy(std::size_t k);
   void nextStep();
+  void measureLag();  // of this process's own loop
   void second();
   std::string settings(std::size_t proxy) const;
   double cpu() const;
@@ -88,7 +96,8 @@
   std::size_t step_ = 0;
   Time started_{};
   bool stopped_ = false;
-  Timer steps_, seconds_;
+  Timer steps_, seconds_, lag_;
+  Time lagDue_{}, worstLag_{};
   std::vector<Second> second_;
   double dnsAtStart_ = 0;
 };
--- /dev/null
+++ b/lab/soak.hpp
@@ -0,0 +1,25 @@
+// The fault soak: seeded runs of real proxies under overlapping faults, judged by the lab's audit.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace sablespur::lab {
+
+// The experiment of a seed: its deployment, load and schedule of faults, as INI. The same text for the same
+// seed.
+std::string soakExperiment(std::uint64_t seed);
+
+struct SoakOptions {
+  std::string program;    // the proxy's
+  std::string directory;  // for settings and logs
+  std::uint64_t firstSeed = 1, lastSeed = 1;
+  int jobs = 4;
+};
+
+// Plays the seeds, so many side by side, and prints a line for each. Returns 0 if no rule was broken, 1 if
+// one was, 2 if over a tenth of the runs were void because this machine was too slow for the stand-ins.
+int playSoak(const SoakOptions&);
+
+}  // namespace sablespur::lab
