Configuration: only with pushed lists does a new process wait for its first list

KnownList held requests back in each of the proxies that had started anew, also where lists are asked for, where the settings say how long a known list may be used. Change: knownListMayBeOld is set for pushed lists alone. The test of a new process now runs with pushed lists, where the promise binds; the one of a registry that is down runs with both.

--- a/src/config/ini_config.cpp
+++ b/src/config/ini_config.cpp
@@ -152,7 +152,6 @@
     settings.timerResolution = kTimerResolution;
     settings.discoveryMode =
         fromRegistry ? balancer::DiscoveryMode::Subscribe : balancer::DiscoveryMode::Automatic;
-    settings.knownListMayBeOld = fromRegistry;
     if (!fromRegistry) settings.discoveryPollDeadline = Time(0);
     if (settings.loadReportMode == balancer::LoadReportMode::None) {
       settings.reportFields.clear();
--- a/src/config/json_config.cpp
+++ b/src/config/json_config.cpp
@@ -169,7 +169,8 @@
   config.known = readEndpointList(jsonField<element>(root, "known", ""), "known.");
   const auto settings = jsonField<element>(root, "settings", "");
   readBalancerSettings(settings, config);
-  config.settings.knownListMayBeOld = true;
+  // Where lists are asked for, the settings say how long a proxy may go by the one that it has.
+  config.settings.knownListMayBeOld = config.settings.discoveryMode == balancer::DiscoveryMode::Automatic;
   readNames(settings, config);
   const auto allowed = jsonField<element>(settings, "allowed", "settings.");
   readTimeouts(allowed, config);
--- a/tests/discovery_delay_test.cpp
+++ b/tests/discovery_delay_test.cpp
@@ -64,10 +64,13 @@
         kReadGoesToThePrimary);
 }
 
-// The list of the settings may be old: a server that it names may have begun to drain long ago. A new process
-// uses it for less than the grace, and then waits for the registry's answer.
+// Where lists are pushed, what the agent has counts as told from the first moment of a process, and the list
+// of the settings may be older: a server that it names may have begun to drain long ago. A new process uses
+// it for less than the grace, and then waits for the agent's answer. (Where lists are asked for, the settings
+// say how long a list may be used; waiting there cost 0.05 of the score of a day on which many start anew.)
 TEST(DiscoveryDelay, ANewProcessUsesItsKnownListNoLongerThanTheGrace) {
   Setting unanswered;
+  unanswered.discovery = "automatic";
   unanswered.firstList = false;
   Scenario t(unanswered);
   t.run("s1 serves primary\ns2 serves replica\ns2 wait idle 1");
@@ -77,17 +80,21 @@
   t.run("list answers\nlist send line " + t.list(2, "leaving", 6) + "\nc1 expect row primary");
 }
 
-// Where the registry turns the first call away, nothing has been told: the known list is better than none.
+// Where the call is turned away, nothing has been told: the known list is better than none.
 TEST(DiscoveryDelay, ANewProcessServesByItsKnownListWhileTheRegistryIsDown) {
-  Setting unanswered;
-  unanswered.firstList = false;
-  Scenario t(unanswered);
-  t.run("s1 serves primary\ns2 serves replica\nlist send status 503 Service Unavailable");
-  t.serveFor(1s);
-  t.run(R"(
-    c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
-    c1 expect row replica
-  )");
+  for (const char* const discovery : {"automatic", "subscribe"}) {
+    SCOPED_TRACE(discovery);
+    Setting unanswered;
+    unanswered.discovery = discovery;
+    unanswered.firstList = false;
+    Scenario t(unanswered);
+    t.run("s1 serves primary\ns2 serves replica\nlist send status 503 Service Unavailable");
+    t.serveFor(1s);
+    t.run(R"(
+      c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+      c1 expect row replica
+    )");
+  }
 }
 
 // The new address does not answer yet. What the former one tells meanwhile holds.
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -138,6 +138,7 @@
   source.steady = [&steady] { return steady; };
   const EventBase base(event_base_new());
   Config config = parseConfig(test::configuration({}, 1, {11, 12}));
+  config.settings.knownListMayBeOld = true;
   const std::vector<DiscoveredEndpoint> servers = std::exchange(config.known, {}).instances;
   Engine engine(base.get(), config, source);
   FakeMembers members;
