--- a/tests/discovery_delay_test.cpp
+++ b/tests/discovery_delay_test.cpp
@@ -161,6 +161,18 @@
         t.list(2, "leaving", 2) + "\ns2 expect drained\n" + kReadGoesToThePrimary);
 }
 
+// Bad input costs the call that it came on. The next one is taken.
+TEST(DiscoveryDelay, AListThatCannotBeReadCostsItsCallAlone) {
+  Scenario t;
+  t.run(R"(
+    s2 wait idle 2
+    list send line {"generation":"x","reset":false,"instances":[]}
+    proxy expect log event=discovery_watch_closed why="key generation
+    list expect watch after=5
+  )");
+  t.run("list send line " + t.list(2, "leaving", 6) + "\ns2 expect drained\n" + kReadGoesToThePrimary);
+}
+
 // A registry that has just come back, or one of several, may know less than the proxy.
 TEST(DiscoveryDelay, AnOlderListDoesNotBringARemovedServerBack) {
   Scenario t;
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -110,5 +110,24 @@
   EXPECT_EQ(taken.lists.size(), 1u);
 }
 
+// The first call is silent and no descriptor is left: a further call takes the one of the first.
+TEST_F(WatchTest, AFurtherCallFindsADescriptorInAFullTable) {
+  watch->watch(7);
+  const int first = accept(listener, nullptr, nullptr);
+  ASSERT_GE(first, 0);
+  const std::string answer = "HTTP/1.1 200 OK\r\n\r\n{\"generation\":8,\"reset\":true,\"instances\":[]}\n";
+  ASSERT_EQ(send(first, answer.data(), answer.size(), MSG_NOSIGNAL), static_cast<ssize_t>(answer.size()));
+  ASSERT_TRUE(until([&] { return taken.lists.size() == 1; }));
+  fillTable();
+  ASSERT_TRUE(until([&] { return watch->view().calls == 2; }));
+  EXPECT_EQ(watch->view().openCalls, 1u) << "the silent one made room";
+  EXPECT_EQ(watch->view().failures, 0u);
+  empty();
+  const int second = accept(listener, nullptr, nullptr);
+  EXPECT_GE(second, 0);
+  close(first);
+  close(second);
+}
+
 }  // namespace
 }  // namespace sablespur
