--- a/tests/call_schedule_test.cpp
+++ b/tests/call_schedule_test.cpp
@@ -161,6 +161,38 @@
   EXPECT_TRUE(isClosed);
 }
 
+// A registry that turns calls away answers, if late: further calls would only join the crowd that makes it
+// late.
+TEST(CallSchedule, ACallIsWaitedForAsLongAsAnswersHaveTaken) {
+  SilentWatch watch(1);
+  CallSchedule& schedule = watch.schedule;
+  ASSERT_EQ(schedule.decide(2400ms).open, CallReason::WatchSilent);
+  schedule.opened(2400ms, ++watch.last);
+  EXPECT_EQ(*schedule.nextDeadline(), 2400ms + CallSchedule::kMinAnswerWait);
+  schedule.ended(4400ms, watch.last, {true, std::nullopt});  // after 2 s
+  const Time again = *schedule.nextDeadline();
+  EXPECT_LE(again, 4600ms);
+  ASSERT_EQ(schedule.decide(again).open, CallReason::Retry);
+  schedule.opened(again, ++watch.last);
+  EXPECT_GE(*schedule.nextDeadline(), again + 2200ms) << "a tenth more than the answer took";
+}
+
+TEST(CallSchedule, NoThirdCallIsMadeWhereTheRegistryHasAnswered) {
+  SilentWatch unanswered(1);
+  SilentWatch turnedAway(1);
+  for (SilentWatch* const watch : {&unanswered, &turnedAway}) {
+    CallSchedule& schedule = watch->schedule;
+    schedule.opened(2400ms, ++watch->last);
+    if (watch == &turnedAway) {
+      schedule.ended(2500ms, watch->last, {true, std::nullopt});
+      schedule.opened(2600ms, ++watch->last);
+    }
+    schedule.opened(4800ms, ++watch->last);
+  }
+  EXPECT_EQ(*unanswered.schedule.nextDeadline(), 4800ms + CallSchedule::kCallSpacing);
+  EXPECT_GE(*turnedAway.schedule.nextDeadline(), 4800ms + CallSchedule::kLateCallSpacing * 9 / 10);
+}
+
 // The drains that the former address tells are followed until the new one has told a list.
 TEST(CallSchedule, AWatchAtAFormerAddressGoesOnUntilTheNewOneHasAnswered) {
   SilentWatch watch(1);
@@ -196,6 +228,7 @@
   struct Outcome {
     Time slowest{};  // until every proxy had its list
     std::size_t calls = 0;
+    std::size_t mostOpen = 0;  // at one proxy
   };
 
   CrowdedFleet(std::size_t proxies, Time serviceTime, std::optional<Time> patience)
@@ -258,6 +291,7 @@
     watch.schedule.opened(local(proxy, now), ++watch.last);
     queue_.push_back({proxy, watch.last, now});
     ++outcome.calls;
+    outcome.mostOpen = std::max(outcome.mostOpen, watch.schedule.openCalls());
   }
 
   const Time serviceTime_;
@@ -302,6 +336,7 @@
     const CrowdedFleet::Outcome outcome = fleet.run(120s);
     EXPECT_LE(outcome.slowest, 30s);
     EXPECT_LE(outcome.calls, proxies * 8);
+    EXPECT_LE(outcome.mostOpen, 2u) << "the silent watch and one call";
   }
 }
 
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -313,6 +313,18 @@
   EXPECT_EQ(m.view(kStart).rows.size(), 1u);
 }
 
+// It came and left between two lists, so nothing was ever heard of its end.
+TEST(ListGenerations, OneThatTheNewestListLacksIsNotTakenFromAnOlderOne) {
+  EndpointTable m;
+  m.applyUpdate(kStart, listOf(40, true, {at("s-1", 1, 900)}));
+  told(m, kStart);
+  m.applyUpdate(kStart, listOf(38, true, {at("s-1", 1, 900), at("s-2", 2, 950)}));
+  EXPECT_EQ(told(m, kStart), "s-1");
+  const std::int64_t later = kStart.count() / 1000 + 1;  // it started after the newest list came
+  m.applyUpdate(kStart, listOf(39, false, {at("s-2", 2, later)}));
+  EXPECT_EQ(told(m, kStart), "s-2");
+}
+
 TEST(ListGenerations, TheKnownListCountsAsTheFirst) {
   EndpointTable m;
   m.adoptKnown(kStart, listOf(40, true, {as(Lifecycle::Draining, at("s-1", 1)), at("s-2", 2)}));
