--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -181,6 +181,7 @@
       ->capture_default_str()
       ->check(CLI::Range(1, 16));
   soaking->add_option("--out", soak.directory, "folder for settings and logs")->capture_default_str();
+  soaking->add_flag("--trace", soak.trace, "the proxies log each request, attempt and health check");
   soaking->add_option("--proxy", soak.program, "the proxy's program")->capture_default_str();
   CLI11_PARSE(app, argc, argv);
   try {
--- a/lab/soak.cpp
+++ b/lab/soak.cpp
@@ -194,9 +194,10 @@
 int playSeed(const SoakOptions& options, std::uint64_t seed) {
   constexpr std::size_t kMostPrinted = 5;
   std::vector<Fault> faults;
-  const Experiment experiment = parseExperiment(soakExperiment(seed), "soak", faults);
+  Experiment experiment = parseExperiment(soakExperiment(seed), "soak", faults);
   for (const Fault& fault : faults) std::printf("%s\n", fault.text().c_str());
   if (!faults.empty()) return kFailed;
+  if (options.trace) experiment.settings += "[log]\nlevel = trace\n";
   Run::Options run;
   run.program = options.program;
   run.directory = options.directory + "/" + std::to_string(seed);
--- a/lab/soak.hpp
+++ b/lab/soak.hpp
@@ -16,6 +16,7 @@
   std::string directory;  // for settings and logs
   std::uint64_t firstSeed = 1, lastSeed = 1;
   int jobs = 4;
+  bool trace = false;  // the proxies log each request, attempt and health check
 };
 
 // Plays the seeds, so many side by side, and prints a line for each. Returns 0 if no rule was broken, 1 if
--- a/src/engine/engine_events.cpp
+++ b/src/engine/engine_events.cpp
@@ -127,13 +127,13 @@
 void Engine::handle(engine_event::HealthCheckEnded& event) {
   const auto& fields = config_.settings.reportFields;
   const auto* const endpoint = endpoints_.find(event.endpoint);
-  observeAnswer(event.endpoint, replicationStatusOf(event.healthy, event.report, fields),
-                endpoint ? endpoint->healthCheckSentAt : std::nullopt);
+  const GossipUpdate status = replicationStatusOf(event.healthy, event.report, fields);
+  observeAnswer(event.endpoint, status, endpoint ? endpoint->healthCheckSentAt : std::nullopt);
   balancer::HealthCheckResult result;
   result.endpoint = event.endpoint;
   result.ok = event.healthy;
   result.report = reportSince(positionEpochUnix(), event.report, fields);
-  trace::healthCheckEnded(endpoints_, event.endpoint, event.healthy);
+  trace::healthCheckEnded(endpoints_, event.endpoint, event.healthy, status);
   balancer_->healthCheckEnded(now_, result);
   shareStatus(event);
 }
--- a/src/engine/engine_trace.cpp
+++ b/src/engine/engine_trace.cpp
@@ -33,6 +33,7 @@
             {"a", attempt},
             {"m", endpoints.name(endpoint)},
             {"result", static_cast<int>(end.result)},
+            {"role", static_cast<int>(end.role)},
             {"position_ms", end.positionMs}});
 }
 
@@ -41,9 +42,14 @@
   logEvent(LogLevel::Trace, "health_check_sent", {{"m", endpoints.name(endpoint)}});
 }
 
-void healthCheckEnded(const EndpointRegistry& endpoints, EndpointId endpoint, bool ok) {
+void healthCheckEnded(const EndpointRegistry& endpoints, EndpointId endpoint, bool ok,
+                      const cluster::GossipUpdate& status) {
   if (!tracing()) return;
-  logEvent(LogLevel::Trace, "health_check_ended", {{"m", endpoints.name(endpoint)}, {"ok", ok}});
+  logEvent(LogLevel::Trace, "health_check_ended",
+           {{"m", endpoints.name(endpoint)},
+            {"ok", ok},
+            {"role", static_cast<int>(status.role)},
+            {"position_ms", status.positionMs}});
 }
 
 }  // namespace sablespur::trace
--- a/src/engine/engine_trace.hpp
+++ b/src/engine/engine_trace.hpp
@@ -15,6 +15,7 @@
 void attemptSent(RequestId, int attempt, const EndpointRegistry&, EndpointId);
 void attemptEnded(RequestId, int attempt, const EndpointRegistry&, EndpointId, const AttemptEnd&);
 void healthCheckSent(const EndpointRegistry&, EndpointId);
-void healthCheckEnded(const EndpointRegistry&, EndpointId, bool ok);
+// `status`: the role and position in its report.
+void healthCheckEnded(const EndpointRegistry&, EndpointId, bool ok, const cluster::GossipUpdate& status);
 
 }  // namespace sablespur::trace
