Balancer: an answer that shows itself to be too old is not given to the client

Cause: freshProbability (src/balancer/consistency.cpp) takes the server that was last heard of as primary for fresh however long ago that was, and Engine::handle(AttemptEnded) gave every whole answer to the client without a look at the role and position that came with it.

Change: Balancer::isFreshEnough compares an answer's role and position with what the read required when it was sent. If they show that it is too old, the attempt ends as StaleAnswer: it counts as one that ran, ends the belief in that primary, and the read goes on within its class, deadline and attempts. What a server had when it answered as primary it still has: Endpoint::replication.primaryAt, from the time of the send.

Why it works: an answer is held whole until ReadyForQuery anyway, so that the look costs no time and no memory. The send itself stays as the rule on stale reads has it (excused until an answer has told otherwise).

Seen: log stale_answer_withheld, status stale_answers_withheld.

--- a/src/app/status_json.cpp
+++ b/src/app/status_json.cpp
@@ -135,6 +135,7 @@
        {{"held", budget.bytes()}, {"most", budget.maxBytes()}, {"peak", budget.peakBytes()}}},
       {"registry", registryStatus(sources.discovery.registryView())},
       {"sent_to_draining", sources.engine.sendsToDraining()},
+      {"stale_answers_withheld", sources.engine.staleAnswersWithheld()},
       {"store", sources.idempotency ? storeStatus(sources.idempotency->view()) : Json()},
       {"recovery", sources.recovery ? recoveryStatus(sources.recovery->view()) : Json()},
       {"door", sources.admission ? admissionStatus(sources.admission->view()) : Json()},
--- a/src/balancer/attempt_outcome.cpp
+++ b/src/balancer/attempt_outcome.cpp
@@ -16,13 +16,18 @@
 namespace {
 
 constexpr double kFastFailureFraction = 0.5;  // of a class's low latency: no work was done by then
-constexpr Time kClockTolerance = std::chrono::milliseconds(1);  // positions are rounded to it
 constexpr Time kCommitRounding = std::chrono::milliseconds(1);  // a commit's position was rounded up by it
 
 // Whether the endpoint's process itself replied.
 bool isReply(AttemptResult result) {
-  return result == AttemptResult::Ok || result == AttemptResult::TooStale ||
-         result == AttemptResult::Rejected || result == AttemptResult::Error;
+  return result == AttemptResult::Ok || result == AttemptResult::StaleAnswer ||
+         result == AttemptResult::TooStale || result == AttemptResult::Rejected ||
+         result == AttemptResult::Error;
+}
+
+// Whether the request was answered, whatever the answer is worth.
+bool isAnswered(AttemptResult result) {
+  return result == AttemptResult::Ok || result == AttemptResult::StaleAnswer;
 }
 
 std::optional<InFlightAttempt> takeInFlight(Context& context, Endpoint& endpoint,
@@ -39,13 +44,24 @@
   return attempt;
 }
 
+// What the outcome shows of the endpoint's role.
+Role shownRole(const AttemptOutcome& outcome) {
+  if (!isReply(outcome.result)) return Role::Unknown;
+  // Whatever it calls itself, a primary's data are never too old.
+  if (outcome.result == AttemptResult::StaleAnswer) return Role::Replica;
+  return roleOf(outcome.replicationStatus);
+}
+
 // Role, position and load that came with the outcome.
-void learnReplicationState(Context& context, Endpoint& endpoint, const AttemptOutcome& outcome,
-                           bool isWrite) {
-  const Role role = roleOf(outcome.replicationStatus);
-  if (isReply(outcome.result) && role != Role::Unknown) recordRole(context, endpoint, role, context.now);
-  const std::optional<Time> position = positionOf(context.settings, outcome.replicationStatus);
-  if (position && *position <= context.now + kClockTolerance)
+void learnReplicationState(Context& context, Endpoint& endpoint, const InFlightAttempt& attempt,
+                           const AttemptOutcome& outcome, bool isWrite) {
+  const Role role = shownRole(outcome);
+  if (role != Role::Unknown) recordRole(context, endpoint, role, context.now);
+  // The answer was written after the send, so that much is certain whenever it came.
+  if (role == Role::Primary)
+    endpoint.replication.primaryAt = std::max(endpoint.replication.primaryAt, attempt.sentAt);
+  const std::optional<Time> position = plausiblePositionOf(context, outcome.replicationStatus);
+  if (position)
     recordPosition(context, endpoint,
                    std::min(context.now, isWrite ? *position - kCommitRounding : *position));
   recordReport(context, endpoint, outcome.report);
@@ -58,8 +74,7 @@
   contact.lastAnswer = context.now;
   contact.lastUsed = context.now;
   contact.lastReply = context.now;
-  if (result == AttemptResult::Ok)
-    contact.newestAnsweredSend = std::max(contact.newestAnsweredSend, attempt.sentAt);
+  if (isAnswered(result)) contact.newestAnsweredSend = std::max(contact.newestAnsweredSend, attempt.sentAt);
 }
 
 void learnFromSuccess(Context& context, Endpoint& endpoint, const InFlightAttempt& attempt) {
@@ -99,10 +114,11 @@
   const AttemptResult result = outcome.result;
   const bool isWrite =
       context.settings.classes[toIndex(attempt.classIndex)].requirement == Requirement::Write;
-  learnReplicationState(context, endpoint, outcome, isWrite);
+  learnReplicationState(context, endpoint, attempt, outcome, isWrite);
   learnContact(context, endpoint, attempt, result);
-  if (result == AttemptResult::Ok) {
+  if (isAnswered(result)) {
     learnFromSuccess(context, endpoint, attempt);
+    if (result == AttemptResult::StaleAnswer) context.groups[endpoint.listed.group].troubleAt = context.now;
     return;
   }
   // A cancelled attempt, or one that never left, tells nothing; nor is a write too old for any data.
@@ -115,7 +131,9 @@
 // be earned.
 bool isRetryFree(const Context& context, const PendingRequest& pending, const Attempt& attempt,
                  AttemptResult result) {
-  if (result == AttemptResult::TooStale || result == AttemptResult::NotSent || attempt.cancelled) return true;
+  const bool costsNothing = result == AttemptResult::TooStale || result == AttemptResult::StaleAnswer ||
+                            result == AttemptResult::NotSent;
+  if (costsNothing || attempt.cancelled) return true;
   const bool isFault = result == AttemptResult::Error || result == AttemptResult::Reset ||
                        result == AttemptResult::ConnectFailed;
   const double noWorkBefore = context.latencies.low(pending.request.classIndex) * kFastFailureFraction;
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -148,10 +148,26 @@
   const Endpoint* const endpoint = context.findEndpoint(to);
   if (found == context.requests.end() || !endpoint || !isUsable(context.settings, *endpoint)) return false;
   if (context.knownList.isTooOld(context.settings, now)) return false;
-  const PendingRequest& pending = found->second;
+  PendingRequest& pending = found->second;
   if (!repeatIsSafe(context, pending)) return false;
   const Group& group = context.groups[endpoint->listed.group];
-  return freshProbability(context, *endpoint, group, requiredPosition(context, pending)).has_value();
+  const Time required = requiredPosition(context, pending);
+  // The age of the data counts from the send.
+  if (!pending.attempts.empty() && pending.attempts.back().endpoint == to)
+    pending.attempts.back().requiredPosition = required;
+  return freshProbability(context, *endpoint, group, required).has_value();
+}
+
+bool Balancer::isFreshEnough(Time now, const AttemptOutcome& outcome) {
+  Context& context = *context_;
+  context.now = now;
+  const auto found = context.requests.find(outcome.request);
+  const Endpoint* const endpoint = context.findEndpoint(outcome.endpoint);
+  if (found == context.requests.end() || !endpoint) return true;
+  const PendingRequest& pending = found->second;
+  if (context.classOf(pending).requirement == Requirement::Write) return true;
+  const Attempt& attempt = pending.attempts[toIndex(outcome.attempt)];
+  return !showsStaleData(context, *endpoint, attempt, outcome.replicationStatus);
 }
 
 std::vector<EndpointId> Balancer::removeExpiredEndpoints(Time now) {
--- a/src/balancer/balancer.hpp
+++ b/src/balancer/balancer.hpp
@@ -82,6 +82,11 @@
   // drain since, or its data have grown too old. If not, its outcome is AttemptResult::NotSent.
   bool maySendNow(Time now, RequestId, EndpointId);
 
+  // Whether the answer of an attempt that ended with AttemptResult::Ok may be given to the client. If not, it
+  // shows itself that its data were older than its class allows, and its outcome is
+  // AttemptResult::StaleAnswer.
+  bool isFreshEnough(Time now, const AttemptOutcome&);
+
   // An administrator takes an endpoint out of use, or back, whatever the list says. Nothing new goes to it
   // from here on, health checks included; what is in flight goes on. One that comes back counts as just
   // started, unless the list knows better.
--- a/src/balancer/consistency.cpp
+++ b/src/balancer/consistency.cpp
@@ -14,6 +14,7 @@
 constexpr std::uint32_t kStatusRoleRange = 4;
 constexpr std::uint32_t kStatusPrimary = 1;
 constexpr std::uint32_t kStatusReplica = 2;
+constexpr Time kClockTolerance = std::chrono::milliseconds(1);  // positions are rounded to it
 
 // The age may have been rounded up: the next f32 below it is taken, so that the requirement is rounded up.
 Time tokenPosition(Time now, float ageMs) {
@@ -41,7 +42,7 @@
                                        Time required) {
   const ReplicationProgress& replication = endpoint.replication;
   const bool isPrimary = endpoint.listed.id == group.primary;
-  if (required == kNever || isPrimary || replication.position >= required) return 1;
+  if (required == kNever || isPrimary || knownPosition(endpoint) >= required) return 1;
   // It would answer from old data: only a proof will do.
   if (context.settings.laggingReplicaPolicy == LaggingReplicaPolicy::Serve) return std::nullopt;
   const Time allowedLag = context.now - required;
@@ -55,6 +56,18 @@
   return all > 0 ? fresh / all : kUnknownFreshness;
 }
 
+bool showsStaleData(const Context& context, const Endpoint& endpoint, const Attempt& attempt,
+                    std::uint32_t replicationStatus) {
+  const Time required = attempt.requiredPosition;
+  // Elsewhere the endpoints hold the bound themselves.
+  if (required == kNever || context.settings.laggingReplicaPolicy != LaggingReplicaPolicy::Serve)
+    return false;
+  const Role role = roleOf(replicationStatus);
+  if (role == Role::Primary || knownPosition(endpoint) >= required) return false;
+  const std::optional<Time> position = plausiblePositionOf(context, replicationStatus);
+  return position ? *position < required : role == Role::Replica;
+}
+
 void recordSessionCommit(Context& context, const PendingRequest& write, const AttemptOutcome& outcome) {
   const std::uint64_t session = write.request.session;
   if (context.classOf(write).requirement != Requirement::Write || session == 0) return;
@@ -83,6 +96,12 @@
   return settings.positionEpoch + std::chrono::milliseconds(position);
 }
 
+std::optional<Time> plausiblePositionOf(const Context& context, std::uint32_t replicationStatus) {
+  const std::optional<Time> position = positionOf(context.settings, replicationStatus);
+  if (position && *position > context.now + kClockTolerance) return std::nullopt;
+  return position;
+}
+
 Role roleOf(std::uint32_t replicationStatus) {
   switch (replicationStatus % kStatusRoleRange) {
     case kStatusPrimary:
--- a/src/balancer/consistency.hpp
+++ b/src/balancer/consistency.hpp
@@ -1,6 +1,8 @@
 // How new the data must be that a request reads, and whether an endpoint has such data.
 #pragma once
 
+#include <algorithm>
+#include <cstdint>
 #include <optional>
 
 #include "balancer/context.hpp"
@@ -22,9 +24,21 @@
 // would answer from data that may be too old.
 std::optional<double> freshProbability(const Context&, const Endpoint&, const Group&, Time required);
 
+// The newest instant up to which the endpoint is known to have all commits.
+inline Time knownPosition(const Endpoint& endpoint) {
+  return std::max(endpoint.replication.position, endpoint.replication.primaryAt);
+}
+
+// Whether the answer to a read shows by its role and position that it was made from data older than the read
+// required when it was sent. To be asked before anything is learned from the answer.
+bool showsStaleData(const Context&, const Endpoint&, const Attempt&, std::uint32_t replicationStatus);
+
 // Remembers the commit of a write for later reads of its session.
 void recordSessionCommit(Context&, const PendingRequest& write, const AttemptOutcome&);
 
+// The position that a replication status tells, unless it lies in the future: that proves nothing.
+std::optional<Time> plausiblePositionOf(const Context&, std::uint32_t replicationStatus);
+
 // The bound of the class with the least; a second where no class has one.
 Time tightestStalenessBound(const Settings&);
 
--- a/src/balancer/events.hpp
+++ b/src/balancer/events.hpp
@@ -46,8 +46,9 @@
   ConnectFailed,
   Reset,
   Cancelled,
-  NotSent,  // Balancer::maySendNow forbade it
-  TooStale  // the endpoint's data were too old; it did not run
+  NotSent,      // Balancer::maySendNow forbade it
+  TooStale,     // the endpoint's data were too old; it did not run
+  StaleAnswer,  // it ran, but its answer shows that the data were too old (Balancer::isFreshEnough)
 };
 
 // The end of an attempt.
--- a/src/balancer/health_checks.cpp
+++ b/src/balancer/health_checks.cpp
@@ -22,7 +22,7 @@
   const Time required = requiredPosition(context, pending);
   const Group& group = context.groups.at(pending.request.group);
   if (context.settings.laggingReplicaPolicy == LaggingReplicaPolicy::Serve && required != kNever &&
-      endpoint.listed.id != group.primary && endpoint.replication.position < required)
+      endpoint.listed.id != group.primary && knownPosition(endpoint) < required)
     return false;
   const ClassSettings& settings = context.classOf(pending);
   if (!context.reportsCarryLoad && settings.requirement != Requirement::Write) return true;
--- a/src/balancer/request_dispatch.cpp
+++ b/src/balancer/request_dispatch.cpp
@@ -47,9 +47,9 @@
   const Time now = context.now;
   const Time required = requiredPosition(context, pending);
   const bool isPrimary = endpoint.listed.id == context.groups[request.group].primary;
-  const bool mayLag = required != kNever && !isPrimary && endpoint.replication.position < required;
+  const bool mayLag = required != kNever && !isPrimary && knownPosition(endpoint) < required;
   const auto attempt = static_cast<int>(pending.attempts.size());
-  pending.attempts.push_back({endpoint.listed.id, now});
+  pending.attempts.push_back({endpoint.listed.id, now, required});
   pending.tried.push_back(endpoint.listed.id);
   ++pending.outstanding;
   pending.healthChecksAwaited = false;
--- a/src/balancer/state.hpp
+++ b/src/balancer/state.hpp
@@ -48,7 +48,8 @@
 };
 
 struct ReplicationProgress {
-  Time position = kNever;  // all commits up to here are applied; a lower bound that only grows
+  Time position = kNever;   // all commits up to here are applied; a lower bound that only grows
+  Time primaryAt = kNever;  // it was primary then, on this proxy's clock: it had all commits up to here
   std::vector<LagSample> lags;
 };
 
@@ -125,6 +126,7 @@
 struct Attempt {
   EndpointId endpoint;
   Time sentAt;
+  Time requiredPosition = kNever;  // of a read when it was sent; kNever: any data will do
   bool inFlight = true;
   bool cancelled = false;
 };
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -59,6 +59,8 @@
   std::string endpointName(EndpointId id) const { return endpoints_.name(id); }
   // Requests that went to an endpoint listed as draining or gone for over half of the grace.
   std::uint64_t sendsToDraining() const { return sendsToDraining_; }
+  // Answers that were not given to their clients, as they showed that their data were too old.
+  std::uint64_t staleAnswersWithheld() const { return staleAnswersWithheld_; }
   bool hasPendingEvents() const { return !events_.empty(); }
   void runTurn();
   // Forgets endpoints that are gone and have nothing in flight; runTurn() does so once a second.
@@ -120,6 +122,8 @@
   void recordSend(RequestId, EndpointId, const char* reason);
 
   // Answers: what the client is sent, what other proxies and the reference clock learn.
+  balancer::AttemptOutcome outcomeOf(const engine_event::AttemptEnded&) const;
+  void withholdStaleAnswer(EndpointId, AttemptEnd&);
   void respond(const PendingRequest&, AttemptEnd&);
   void shareStatus(const engine_event::AttemptEnded&);
   void shareStatus(const engine_event::HealthCheckEnded&);
@@ -157,6 +161,7 @@
   std::unordered_map<RequestId, PendingRequest> requests_;
   RequestId lastRequest_ = 0;
   std::uint64_t sendsToDraining_ = 0;
+  std::uint64_t staleAnswersWithheld_ = 0;
 
   EndpointRegistry endpoints_;
   EndpointStartTimes startTimes_;
--- a/src/engine/engine_events.cpp
+++ b/src/engine/engine_events.cpp
@@ -75,19 +75,17 @@
   shareStatus(event);
   const auto it = requests_.find(event.request);
   const bool pending = it != requests_.end();
-  trace::attemptEnded(event.request, event.attempt, endpoints_, event.endpoint, end);
-  if (neighbours_.attempts) neighbours_.attempts->attemptEnded(event.request, event.attempt, end);
   observeAnswer(event.endpoint, replicationStatusOf(end),
                 pending ? std::make_optional(it->second.attempt(event.attempt).sentAt) : std::nullopt);
 
-  balancer::AttemptOutcome outcome;
-  outcome.request = event.request;
-  outcome.attempt = event.attempt;
-  outcome.endpoint = event.endpoint;
-  // An invalid statement is the client's fault: it is not retried, nor held against the endpoint.
-  outcome.result = end.invalidStatement ? AttemptResult::Cancelled : end.result;
+  balancer::AttemptOutcome outcome = outcomeOf(event);
+  if (outcome.result == AttemptResult::Ok && !balancer_->isFreshEnough(now_, outcome)) {
+    withholdStaleAnswer(event.endpoint, end);
+    outcome.result = end.result;
+  }
+  trace::attemptEnded(event.request, event.attempt, endpoints_, event.endpoint, end);
+  if (neighbours_.attempts) neighbours_.attempts->attemptEnded(event.request, event.attempt, end);
   outcome.clientAnswered = !pending || outcome.result == AttemptResult::Ok || end.invalidStatement;
-  outcome.replicationStatus = replicationStatusWord(positionEpochUnix(), end);
   if (pending && outcome.clientAnswered) {
     respond(it->second, end);
     requests_.erase(it);
@@ -95,6 +93,29 @@
   balancer_->attemptEnded(now_, outcome);
 }
 
+balancer::AttemptOutcome Engine::outcomeOf(const engine_event::AttemptEnded& event) const {
+  balancer::AttemptOutcome outcome;
+  outcome.request = event.request;
+  outcome.attempt = event.attempt;
+  outcome.endpoint = event.endpoint;
+  // An invalid statement is the client's fault: it is not retried, nor held against the endpoint.
+  outcome.result = event.end.invalidStatement ? AttemptResult::Cancelled : event.end.result;
+  outcome.replicationStatus = replicationStatusWord(positionEpochUnix(), event.end);
+  return outcome;
+}
+
+void Engine::withholdStaleAnswer(EndpointId endpoint, AttemptEnd& end) {
+  end.result = AttemptResult::StaleAnswer;
+  end.answer = Answer();
+  ++staleAnswersWithheld_;
+  const std::int64_t nowMs = unixNow().count() / 1000;
+  logEvent(LogLevel::Warning, "stale_answer_withheld",
+           {{"endpoint", endpoints_.name(endpoint)},
+            {"role", end.role == Role::Replica ? "replica" : "unknown"},
+            {"age_ms", end.positionMs > 0 ? nowMs - end.positionMs : -1},
+            {"count", staleAnswersWithheld_}});
+}
+
 // Records the response to the client; moves the answer out of `end`.
 void Engine::respond(const PendingRequest& request, AttemptEnd& end) {
   ResponseHandler* const handler = request.handler;
--- a/tests/decision_log.cpp
+++ b/tests/decision_log.cpp
@@ -218,6 +218,13 @@
   return mayGo;
 }
 
+bool RecordingBalancer::fresh(Time now, const AttemptOutcome& outcome) {
+  const bool mayBeDelivered = balancer_.isFreshEnough(now, outcome);
+  record("fresh",
+         {now.count(), as(outcome.request), outcome.attempt, outcome.replicationStatus, mayBeDelivered});
+  return mayBeDelivered;
+}
+
 void RecordingBalancer::suspend(Time now, EndpointId member, bool on) {
   record("suspend", {now.count(), as(member), on});
   balancer_.suspend(now, member, on);
--- a/tests/decision_log.hpp
+++ b/tests/decision_log.hpp
@@ -61,6 +61,7 @@
   void timer(Time now, std::uint64_t token);
   void heard(Time now, EndpointId, std::uint32_t note, int cls, Time latency);
   bool fit(Time now, RequestId, EndpointId);
+  bool fresh(Time now, const AttemptOutcome&);
   void suspend(Time now, EndpointId, bool on);
   void settle(Time now, const Settings&);
   std::vector<EndpointId> forget(Time now);
--- a/tests/harness.hpp
+++ b/tests/harness.hpp
@@ -154,6 +154,20 @@
     o.replicationStatus = note;
     b.outcome(now, o);
   }
+  // The last attempt of the request is answered. As in an embedding program, the answer is withheld where it
+  // shows that its data were too old. Returns whether the client gets it.
+  bool answered(RequestId id, std::uint32_t note) {
+    const auto all = sends(id);
+    AttemptOutcome o;
+    o.request = id;
+    o.attempt = static_cast<int>(all.size()) - 1;
+    o.endpoint = all.back().member;
+    o.replicationStatus = note;
+    o.clientAnswered = b.fresh(now, o);
+    if (!o.clientAnswered) o.result = AttemptResult::StaleAnswer;
+    b.outcome(now, o);
+    return o.clientAnswered;
+  }
   // A report of a position `agoMs` before now.
   void report(EndpointId m, int agoMs, bool primary = false) {
     HealthCheckResult p;
--- a/tests/property_test.cpp
+++ b/tests/property_test.cpp
@@ -208,6 +208,8 @@
           if (answered) {
             o.replicationStatus = primary ? 1 : 2;
             wasPrimary[o.endpoint] = primary;
+            // A primary stands at the present, and no position moves back: it had all commits at the send.
+            if (primary) proven[o.endpoint] = std::max(proven[o.endpoint], k.tries[n].at);
             if (s.classes[static_cast<std::size_t>(k.cls)].requirement == Requirement::Write &&
                 result == AttemptResult::Ok) {
               o.replicationStatus = t.note(0, 1);  // its commit: the primary stands there at least
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -15,6 +15,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
+#include <utility>
 
 #include "lab/name_server.hpp"
 #include "protocol/postgres/codec.hpp"
@@ -98,15 +99,18 @@
   s << (setting.peers > 0 ? "]" : "") << R"(,"settings":{"allowed":{"peers":)"
     << (setting.peers > 0 ? "true" : "false")
     << R"(,"attemptsCap":8,"cancel":true,"dialTimeoutUs":250000,"idleCloseUs":)" << setting.idleCloseUs
-    << R"(,"maxRetryAfterUs":1000000,"parallelTries":false,"probing":true,"retryAfter":true},"balancers":)"
-    << setting.balancers << R"(,
+    << R"(,"maxRetryAfterUs":1000000,"parallelTries":false,"probing":)"
+    << (setting.probing ? "true" : "false") << R"(,"retryAfter":true},"balancers":)" << setting.balancers
+    << R"(,
 "classes":[{"deadlineUs":9000000,"effect":"safe","lateWorth":0.0,"name":"read","promiseUs":8000000,"worth":1.0},
 {"deadlineUs":9000000,"effect":"keyed","group":"cell","lateWorth":0.5,"memorySpanUs":9000000,"name":"write",
 "promiseUs":8000000,"worth":6.0}],"discovery":")"
     << setting.discovery << R"(","goal":{"whole":0.55,"worstClass":0.3},
 "obligations":{"coldUs":18000000,"drainGraceUs":1000000,"fallMultiple":2.5,"fallUs":1500000,
-"mustAskInUs":10000000,"startCapacity":0.21},"report":{"how":"pull","names":["x0","x1","inflight"]},
-"specifics":{"checks":"silent","classBoundUs":[5000000,0],"consistency":["bounded","write"],"holdsForUs":0,
+"mustAskInUs":10000000,"startCapacity":0.21},"report":{"how":")"
+    << setting.reports << R"(","names":["x0","x1","inflight"]},
+"specifics":{"checks":"silent","classBoundUs":[)"
+    << setting.boundMs << R"(000,0],"consistency":["bounded","write"],"holdsForUs":0,
 "roleListed":"silent","sessionMarks":"carried","stamps":true,"synchronous":false,"zeroUs":5},
 "stepUs":5000,"zones":["a","b"]}})";
   return s.str();
@@ -540,6 +544,24 @@
     s.serves = rest.empty() ? what : what + " " + rest;
     return;
   }
+  if (verb == "becomes") {
+    if (what == "primary")
+      for (Server& other : servers_) other.primary = false;
+    s.primary = what == "primary";
+    return;
+  }
+  if (verb == "stands") {
+    s.standsAt = what == "up" ? 0 : unixMs() - std::stoll(what);
+    return;
+  }
+  if (verb == "tells") {
+    s.tells = what;
+    return;
+  }
+  if (verb == "expect" && what == "silence") {
+    EXPECT_EQ(std::exchange(s.queries, 0), 0u) << at_;
+    return;
+  }
   if (verb == "says") {
     s.says += what + "\n";
     return;
@@ -606,8 +628,7 @@
   if (what == "drained") return until([&] { return s.all.empty(); }, "the end of all connections");
   Connection* const c = s.current;
   ASSERT_NE(c, nullptr) << at_;
-  const std::string role = parameter("role", s.primary ? "primary" : "replica") +
-                           parameter("applied_ms", std::to_string(unixMs()));
+  const std::string role = note(s);
   if (what == "closed") return until([&] { return c->ended; }, "the end of the connection");
   if (verb == "close") {
     shutdown(c->fd, SHUT_RDWR);
@@ -951,7 +972,7 @@
     return;
   }
   std::ostringstream report;
-  const long long ms = unixMs();
+  const long long ms = s.primary || s.standsAt == 0 ? unixMs() : s.standsAt;
   report << "x0=" << ms / 1000 << "." << ms % 1000 / 100 << ",x1=" << (s.primary ? 1 : 0) << ",inflight=0";
   put(c.fd, row(report.str()) + postgres::message('C', std::string("SHOW\0", 5)) + postgres::readyForQuery());
 }
@@ -1000,15 +1021,25 @@
   put(c.fd, greeting.substr(0, greeting.size() - 6) + says + postgres::readyForQuery());
 }
 
+std::string Scenario::note(const Server& s) {
+  std::string note;
+  if (s.tells != "nothing") note += parameter("role", s.primary ? "primary" : "replica");
+  const long long position = s.primary || s.standsAt == 0 ? unixMs() : s.standsAt;
+  if (s.tells == "all") note += parameter("applied_ms", std::to_string(position));
+  return note;
+}
+
 // By itself: "fail" for a statement that says so, nothing for one that is to hang.
 void Scenario::serve(Server& s, Connection& c) {
   char type = 0;
   std::string statement;
   while (c.greeted && message(c, type, statement)) {
     if (type != 'Q' || statement.find("hang") != std::string::npos) continue;
-    const std::string role = parameter("role", s.primary ? "primary" : "replica") +
-                             parameter("applied_ms", std::to_string(unixMs())) + postgres::readyForQuery();
-    if (statement.find("fail") != std::string::npos)
+    ++s.queries;
+    const std::string role = note(s) + postgres::readyForQuery();
+    if (statement.compare(0, 6, "INSERT") == 0 && !s.primary)
+      put(c.fd, postgres::error("ERROR", "25006", "this is no primary") + role);
+    else if (statement.find("fail") != std::string::npos)
       put(c.fd, postgres::error("ERROR", "42703", "column does not exist") + role);
     else
       put(c.fd, row(s.serves) + postgres::message('C', std::string("SELECT 1\0", 9)) + role);
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -7,7 +7,11 @@
 //   s2 expect another TEXT   a query, on another connection than the last one; s2 expect kept TEXT: and none that was used has ended
 //   s2 wait queries N   s2 wait silent   s2 report TEXT   s2 drop probes N   s2 send spoilt KIND   s2 send done TAG
 //   s2 send cells TYPE=VALUE ...   a row of columns by their types' ids
-//   s2 serves TEXT   to every query, by itself
+//   s2 serves TEXT   to every query, by itself; a write where it is no primary gets 25006
+//   s2 becomes primary   and all others replicas; s2 becomes replica
+//   s2 stands MS   its data stand still from now on, so old; s2 stands up: they follow the present, as at the start
+//   s2 tells all|role|nothing   of its role and position, in its answers
+//   s2 expect silence   no query has come since it was last looked at
 //   s2 says NAME=VALUE   on connections that it greets from then on
 //   s2 speaks 3.2|old|fatal   to those that ask for 3.2; s2 expect minor N: what the last one asked for
 //   s2 asks trust|cleartext|md5|scram|signature|nonce|iterations|skip|kerberos   of a login; the password is "inner"
@@ -68,6 +72,9 @@
   std::string discovery = "subscribe";  // or automatic: an agent on this machine has the list pushed to it
   bool firstList = true;                // the first call is answered before the scenario begins
   bool justStarted = false;             // the data servers that are known at the start began at that moment
+  std::string reports = "pull";         // how load reports travel: pull, piggyback or silent
+  bool probing = true;                  // data servers may be probed
+  int boundMs = 5000;                   // the age that the data of a read may have
 };
 
 std::string configuration(const Setting&, int discoveryPort, const std::vector<int>& serverPorts);
@@ -129,6 +136,9 @@
     int minor = -1;                      // that was asked for last
     std::string asks;                    // of those that log in
     std::string serves;                  // to every query
+    std::string tells = "all";           // of role and position, in its answers
+    long long standsAt = 0;              // Unix time in ms of its data; 0: the present
+    std::size_t queries = 0;             // that it has served by itself
     std::vector<std::uint32_t> cancels;  // numbers of the connections that were called off
     std::list<Connection> all;
     Connection* current = nullptr;
@@ -156,6 +166,7 @@
   void greet(Server&, Connection&);
   bool login(Server&, Connection&);
   void serve(Server&, Connection&);
+  static std::string note(const Server&);  // its role and position, as its answers tell them
   void let(Server&, Connection&, const std::string& before);
   void dial(Connection&);
   template <typename Done>
--- /dev/null
+++ b/tests/takeover_test.cpp
@@ -0,0 +1,69 @@
+// Reads and writes after another server has become the primary of their group.
+//
+// Found by the fault soak (seed 5): a proxy that had not heard of its primary for longer than a read's bound
+// took it for fresh all the same. It had hung, another server had taken over, and its answer said so itself
+// (role replica, a position over 5 s old); the client was given it. Measured apart from that: answers up to
+// 11 s old, and readers and writers that were refused for ever after.
+#include <chrono>
+
+#include "scenario.hpp"
+
+namespace sablespur::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto kLongerThanTheBound = 400ms;
+
+Setting withoutProbes() {
+  Setting setting;
+  setting.reports = "silent";
+  setting.probing = false;
+  setting.boundMs = 300;
+  return setting;
+}
+
+// Server 1 is known as primary by its answer to a write.
+constexpr const char* kServerOneIsPrimary = R"(
+  s1 serves one
+  s2 serves two
+  s1 wait idle 2
+  s2 wait idle 2
+  c1 send query INSERT 1 /* id=w1,c=write,d=7000,k=1,cluster=3 */
+  c1 expect row one
+)";
+
+// A read of its primary's answer says that it is a replica, with old data.
+TEST(Takeover, AnAnswerThatShowsItsAgeIsNotDelivered) {
+  for (const char* const tells : {"all", "role"}) {
+    SCOPED_TRACE(tells);
+    Scenario t(withoutProbes());
+    t.run(std::string("s1 tells ") + tells + "\n" + kServerOneIsPrimary);
+    t.run("s2 becomes primary\ns1 stands 0");
+    t.serveFor(kLongerThanTheBound);
+    t.run(R"(
+      c1 send query SELECT 1 /* id=r1,c=read,d=500,cluster=3 */
+      c1 expect error 53300
+      proxy expect log event=stale_answer_withheld
+    )");
+  }
+}
+
+// The other server that has the data is asked within the same request.
+TEST(Takeover, AReadWhoseAnswerIsWithheldGoesToAServerThatIsFresh) {
+  Setting setting = withoutProbes();
+  setting.boundMs = 1000;
+  Scenario t(setting);
+  t.run(kServerOneIsPrimary);
+  t.run("s2 becomes primary\ns1 stands 0");
+  t.serveFor(1100ms);
+  t.run(R"(
+    c1 send query INSERT 1 /* id=w2,c=write,d=7000,k=2,cluster=3 */
+    c1 expect row two
+    c1 send query SELECT 1 /* id=r1,c=read,d=7000,cluster=3 */
+    c1 expect row two
+  )");
+}
+
+}  // namespace
+}  // namespace sablespur::test
