Balancer: a server that turns a write away is no primary, whatever it tells

What callers saw: during a takeover a write with 9 s to go was refused (53300) within a millisecond.

Cause: learnReplicationState (src/balancer/attempt_outcome.cpp) took a role from the answer's parameters alone. Where the error told none, the group kept its primary, advanceWrite cleared the list of servers tried, and all eight attempts went to the server that had just said that it is none (25006).

Change: such an outcome of a write shows that the server is a replica; a role that is told goes first. Why it works: the error means just that (PROTOCOL: a write, and this is no primary); the search for the primary then tries each other server once.

--- a/src/balancer/attempt_outcome.cpp
+++ b/src/balancer/attempt_outcome.cpp
@@ -45,17 +45,19 @@
 }
 
 // What the outcome shows of the endpoint's role.
-Role shownRole(const AttemptOutcome& outcome) {
+Role shownRole(const AttemptOutcome& outcome, bool isWrite) {
   if (!isReply(outcome.result)) return Role::Unknown;
   // Whatever it calls itself, a primary's data are never too old.
   if (outcome.result == AttemptResult::StaleAnswer) return Role::Replica;
-  return roleOf(outcome.replicationStatus);
+  const Role told = roleOf(outcome.replicationStatus);
+  const bool turnedWriteAway = isWrite && outcome.result == AttemptResult::TooStale;
+  return told == Role::Unknown && turnedWriteAway ? Role::Replica : told;
 }
 
 // Role, position and load that came with the outcome.
 void learnReplicationState(Context& context, Endpoint& endpoint, const InFlightAttempt& attempt,
                            const AttemptOutcome& outcome, bool isWrite) {
-  const Role role = shownRole(outcome);
+  const Role role = shownRole(outcome, isWrite);
   if (role != Role::Unknown) recordRole(context, endpoint, role, context.now);
   // The answer was written after the send, so that much is certain whenever it came.
   if (role == Role::Primary)
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -65,5 +65,20 @@
   )");
 }
 
+// A write that is turned away as at no primary was sent there eight times within a millisecond, and refused.
+TEST(Takeover, AWriteIsNotSentAgainToTheServerThatTurnedItAway) {
+  for (const bool probing : {true, false}) {
+    SCOPED_TRACE(probing);
+    Scenario t(probing ? Setting() : withoutProbes());
+    t.run(kServerOneIsPrimary);
+    t.run(R"(
+      s1 tells nothing
+      s2 becomes primary
+      c1 send query INSERT 1 /* id=w2,c=write,d=7000,k=2,cluster=3 */
+      c1 expect row two
+    )");
+  }
+}
+
 }  // namespace
 }  // namespace sablespur::test
