Balancer: without health checks, writes try the servers again after a round in vain

What callers saw: where data servers may not be probed, one write during a takeover left the group without writes for good: every later one was refused at 45% of its time, until the list changed.

Cause: nextPrimaryCandidate (src/balancer/primary_discovery.cpp) marks a round in which no server was the primary by the version of the list (exhaustedInUpdate) and lets the next one begin after a change of the list or of a role. A takeover changes no list, and no role is heard of where nothing is sent or checked: reads need a proven server, writes a primary.

Change: without health checks a round may begin at a time of its own: 250 ms after the one before, doubled up to 2 s, by 0.5 to 1.5 of it at random; a found or lost primary resets it. Why it is allowed: a server that is no primary turns a write away untouched (miss).

--- a/src/balancer/primary_discovery.cpp
+++ b/src/balancer/primary_discovery.cpp
@@ -1,5 +1,7 @@
 #include "balancer/primary_discovery.hpp"
 
+#include <algorithm>
+
 #include "balancer/endpoint_state.hpp"
 #include "balancer/health_checks.hpp"
 #include "balancer/housekeeping.hpp"
@@ -11,10 +13,33 @@
 namespace {
 
 constexpr Time kPrimaryDiscoveryInterval = std::chrono::milliseconds(250);  // between checks of an endpoint
+// Between rounds of a write over the endpoints where no health check can tell the primary.
+constexpr Time kMinRoundPause = std::chrono::milliseconds(250);
+constexpr Time kMaxRoundPause = std::chrono::seconds(2);
 
 void setPrimary(Group& group, EndpointId id) {
   group.primary = id;
   group.discovery.exhaustedInUpdate = 0;
+  group.discovery.nextRoundAt = kNever;
+  group.discovery.roundBackoff = Time(0);
+}
+
+// Whether a write may begin to try the endpoints in turn.
+bool mayBeginRound(const Context& context, const PrimaryDiscovery& discovery) {
+  if (discovery.write != 0) return false;
+  const bool isExhausted = discovery.exhaustedInUpdate == context.listUpdates;
+  if (context.canHealthCheck()) return !isExhausted;
+  // A takeover ends without a change of the list, and only a write can find it.
+  return context.now >= discovery.nextRoundAt;
+}
+
+// Proxies that come up empty together try again at different times.
+void beginRound(const Context& context, PrimaryDiscovery& discovery, RequestId write) {
+  discovery.write = write;
+  const Time pause = std::max(discovery.roundBackoff, kMinRoundPause);
+  const double jitter = 0.5 + context.random.fraction(write);
+  discovery.nextRoundAt = context.now + scaled(pause, jitter);
+  discovery.roundBackoff = std::min(2 * pause, kMaxRoundPause);
 }
 
 }  // namespace
@@ -48,18 +73,16 @@
 
 Endpoint* nextPrimaryCandidate(Context& context, Group& group, const PendingRequest& write) {
   PrimaryDiscovery& discovery = group.discovery;
-  const bool isFree = discovery.write == 0 || discovery.write == write.request.id;
-  if (discovery.exhaustedInUpdate != context.listUpdates && isFree) {
-    for (const EndpointId id : group.endpoints) {
-      Endpoint& endpoint = context.endpoints.at(id);
-      if (!isUsable(context.settings, endpoint) || !isHealthy(context, endpoint)) continue;
-      if (!mayTake(context, write, endpoint) || !slowStartAdmits(context, endpoint, write)) continue;
-      discovery.write = write.request.id;
-      return &endpoint;
-    }
-    discovery.exhaustedInUpdate = context.listUpdates;
+  const RequestId id = write.request.id;
+  if (mayBeginRound(context, discovery)) beginRound(context, discovery, id);
+  if (discovery.write != id) return nullptr;
+  for (const EndpointId candidate : group.endpoints) {
+    Endpoint& endpoint = context.endpoints.at(candidate);
+    if (!isUsable(context.settings, endpoint) || !isHealthy(context, endpoint)) continue;
+    if (mayTake(context, write, endpoint) && slowStartAdmits(context, endpoint, write)) return &endpoint;
   }
-  if (discovery.write == write.request.id) discovery.write = 0;
+  discovery.exhaustedInUpdate = context.listUpdates;
+  discovery.write = 0;
   return nullptr;
 }
 
--- a/src/balancer/primary_discovery.hpp
+++ b/src/balancer/primary_discovery.hpp
@@ -15,8 +15,9 @@
 Endpoint* primaryOf(Context&, const Group&);
 
 // With no primary known, one write tries the endpoints by id while the others wait. Returns the one that this
-// write should try next, or nullptr where it has to wait. Where health checks can tell the primary one round
-// is enough; the next one follows after a change of the list or of a role.
+// write should try next, or nullptr where it has to wait. The next round follows after a change of the list
+// or of a role; where no health check can tell the primary, also after a pause that doubles up to two
+// seconds.
 Endpoint* nextPrimaryCandidate(Context&, Group&, const PendingRequest& write);
 
 // While a write waits for a primary, asks every endpoint of the group for its role by health checks.
--- a/src/balancer/state.hpp
+++ b/src/balancer/state.hpp
@@ -112,6 +112,8 @@
   Time wantedAt = kNever;               // when a write last needed the primary
   RequestId write = 0;                  // the one write that tries the endpoints in turn; 0: none
   std::uint64_t exhaustedInUpdate = 0;  // no endpoint was it, as of this list update; 0: not tried in vain
+  Time nextRoundAt = kNever;            // without health checks: when the endpoints are tried anew
+  Time roundBackoff{};                  // pause after the next round in vain; 0: the shortest
 };
 
 struct Group {
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -80,5 +80,19 @@
   }
 }
 
+// While no server was primary a write tried each of them in vain. After that no write went out any more.
+TEST(Takeover, WritesAreTriedAgainAfterNoServerWasThePrimary) {
+  Scenario t(withoutProbes());
+  t.run(kServerOneIsPrimary);
+  t.run(R"(
+    s1 becomes replica
+    c1 send query INSERT 1 /* id=w2,c=write,d=400,k=2,cluster=3 */
+    c1 expect error 53300
+    s2 becomes primary
+    c1 send query INSERT 1 /* id=w3,c=write,d=7000,k=3,cluster=3 */
+    c1 expect row two
+  )");
+}
+
 }  // namespace
 }  // namespace sablespur::test
