Balancer: a primary of long ago is asked for its role before a read goes there

All replicas were too old; checksNeededBeforeChoice asks replicas alone (uncheckedPrimary leaves the primary out), and the read then went to s-1, which had last answered as primary 5.4 s before, had hung since and had lost the role. Ruled out: a wrong clock (no reference_clock_moved), a list that was late (s-1 never left it), a position that was believed wrongly (every position told was true).

The check is made where health checks are allowed; elsewhere the answer is what shows it.

Failed before: Takeover.APrimaryOfLongAgoIsAskedBeforeAReadGoesThere (a real process; s1 was sent the read).

--- a/src/balancer/health_checks.cpp
+++ b/src/balancer/health_checks.cpp
@@ -12,6 +12,8 @@
 constexpr int kCheckedCandidates = 2;  // asked before a choice: one may be the worse of two
 constexpr int kWaitsPerObjective = 8;  // a request waits for replies for 1/8 of its latency objective at most
 constexpr int kChecksPerBound = 4;     // positions are asked for four times in a staleness bound at most
+// An answer as primary is believed for so long: no takeover is over sooner.
+constexpr Time kPrimaryRoleValidity = std::chrono::seconds(1);
 // Between checks, by all proxies together, of an endpoint that none of them hears of.
 constexpr Time kUnknownEndpointProbeInterval = std::chrono::milliseconds(40);
 
@@ -100,6 +102,16 @@
   return checkFirstCandidates(context, pending, candidates, leftOut);
 }
 
+bool primaryCheckNeeded(Context& context, const PendingRequest& pending, Endpoint& choice) {
+  if (!context.canHealthCheck()) return false;
+  if (context.settings.laggingReplicaPolicy != LaggingReplicaPolicy::Serve) return false;
+  const Time required = requiredPosition(context, pending);
+  if (required == kNever || knownPosition(choice) >= required) return false;
+  if (context.now - choice.role.at < kPrimaryRoleValidity) return false;
+  checkIfDue(context, choice, kHousekeepingInterval);
+  return choice.health.checkInProgress;
+}
+
 Time healthCheckWait(const Context& context, const PendingRequest& pending) {
   return std::max(context.settings.timerResolution,
                   context.classOf(pending).latencyObjective / kWaitsPerObjective);
--- a/src/balancer/health_checks.hpp
+++ b/src/balancer/health_checks.hpp
@@ -16,6 +16,11 @@
 // known. Returns whether the request should wait for the replies; at most once for each attempt.
 bool checksNeededBeforeChoice(Context&, const PendingRequest&, const std::vector<Endpoint*>& candidates);
 
+// Before a read is sent to `choice`: asks it for its role where that alone makes its data new enough and was
+// last heard of so long ago that another endpoint may have taken over. Returns whether the read should wait
+// for the reply.
+bool primaryCheckNeeded(Context&, const PendingRequest&, Endpoint& choice);
+
 // How long a request waits for the replies.
 Time healthCheckWait(const Context&, const PendingRequest&);
 
--- a/src/balancer/request_dispatch.cpp
+++ b/src/balancer/request_dispatch.cpp
@@ -53,6 +53,7 @@
   pending.tried.push_back(endpoint.listed.id);
   ++pending.outstanding;
   pending.healthChecksAwaited = false;
+  pending.awaitedChoice.reset();
   chargeSlowStart(context, endpoint, pending);
   endpoint.inFlight.push_back(
       {request.id, attempt, request.classIndex, outstandingLoad(context, endpoint), now, mayLag});
@@ -88,7 +89,34 @@
   return set;
 }
 
+// Sends the read, or waits for the check of an endpoint whose role as primary was heard of long ago.
+void sendOnceConfirmed(Context& context, PendingRequest& pending, Endpoint& choice) {
+  if (!primaryCheckNeeded(context, pending, choice)) return send(context, pending, choice);
+  const Time limit = healthCheckWait(context, pending);
+  pending.awaitedChoice = AwaitedChoice{choice.listed.id, context.now + limit};
+  waitForEndpoint(context, pending, limit);
+}
+
+// Whether the read goes on with the choice that it has made already. A new choice would draw anew from the
+// budgets of endpoints that are warming up.
+bool advancedAwaitedChoice(Context& context, PendingRequest& pending) {
+  if (!pending.awaitedChoice) return false;
+  Endpoint* const choice = context.findEndpoint(pending.awaitedChoice->endpoint);
+  const Time left = pending.awaitedChoice->until - context.now;
+  if (choice && choice->health.checkInProgress && left > Time(0)) {
+    waitForEndpoint(context, pending, left);
+    return true;
+  }
+  pending.awaitedChoice.reset();
+  if (!choice || !isUsable(context.settings, *choice) || !isHealthy(context, *choice)) return false;
+  const Group& group = context.groups[pending.request.group];
+  if (!freshProbability(context, *choice, group, requiredPosition(context, pending))) return false;
+  send(context, pending, *choice);
+  return true;
+}
+
 void advanceRead(Context& context, PendingRequest& pending) {
+  if (advancedAwaitedChoice(context, pending)) return;
   const std::vector<Endpoint*> candidates = readCandidates(context, pending);
   if (waitedForHealthChecks(context, pending, candidates)) return;
   std::vector<ReplicaChoice> set = selectReadSet(context, pending, candidates);
@@ -99,7 +127,7 @@
   const bool hadNoCandidate = set.empty();
   removeNotWorthSending(context, pending, set);
   if (set.empty()) set = selectLastResort(context, pending);
-  if (!set.empty()) return send(context, pending, *set.front().endpoint);
+  if (!set.empty()) return sendOnceConfirmed(context, pending, *set.front().endpoint);
   if (hadNoCandidate) return waitForEndpoint(context, pending);
   finishUnserved(context, pending);
 }
--- a/src/balancer/state.hpp
+++ b/src/balancer/state.hpp
@@ -139,6 +139,12 @@
   EndpointId endpoint = 0;  // 0: an earlier request of the same key, it is not known where
 };
 
+// The endpoint that a read has chosen, while it waits for a check that tells whether it is still the primary.
+struct AwaitedChoice {
+  EndpointId endpoint = 0;
+  Time until{};  // then the read goes there without the check's reply
+};
+
 struct PendingRequest {
   Request request;
   Time arrivedAt{};
@@ -150,6 +156,7 @@
   std::optional<PossibleExecution> possibleExecution;
   bool waiting = false;
   bool healthChecksAwaited = false;  // its next attempt has already waited for health checks
+  std::optional<AwaitedChoice> awaitedChoice;
 };
 
 }  // namespace sablespur::balancer
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -558,8 +558,8 @@
     s.tells = what;
     return;
   }
-  if (verb == "expect" && what == "silence") {
-    EXPECT_EQ(std::exchange(s.queries, 0), 0u) << at_;
+  if (verb == "expect" && what == "served") {
+    EXPECT_EQ(std::exchange(s.queries, 0), std::stoul(rest)) << at_;
     return;
   }
   if (verb == "says") {
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -11,7 +11,7 @@
 //   s2 becomes primary   and all others replicas; s2 becomes replica
 //   s2 stands MS   its data stand still from now on, so old; s2 stands up: they follow the present, as at the start
 //   s2 tells all|role|nothing   of its role and position, in its answers
-//   s2 expect silence   no query has come since it was last looked at
+//   s2 expect served N   so many queries by itself, since this was last asked
 //   s2 says NAME=VALUE   on connections that it greets from then on
 //   s2 speaks 3.2|old|fatal   to those that ask for 3.2; s2 expect minor N: what the last one asked for
 //   s2 asks trust|cleartext|md5|scram|signature|nonce|iterations|skip|kerberos   of a login; the password is "inner"
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -65,6 +65,42 @@
   )");
 }
 
+Setting withProbes() {
+  Setting setting;
+  setting.boundMs = 1000;
+  return setting;
+}
+constexpr auto kLongerThanTheBoundWithProbes = 1200ms;
+
+// The soak's seed 5: all replicas were too old, and the read went to a server that had been the primary 5.4 s
+// before, though a check tells what it is now.
+TEST(Takeover, APrimaryOfLongAgoIsAskedBeforeAReadGoesThere) {
+  Scenario t(withProbes());
+  t.run(kServerOneIsPrimary);
+  t.run("s1 expect served 1\ns2 stands 5000");
+  t.serveFor(kLongerThanTheBoundWithProbes);
+  t.run(R"(
+    s1 becomes replica
+    s1 stands 1100
+    c1 send query SELECT 1 /* id=r1,c=read,d=600,cluster=3 */
+    c1 expect error 53300
+    s1 expect served 0
+    s2 expect served 0
+  )");
+}
+
+// The common case: the primary is what it was.
+TEST(Takeover, AQuietProxyReadsFromItsPrimaryAsBefore) {
+  Scenario t(withProbes());
+  t.run(kServerOneIsPrimary);
+  t.run("s1 expect served 1\ns2 stands 5000");
+  t.serveFor(kLongerThanTheBoundWithProbes);
+  t.run(R"(
+    c1 send query SELECT 1 /* id=r1,c=read,d=7000,cluster=3 */
+    c1 expect row one
+  )");
+}
+
 // A write that is turned away as at no primary was sent there eight times within a millisecond, and refused.
 TEST(Takeover, AWriteIsNotSentAgainToTheServerThatTurnedItAway) {
   for (const bool probing : {true, false}) {
