Balancer: a read that no server is fresh enough for asks for the primary while it waits

What callers saw: after a takeover a lone read with 7 s to go was refused at 45% of its time, though a new primary had been up for 2.6 s of it. Nobody asked for it.

Cause: a read has the first two servers in turn checked once (healthChecksAwaited); then it only waits for what other requests bring. checkForPrimary asks all servers of a group every 250 ms, but only while a write waits (discovery.wantedAt was set by advanceWrite alone).

Change: a read that finds servers that would take it, none with data that are new enough, and no check of the group that is still out, makes the group want its primary as a write does. checkForPrimary keeps its bounds: only while no healthy primary is known, each server four times a second at most.

Failed before: Takeover.AReadThatWaitsIsServedOnceTheNewPrimaryIsUp (a real process; 53300 after 3.2 s); PrimaryCheck.WhileAReadWaitsForFreshDataTheServersAreAskedAgain fails with the line taken out (mutation).

--- a/src/balancer/primary_discovery.hpp
+++ b/src/balancer/primary_discovery.hpp
@@ -20,7 +20,7 @@
 // seconds.
 Endpoint* nextPrimaryCandidate(Context&, Group&, const PendingRequest& write);
 
-// While a write waits for a primary, asks every endpoint of the group for its role by health checks.
+// While a request waits for a primary, asks every endpoint of the group for its role by health checks.
 void checkForPrimary(Context&, const Group&);
 
 }  // namespace sablespur::balancer
--- a/src/balancer/request_dispatch.cpp
+++ b/src/balancer/request_dispatch.cpp
@@ -128,7 +128,13 @@
   removeNotWorthSending(context, pending, set);
   if (set.empty()) set = selectLastResort(context, pending);
   if (!set.empty()) return sendOnceConfirmed(context, pending, *set.front().endpoint);
-  if (hadNoCandidate) return waitForEndpoint(context, pending);
+  if (hadNoCandidate) {
+    // Some would take it, but none is known to have the data, and no check is to tell of it. The primary has
+    // them, whoever that is.
+    Group& group = context.groups[pending.request.group];
+    if (!candidates.empty() && !awaitsHealthChecks(context, group)) group.discovery.wantedAt = context.now;
+    return waitForEndpoint(context, pending);
+  }
   finishUnserved(context, pending);
 }
 
--- a/tests/primary_check_test.cpp
+++ b/tests/primary_check_test.cpp
@@ -73,5 +73,43 @@
   for (const Action& probe : t.out.of("probe")) EXPECT_NE(probe.member, 1u);
 }
 
+// A lone read waited to its end after two replicas had been asked once, though a new primary came up.
+TEST(PrimaryCheck, WhileAReadWaitsForFreshDataTheServersAreAskedAgain) {
+  Settings patient = settings();
+  patient.classes[kBounded].latencyObjective = seconds(5);
+  patient.classes[kBounded].deadline = seconds(5);
+  Bench t(patient, 5);
+  t.teachPrimary(1);
+  t.report(1, 0, false);
+  t.pass(600);
+  const RequestId read = t.ask(kBounded);
+  std::set<EndpointId> asked;
+  for (std::size_t k = 0, answered = 0; k < 30 && t.sends(read).empty(); ++k, t.run(10)) {
+    const std::vector<Action> probes = t.out.of("probe");
+    for (; answered < probes.size(); ++answered) {
+      asked.insert(probes[answered].member);
+      t.report(probes[answered].member, 900);
+    }
+  }
+  EXPECT_EQ(asked.size(), 5u);
+  EXPECT_TRUE(t.sends(read).empty());
+  const std::size_t before = t.out.of("probe").size();
+  t.run(300);
+  const std::vector<Action> probes = t.out.of("probe");
+  ASSERT_GT(probes.size(), before);
+  t.report(probes.back().member, 10, true);
+  EXPECT_EQ(t.lastTo(read), probes.back().member);
+}
+TEST(PrimaryCheck, AReadOfAnyDataAsksForNoPrimary) {
+  Bench t;
+  t.teachPrimary(1);
+  t.report(1, 0, false);
+  for (EndpointId member = 1; member <= 3; ++member) t.b.suspend(t.now, member, true);
+  const std::size_t before = t.out.of("probe").size();
+  t.ask(kAny);
+  t.run(500);
+  EXPECT_EQ(t.out.of("probe").size(), before);
+}
+
 }  // namespace
 }  // namespace sablespur::balancer::test
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -89,6 +89,24 @@
   )");
 }
 
+// The takeover ends while a read waits, and no other request comes that would ask anybody.
+TEST(Takeover, AReadThatWaitsIsServedOnceTheNewPrimaryIsUp) {
+  Scenario t(withProbes());
+  t.run(kServerOneIsPrimary);
+  t.run("s2 stands 5000");
+  t.serveFor(kLongerThanTheBoundWithProbes);
+  t.run(R"(
+    s1 becomes replica
+    s1 stands 1100
+    c1 send query SELECT 1 /* id=r1,c=read,d=7000,cluster=3 */
+  )");
+  t.serveFor(500ms);
+  t.run(R"(
+    s2 becomes primary
+    c1 expect row two
+  )");
+}
+
 // The common case: the primary is what it was.
 TEST(Takeover, AQuietProxyReadsFromItsPrimaryAsBefore) {
   Scenario t(withProbes());
