Balancer: without health checks, writes search for the primary at most a second apart

Cause: rounds in vain were up to 2 s apart, by 0.5 to 1.5 of it at random, so that a group whose new primary was up could stay without writes, and with that without reads, for 3 s. Change: the pause doubles up to one second.

--- a/src/balancer/primary_discovery.cpp
+++ b/src/balancer/primary_discovery.cpp
@@ -15,7 +15,7 @@
 constexpr Time kPrimaryDiscoveryInterval = std::chrono::milliseconds(250);  // between checks of an endpoint
 // Between rounds of a write over the endpoints where no health check can tell the primary.
 constexpr Time kMinRoundPause = std::chrono::milliseconds(250);
-constexpr Time kMaxRoundPause = std::chrono::seconds(2);
+constexpr Time kMaxRoundPause = std::chrono::seconds(1);
 
 void setPrimary(Group& group, EndpointId id) {
   group.primary = id;
--- a/src/balancer/primary_discovery.hpp
+++ b/src/balancer/primary_discovery.hpp
@@ -16,8 +16,8 @@
 
 // With no primary known, one write tries the endpoints by id while the others wait. Returns the one that this
 // write should try next, or nullptr where it has to wait. The next round follows after a change of the list
-// or of a role; where no health check can tell the primary, also after a pause that doubles up to two
-// seconds.
+// or of a role; where no health check can tell the primary, also after a pause that doubles up to one
+// second.
 Endpoint* nextPrimaryCandidate(Context&, Group&, const PendingRequest& write);
 
 // While a request waits for a primary, asks every endpoint of the group for its role by health checks.
