Lab: a soak of takeovers and quiet times, judged by what clients are given

It knew no quiet proxies, no readers alone, one way of load reports, and judged sends alone.

New rules: stale_answers (what a client is given) and read_outages (every read fails for over 2 s though a healthy server had the data).

Each rule has a test with the fault that it is to find.

--- a/lab/audit.cpp
+++ b/lab/audit.cpp
@@ -62,7 +62,8 @@
     else
       ++inGrace_;
   }
-  if (s.read && s.bound > Time(0) && s.age > s.bound + rules_.staleSlack)
+  const bool isBounded = s.read && s.bound > Time(0);
+  if (isBounded && s.age > s.bound + rules_.staleSlack && !isExcused(s))
     breaks(s.at, "stale_reads",
            "id " + s.id + ": data " + std::to_string(s.age.count() / 1000) + " ms old, " +
                std::to_string(s.bound.count() / 1000) + " allowed");
@@ -73,11 +74,38 @@
       overlaps_.emplace_back(s.at, s.id);
     }
   all.push_back({s.token, s.server, s.at, std::nullopt});
+  if (isBounded && rules_.judgeTakeovers) readsOut_[s.token] = {s.server, s.age, s.bound};
   idOf_[s.token] = s.id;
   sends_.push_back(std::move(s));
   return sends_.back().token;
 }
 
+void Audit::roleTold(Time at, int proxy, int server, bool primary) {
+  if (primary)
+    replicaSince_.erase({proxy, server});
+  else
+    replicaSince_.try_emplace({proxy, server}, at);
+}
+
+bool Audit::isExcused(const Send& s) const {
+  if (!rules_.judgeTakeovers || !s.hasBeenPrimary) return false;
+  const auto told = replicaSince_.find({s.proxy, s.server});
+  return told == replicaSince_.end() || s.at < told->second + rules_.roleKnownAfter;
+}
+
+// The client is given the answer of the last attempt that was served.
+void Audit::judgeDelivered(Time at, const std::string& id) {
+  const auto read = servedReads_.find(id);
+  if (read == servedReads_.end()) return;
+  const ServedRead served = read->second;
+  servedReads_.erase(read);
+  if (served.age <= served.bound + rules_.staleSlack) return;
+  breaks(at, "stale_answers",
+         "id " + id + " was given data of server " + std::to_string(served.server) + ", " +
+             std::to_string(served.age.count() / 1000) + " ms old, " +
+             std::to_string(served.bound.count() / 1000) + " allowed");
+}
+
 // An attempt that is still out when the next one has come may be one whose connection's end is on its way.
 void Audit::settle(Time now) {
   std::size_t kept = 0;
@@ -106,6 +134,11 @@
               all.end());
     if (all.empty()) open_.erase(it);
   }
+  const auto read = readsOut_.find(token);
+  if (read != readsOut_.end()) {
+    if (served) servedReads_[named->second] = read->second;
+    readsOut_.erase(read);
+  }
   idOf_.erase(named);
   count_["attempts_served"] += served;
 }
@@ -142,6 +175,8 @@
   worth_ += worth;
   earned_ += earned;
   ++count_[kGotNames[static_cast<int>(got)]];
+  if (got == Got::Served) judgeDelivered(at, id);
+  servedReads_.erase(id);
   count_["on_time"] += onTime;
   ++count_["requests"];
   const auto key = keys_.find(id);
@@ -170,9 +205,9 @@
 
 std::map<std::string, double> Audit::figures() const {
   std::map<std::string, double> f;
-  for (const char* name :
-       {"late_sends", "stale_reads", "second_copies", "double_effects", "lost_writes", "felled", "lost",
-        "served", "refused", "failed", "late", "unanswered", "on_time", "requests", "attempts_served"}) {
+  for (const char* name : {"late_sends", "stale_reads", "stale_answers", "second_copies", "double_effects",
+                           "lost_writes", "felled", "lost", "served", "refused", "failed", "late",
+                           "unanswered", "on_time", "requests", "attempts_served"}) {
     const auto it = count_.find(name);
     f[name] = it == count_.end() ? 0 : static_cast<double>(it->second);
   }
--- a/lab/audit.hpp
+++ b/lab/audit.hpp
@@ -28,6 +28,10 @@
     Time drainGrace = std::chrono::milliseconds(1050);  // 1 s and 50 ms for the sockets
     Time overlap = std::chrono::milliseconds(20);    // the end of a connection is noticed no later than that
     Time staleSlack = std::chrono::milliseconds(5);  // from the proxy's send to what the stand-in sees of it
+    // A send to a server that has been primary is excused until one of its answers has told the proxy that it
+    // is none; but what the client is given is judged as well.
+    bool judgeTakeovers = false;
+    Time roleKnownAfter = std::chrono::milliseconds(100);  // from when it was written
   };
   explicit Audit(const Rules& rules) : rules_(rules) {}
   Audit() : Audit(Rules()) {}
@@ -44,8 +48,9 @@
     std::string id, key;
     std::string cls;
     bool read = false;
-    Time age{}, bound{};      // of the data there at that time; bound 0: any age will do
-    std::uint64_t token = 0;  // of this attempt, given by send
+    Time age{}, bound{};          // of the data there at that time; bound 0: any age will do
+    bool hasBeenPrimary = false;  // the server, now or earlier
+    std::uint64_t token = 0;      // of this attempt, given by send
   };
   std::uint64_t send(Send);
   void ended(Time, std::uint64_t token, bool served);       // answered, or its connection ended
@@ -54,6 +59,7 @@
   void crashed(Time, int proxy, int status);
   void cold(double multiple);
   void probe(Time) { ++probes_; }
+  void roleTold(Time, int proxy, int server, bool primary);  // with an answer or a report
 
   // Of the clients: every request ends in one of these, once.
   void request(Time at, const std::string& id, const std::string& key = {});
@@ -97,6 +103,12 @@
     Time at;
     std::optional<Time> overlappedAt;
   };
+  struct ServedRead {
+    int server;
+    Time age, bound;
+  };
+  bool isExcused(const Send&) const;
+  void judgeDelivered(Time, const std::string& id);
   void breaks(Time, const char* rule, std::string what);
   void settle(Time now);
 
@@ -109,7 +121,10 @@
   std::unordered_map<std::string, Time> waiting_;      // requests without an answer
   std::unordered_map<std::string, Time> effects_;      // by key
   std::unordered_map<std::string, std::string> keys_;  // of requests, by id
-  std::set<std::string> acknowledged_;  // keys of which a client was told that they were served
+  std::set<std::string> acknowledged_;                // keys of which a client was told that they were served
+  std::map<std::pair<int, int>, Time> replicaSince_;  // proxy, server: told to be none, as it was last told
+  std::unordered_map<std::uint64_t, ServedRead> readsOut_;   // by token
+  std::unordered_map<std::string, ServedRead> servedReads_;  // by id: the last attempt that was answered
   std::vector<std::pair<Time, std::string>> overlaps_;
   std::vector<Send> sends_;
   std::vector<Answer> answers_;
--- a/lab/clients.cpp
+++ b/lab/clients.cpp
@@ -307,6 +307,14 @@
 }
 void Clients::stop() { running_ = false; }
 
+void Clients::rate(double r) {
+  const bool wasQuiet = s_.rate <= 0;
+  s_.rate = r;
+  if (!running_ || !wasQuiet || r <= 0) return;
+  due_ = c_.now();
+  next_.in(Time(0));
+}
+
 void Clients::arrive() {
   if (!running_) return;
   if (s_.loop) return ask(make());
@@ -440,6 +448,7 @@
   std::string plain = value;
   if (s_.valueBytes > 0 && !s_.version) plain = plain.substr(0, plain.find('.'));
   audit_.answer(now, r.id, got, plain, latency, inTime, worth, earned);
+  if (ended_) ended_(*r.cls, r.group, r.at, got == Got::Served);
   if (!again) {
     ++asked_;
     served_ += inTime;
--- a/lab/clients.hpp
+++ b/lab/clients.hpp
@@ -3,6 +3,7 @@
 // answered.
 #pragma once
 
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -46,7 +47,10 @@
   void target(const sockaddr_in& a) { target_ = a; }
   void start();
   void stop();  // no new requests; what is out goes on
-  void rate(double r) { s_.rate = r; }
+  // Called when a request has ended; `begun`: when it was sent.
+  using Ended = std::function<void(const ClassModel&, int group, Time begun, bool served)>;
+  void onEnded(Ended call) { ended_ = std::move(call); }
+  void rate(double r);
   std::size_t open() const { return out_; }
   // The proxy was killed: ends of connections are no fault of its for requests that were asked until then.
   void excuseUntil(Time t) { excusedUntil_ = std::max(excusedUntil_, t); }
@@ -88,6 +92,7 @@
   Timer next_;
   Time due_{};  // of the next arrival
   bool running_ = false;
+  Ended ended_;
   std::size_t out_ = 0, asked_ = 0, served_ = 0, refusedAtDoor_ = 0;
   int nextAddress_ = 0;
   std::vector<double> admissions_;
--- a/lab/experiment.cpp
+++ b/lab/experiment.cpp
@@ -25,7 +25,8 @@
       {"withdraw", 1}, {"publish", 1}, {"toggle", 1}, {"drain", 1},  {"rename", 2},  {"empty", 0},
       {"refill", 0},   {"kill", 1},    {"start", 1},  {"vanish", 1}, {"back", 1},    {"hang", 1},
       {"slow", 2},     {"errors", 2},  {"resets", 2}, {"lag", 2},    {"dns", 1},     {"registry", 1},
-      {"power", 2},    {"rate", 1},    {"logins", 2}, {"proxy", 2},  {"primary", 2}, {"reconnect", 1}};
+      {"power", 2},    {"rate", 1},    {"logins", 2}, {"proxy", 2},  {"primary", 2}, {"reconnect", 1},
+      {"revive", 1},   {"load", 2}};
   return all;
 }
 
@@ -126,6 +127,7 @@
               {"discovery", text(e.discovery)},
               {"inherited", count(e.inherited)},
               {"descriptors", count(e.descriptors)},
+              {"takeover_rules", put(e.takeoverRules, readFlag)},
               {"seed", count(e.seed)}});
     if (e.proxies < 1 || e.proxies > 200)
       fault(s.line, s.title() + " proxies", "it is out of range", "write 1 to 200");
@@ -271,6 +273,7 @@
               "write SECTION.KEY, such as dnssd.refresh_most");
       else
         settings_[e.key.substr(0, dot)] += e.key.substr(dot + 1) + " = " + e.value + "\n";
+      if (e.key == "data_servers.probes") e_.probes = e.value == "yes";
     }
   }
 
--- a/lab/experiment.hpp
+++ b/lab/experiment.hpp
@@ -52,6 +52,8 @@
   std::vector<DirectLoad> direct;
   std::vector<Desks> desks;  // before each proxy
   std::vector<CrowdLoad> crowds;
+  bool probes = true;                  // whether data servers may be probed, as the proxies' settings have it
+  bool takeoverRules = false;          // judged by Audit::Rules::judgeTakeovers and Availability, too
   int inherited = 0, descriptors = 0;  // of each proxy: open from the start; the system's limit
   std::vector<ClassModel> classes;
   std::string settings;  // for the proxies, as INI
--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -205,6 +205,7 @@
       std::snprintf(report, sizeof report, "x0=%.3f,x1=%d,inflight=%zu",
                     static_cast<double>(s_.c_.unixMs(s_.position(now))) / 1e3,
                     s_.fleet_.primary(s_.group_) == &s_ ? 1 : 0, s_.machine_->held(now));
+      s_.audit_.roleTold(now, proxy_, s_.number_, s_.fleet_.primary(s_.group_) == &s_);
       return put(bev_.get(),
                  row(report) + postgres::message('C', std::string("SHOW\0", 5)) + postgres::readyForQuery());
     }
@@ -228,6 +229,7 @@
     send.read = !cls->write;
     send.age = now - s_.position(now);
     send.bound = cls->bound;
+    send.hasBeenPrimary = s_.hasBeenPrimary();
     token_ = s_.audit_.send(std::move(send));
     busy_ = true;
     arrived_ = now;
@@ -291,6 +293,7 @@
     }
     busy_ = false;
     s_.audit_.ended(now, token_, true);
+    s_.audit_.roleTold(now, proxy_, s_.number_, primary);
     if (speaker_) s_.audit_.hit(("served_by_" + s_.generation_->name).c_str());
     const std::string between = speaker_ ? speaker_->between() : std::string();
     if (!between.empty()) s_.audit_.hit("row_14"), s_.audit_.hit("row_15");
@@ -432,6 +435,7 @@
       servers_.push_back(std::make_unique<DataServer>(c, *this, audit, number, g + 1, zone,
                                                       c.uniform(s.speedLeast, s.speedMost)));
       if (m == 0) groups_[static_cast<std::size_t>(g)].primary = servers_.back().get();
+      servers_.back()->hasBeenPrimary_ = m == 0;
     }
 }
 Fleet::~Fleet() = default;
@@ -448,6 +452,25 @@
 }
 DataServer* Fleet::primary(int group) { return groups_[static_cast<std::size_t>(group - 1)].primary; }
 
+void Fleet::stepDown(int group) {
+  if (primary(group)) lostPrimary(group);
+}
+
+void Fleet::revive(int group) {
+  for (const auto& s : servers_) {
+    if (s->group() != group || !s->runs()) continue;
+    if (s->hangs_) s->hang(false);
+    if (s->vanished_) s->vanish(false);
+  }
+}
+
+bool Fleet::isAvailable(int group, Time maxAge) {
+  const Time now = c_.now();
+  return std::any_of(servers_.begin(), servers_.end(), [&](const auto& s) {
+    return s->group() == group && s->isHealthy() && now - s->position(now) <= maxAge;
+  });
+}
+
 // The replicas stand still until one of them takes over.
 void Fleet::lostPrimary(int group) {
   Group& g = groups_[static_cast<std::size_t>(group - 1)];
@@ -471,6 +494,7 @@
       best = s.get();
   if (!best) return g.failover->in(std::chrono::seconds(1));
   g.primary = best;
+  best->hasBeenPrimary_ = true;
   for (const auto& s : servers_)
     if (s->group() == group) s->log().cut(false, now);
 }
--- a/lab/fleet.hpp
+++ b/lab/fleet.hpp
@@ -57,6 +57,9 @@
   int group() const { return group_; }
   const std::string& zone() const { return zone_; }
   bool runs() const { return runs_; }
+  // Takes requests and answers them without a scripted fault.
+  bool isHealthy() const { return runs_ && !vanished_ && !hangs_ && errors_ <= 0 && resets_ <= 0; }
+  bool hasBeenPrimary() const { return hasBeenPrimary_; }
   const Generation* generation() const { return generation_ ? &*generation_ : nullptr; }
   double speed() const { return speed_; }
   Time startedAt() const { return startedAt_; }  // 0: before the run
@@ -108,6 +111,7 @@
   std::deque<Time> dials_;
   std::size_t mostDials_ = 0;
   bool runs_ = false, vanished_ = false, hangs_ = false, fallen_ = false;
+  bool hasBeenPrimary_ = false;
   double errors_ = 0, resets_ = 0;
 };
 
@@ -123,6 +127,13 @@
   const std::vector<std::unique_ptr<DataServer>>& servers() const { return servers_; }
   DataServer* byName(const std::string&);
   DataServer* primary(int group);
+  // The script's: the primary goes on as a replica, and another one takes over after a while.
+  void stepDown(int group);
+  // The script's: servers of the group that hang or have vanished answer again.
+  void revive(int group);
+  // Whether a healthy server of the group has data of at most that age.
+  bool isAvailable(int group, Time maxAge);
+  bool hasHealthyPrimary(int group) { return primary(group) && primary(group)->isHealthy(); }
   void finish(Time now);
 
  private:
--- a/lab/run.cpp
+++ b/lab/run.cpp
@@ -19,6 +19,18 @@
 constexpr const char* kService = "_postgresql._tcp";
 constexpr Time kReady = std::chrono::seconds(10), kFinish = std::chrono::seconds(5);
 
+Audit::Rules auditRules(const Experiment& e) {
+  Audit::Rules rules;
+  rules.judgeTakeovers = e.takeoverRules;
+  return rules;
+}
+
+Availability::Rules availabilityRules(const Experiment& e) {
+  Availability::Rules rules;
+  rules.foundByWrites = !e.probes;
+  return rules;
+}
+
 double sum(const std::vector<double>& v) {
   double s = 0;
   for (const double x : v) s += x;
@@ -36,9 +48,12 @@
     : e_(e),
       o_(o),
       c_(e.seed),
+      audit_(auditRules(e)),
+      availability_(availabilityRules(e)),
       steps_(c_, [this] { nextStep(); }),
       seconds_(c_, [this] { second(); }),
-      lag_(c_, [this] { measureLag(); }) {}
+      lag_(c_, [this] { measureLag(); }),
+      availabilityTimer_(c_, [this] { observeAvailability(); }) {}
 Run::~Run() = default;
 
 std::string Run::settings(std::size_t k) const {
@@ -138,6 +153,7 @@
     load.valueBytes = load.valueBytes > 0 ? load.valueBytes : e_.fleet.valueBytes;
     p.clients =
         std::make_unique<Clients>(c_, audit_, fleet_->classes(), load, "p" + std::to_string(k + 1) + "-");
+    if (e_.takeoverRules) watchReads(*p.clients, static_cast<int>(k) + 1);
     for (const Desks& d : e_.desks) {
       ClientSettings desk = d.settings;
       desk.rate /= static_cast<double>(proxies_.size());
@@ -272,6 +288,13 @@
     if (s && w[1] == "kill") s->kill();
     if (s && w[1] == "hang") s->hang(true);
     if (s && w[1] == "vanish") s->vanish(true);
+    if (s && w[1] == "stepdown") fleet_->stepDown(std::atoi(w[2].c_str()));
+  } else if (what == "revive") {  // "revive 1": what hangs or has vanished of group 1 answers again
+    fleet_->revive(std::atoi(w[1].c_str()));
+  } else if (what == "load") {  // "load 2 15": so many requests a second at proxy 2
+    const auto k = static_cast<std::size_t>(std::atoi(w[1].c_str())) - 1;
+    if (k >= proxies_.size()) complain("there is no proxy " + w[1]);
+    proxies_[k].clients->rate(value(2));
   } else if (what == "dns") {
     NameServer::Mood mood{};
     if (!NameServer::moodOf(w[1], mood)) complain("there is no mood " + w[1]);
@@ -401,6 +424,28 @@
   lag_.in(kInterval);
 }
 
+// Half of the tightest bound, so that what is available stays so for the time of a few round trips.
+void Run::observeAvailability() {
+  constexpr Time kInterval = std::chrono::milliseconds(20);
+  Time bound{};
+  for (const ClassModel& m : e_.classes)
+    if (m.bound > Time(0) && (bound == Time(0) || m.bound < bound)) bound = m.bound;
+  for (int group = 1; group <= e_.fleet.groups; ++group)
+    availability_.observe(
+        c_.now(), group,
+        e_.probes ? fleet_->isAvailable(group, bound / 2) : fleet_->hasHealthyPrimary(group));
+  availabilityTimer_.in(kInterval);
+}
+
+void Run::watchReads(Clients& clients, int proxy) {
+  clients.onEnded([this, proxy](const ClassModel& cls, int group, Time begun, bool served) {
+    if (cls.write)
+      availability_.writeEnded(c_.now(), proxy, group, begun);
+    else
+      availability_.readEnded(c_.now(), proxy, group, begun, served);
+  });
+}
+
 void Run::stop() { stopped_ = true; }
 
 Outcome Run::play() {
@@ -424,6 +469,7 @@
       act({{}, {"proxy", std::to_string(k), on ? "start" : "kill"}, 0});
   };
   power_ = std::make_unique<Power>(c_, *fleet_, audit_, std::move(hands));
+  if (e_.takeoverRules) observeAvailability();
   nextStep();
   seconds_.in(std::chrono::seconds(1));
   measureLag();
@@ -523,6 +569,7 @@
   f["load_admit_most_ms"] = admitted.most();
   if (power_) power_->figures(f);
   f["crashes"] = static_cast<double>(crashed);
+  if (e_.takeoverRules) f["read_outages"] = static_cast<double>(availability_.outages().size());
   f["resident_mb"] = peak;
   f["worst_lag_ms"] = static_cast<double>(worstLag_.count()) / 1e3;
   f["proxy_cpu_share"] = f["proxy_cpu_s"] / seconds / static_cast<double>(proxies_.size());
--- a/lab/run.hpp
+++ b/lab/run.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "lab/availability.hpp"
 #include "lab/experiment.hpp"
 #include "lab/logins.hpp"
 #include "lab/name_server.hpp"
@@ -49,6 +50,7 @@
   void stop();  // ends the load; from a signal's handler in the loop
   event_base* loop() { return c_.loop.get(); }
   const Audit& audit() const { return audit_; }
+  const Availability& availability() const { return availability_; }
   const Fleet& fleet() const { return *fleet_; }
   Time startedAt() const { return started_; }  // of the load and the script
 
@@ -77,6 +79,8 @@
   void startProxy(std::size_t k);
   void nextStep();
   void measureLag();  // of this process's own loop
+  void observeAvailability();
+  void watchReads(Clients&, int proxy);
   void second();
   std::string settings(std::size_t proxy) const;
   double cpu() const;
@@ -87,6 +91,7 @@
   const Options o_;
   Context c_;
   Audit audit_;
+  Availability availability_;
   std::unique_ptr<Fleet> fleet_;
   std::vector<Proxy> proxies_;
   std::vector<std::unique_ptr<Clients>> direct_;
@@ -96,7 +101,7 @@
   std::size_t step_ = 0;
   Time started_{};
   bool stopped_ = false;
-  Timer steps_, seconds_, lag_;
+  Timer steps_, seconds_, lag_, availabilityTimer_;
   Time lagDue_{}, worstLag_{};
   std::vector<Second> second_;
   double dnsAtStart_ = 0;
--- a/lab/soak.cpp
+++ b/lab/soak.cpp
@@ -14,6 +14,7 @@
 #include <stdexcept>
 
 #include "lab/run.hpp"
+#include "lab/takeover_schedule.hpp"
 
 namespace sablespur::lab {
 namespace {
@@ -194,7 +195,8 @@
 int playSeed(const SoakOptions& options, std::uint64_t seed) {
   constexpr std::size_t kMostPrinted = 5;
   std::vector<Fault> faults;
-  Experiment experiment = parseExperiment(soakExperiment(seed), "soak", faults);
+  const std::string text = options.kind == SoakKind::Faults ? soakExperiment(seed) : takeoverExperiment(seed);
+  Experiment experiment = parseExperiment(text, "soak", faults);
   for (const Fault& fault : faults) std::printf("%s\n", fault.text().c_str());
   if (!faults.empty()) return kFailed;
   if (options.trace) experiment.settings += "[log]\nlevel = trace\n";
@@ -203,7 +205,7 @@
   run.directory = options.directory + "/" + std::to_string(seed);
   std::filesystem::remove_all(run.directory);
   std::filesystem::create_directories(run.directory);
-  std::ofstream(run.directory + "/experiment.ini") << soakExperiment(seed);
+  std::ofstream(run.directory + "/experiment.ini") << text;
   Run played(experiment, run);
   const Outcome outcome = played.play();
   const auto figure = [&outcome](const char* name) {
@@ -213,6 +215,11 @@
   std::vector<Audit::Broken> broken;
   for (const Audit::Broken& one : played.audit().broken())
     if (counts(one)) broken.push_back(one);
+  for (const Availability::Outage& outage : played.availability().outages())
+    broken.push_back({outage.at, "read_outages",
+                      "proxy " + std::to_string(outage.proxy) + " served none of " +
+                          std::to_string(outage.reads) + " reads in " + seconds(outage.lasted) +
+                          " s, while a healthy server had fresh data"});
   const bool isCrashed = figure("crashes") > 0;
   const bool isVoid = figure("worst_lag_ms") > kMostLagMs;
   std::printf("seed %llu: %s, %.0f requests, %.0f sends, %.0f%% served, %zu broken, lag %.0f ms\n",
@@ -228,7 +235,8 @@
     printStepsBefore(experiment, broken[k].at, played.startedAt());
   }
   if (!broken.empty())
-    std::printf("  again: sablespur-lab soak --seeds %llu..%llu; logs in %s\n",
+    std::printf("  again: sablespur-lab soak%s --seeds %llu..%llu; logs in %s\n",
+                options.kind == SoakKind::Takeovers ? " --kind takeovers" : "",
                 static_cast<unsigned long long>(seed), static_cast<unsigned long long>(seed),
                 run.directory.c_str());
   std::fflush(stdout);
--- a/lab/soak.hpp
+++ b/lab/soak.hpp
@@ -7,11 +7,17 @@
 
 namespace sablespur::lab {
 
-// The experiment of a seed: its deployment, load and schedule of faults, as INI. The same text for the same
-// seed.
+// The experiment of a seed of SoakKind::Faults: its deployment, load and schedule of faults, as INI. The same
+// text for the same seed.
 std::string soakExperiment(std::uint64_t seed);
 
+enum class SoakKind {
+  Faults,    // overlapping faults of all kinds
+  Takeovers  // takeovers, quiet times, readers alone; all ways of load reports
+};
+
 struct SoakOptions {
+  SoakKind kind = SoakKind::Faults;
   std::string program;    // the proxy's
   std::string directory;  // for settings and logs
   std::uint64_t firstSeed = 1, lastSeed = 1;
--- /dev/null
+++ b/lab/takeover_schedule.cpp
@@ -0,0 +1,110 @@
+#include "lab/takeover_schedule.hpp"
+
+#include <cstddef>
+#include <map>
+#include <pcg_random.hpp>
+#include <sstream>
+
+namespace sablespur::lab {
+namespace {
+
+constexpr std::int64_t kDurationMs = 24000;
+// Time enough at the end to see whether reads are served again after the last takeover.
+constexpr std::int64_t kCalmEndMs = 9000;
+
+class TakeoverSchedule {
+ public:
+  explicit TakeoverSchedule(std::uint64_t seed) : seed_(seed), random_(seed) {}
+
+  std::string text() {
+    proxies_ = static_cast<int>(between(2, 3));
+    drawDeployment();
+    drawReports();
+    drawTakeovers();
+    drawQuietTimes();
+    return out_.str() + "[script]\n" + script();
+  }
+
+ private:
+  std::int64_t between(std::int64_t least, std::int64_t most) {
+    return least + static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(most - least + 1));
+  }
+  bool chance(int percent) { return between(1, 100) <= percent; }
+  void at(std::int64_t ms, const std::string& action) { steps_.emplace(ms, action); }
+
+  void drawDeployment() {
+    static constexpr std::int64_t kBoundsMs[] = {1000, 2000, 5000};
+    static constexpr std::int64_t kReadDeadlinesMs[] = {900, 2000};
+    const std::int64_t bound = kBoundsMs[between(0, 2)];
+    const std::int64_t deadline = kReadDeadlinesMs[between(0, 1)];
+    hasProbes_ = chance(65);
+    // Without probes only a write finds a new primary.
+    const std::int64_t writes = hasProbes_ && chance(50) ? 0 : between(10, 30);
+    rate_ = between(10, 30);
+    out_ << "[experiment]\ntitle = takeovers " << seed_ << "\nseed = " << seed_
+         << "\ndiscovery = registry\nproxies = " << proxies_ << "\nduration = " << kDurationMs
+         << "ms\nwarmup = 1s\ntakeover_rules = yes\n[fleet]\ngroups = 1\nmembers = " << between(3, 5)
+         << "\n[load]\nrate = " << rate_ * proxies_ << "\nretries = 0\n";
+    out_ << "[class tour-read]\nshare = " << 100 - writes
+         << "%\nwork_least = 5ms\nwork_most = 20ms\ndata = bounded\nmax_age = " << bound
+         << "ms\nrepeats = safe\naim = " << deadline / 2 << "ms\ngive_up = " << deadline << "ms\n";
+    if (writes == 0) return;
+    out_
+        << "[class handset-write]\nshare = " << writes
+        << "%\nwork_least = 10ms\nwork_most = 30ms\ndata = write\nrepeats = keyed\nrepeats_dropped_for = 2s\n"
+           "aim = 1500ms\ngive_up = 3000ms\nworth = 6\n";
+  }
+
+  void drawReports() {
+    const char* const reports = !hasProbes_ ? "none" : chance(50) ? "probes" : "answers";
+    out_ << "[settings]\ndata_servers.reports = " << reports
+         << "\ndata_servers.probes = " << (hasProbes_ ? "yes" : "no") << "\n";
+  }
+
+  // The primary steps down and goes on as a replica, or hangs for a while; another takes over later.
+  void drawTakeovers() {
+    constexpr std::int64_t kLongestTakeoverMs = 6000;
+    for (std::int64_t time = between(1500, 4000); time < kDurationMs - kCalmEndMs;
+         time += kLongestTakeoverMs + between(1000, 4000)) {
+      if (chance(50)) {
+        at(time, "primary stepdown 1");
+      } else {
+        at(time, "primary hang 1");
+        at(time + between(300, 3000), "revive 1");
+      }
+    }
+  }
+
+  // All requests of one proxy stop, and come again.
+  void drawQuietTimes() {
+    for (int proxy = 1; proxy <= proxies_; ++proxy) {
+      for (std::int64_t time = between(500, 4000); time < kDurationMs - kCalmEndMs;) {
+        const std::int64_t quiet = between(500, 9000);
+        const std::string load = "load " + std::to_string(proxy) + " ";
+        at(time, load + "0");
+        at(time + quiet, load + std::to_string(rate_));
+        time += quiet + between(500, 4000);
+      }
+    }
+  }
+
+  std::string script() const {
+    std::ostringstream lines;
+    for (const auto& [ms, action] : steps_) lines << ms << "ms " << action << "\n";
+    return lines.str();
+  }
+
+  const std::uint64_t seed_;
+  pcg64 random_;
+  int proxies_ = 0;
+  std::int64_t rate_ = 0;  // requests a second at each proxy
+  bool hasProbes_ = true;
+  std::ostringstream out_;
+  std::multimap<std::int64_t, std::string> steps_;
+};
+
+}  // namespace
+
+std::string takeoverExperiment(std::uint64_t seed) { return TakeoverSchedule(seed).text(); }
+
+}  // namespace sablespur::lab
--- /dev/null
+++ b/tests/availability_test.cpp
@@ -0,0 +1,129 @@
+// The lab's checkers of takeovers, each with the fault that it is there to find.
+#include "lab/availability.hpp"
+
+#include <gtest/gtest.h>
+
+#include "lab/audit.hpp"
+#include "lab/takeover_schedule.hpp"
+
+namespace sablespur::lab {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kProxy = 1;
+constexpr int kGroup = 1;
+
+// A read each 100 ms, each over after 50 ms.
+void readsFail(Availability& judge, Time from, Time until) {
+  for (Time at = from; at < until; at += milliseconds(100))
+    judge.readEnded(at + milliseconds(50), kProxy, kGroup, at, false);
+}
+
+TEST(LabAvailability, FindsAProxyThatServesNoReadThoughAServerCould) {
+  Availability judge;
+  judge.observe(seconds(1), kGroup, true);
+  readsFail(judge, seconds(2), seconds(5));
+  ASSERT_EQ(judge.outages().size(), 1u);
+  EXPECT_GT(judge.outages()[0].lasted, seconds(2));
+}
+TEST(LabAvailability, TwoSecondsAreAllowed) {
+  Availability judge;
+  judge.observe(seconds(1), kGroup, true);
+  readsFail(judge, seconds(2), milliseconds(3900));
+  judge.readEnded(seconds(4), kProxy, kGroup, milliseconds(3950), true);
+  readsFail(judge, seconds(4), milliseconds(5900));
+  EXPECT_TRUE(judge.outages().empty());
+}
+TEST(LabAvailability, WhereNoServerCouldNoProxyHasTo) {
+  Availability judge;
+  readsFail(judge, seconds(2), seconds(9));
+  judge.observe(seconds(9), kGroup, true);
+  judge.observe(seconds(10), kGroup, false);
+  readsFail(judge, seconds(10), seconds(19));
+  EXPECT_TRUE(judge.outages().empty());
+}
+TEST(LabAvailability, WithoutHealthChecksAWriteHasToFindThePrimaryFirst) {
+  Availability::Rules rules;
+  rules.foundByWrites = true;
+  Availability judge(rules);
+  judge.observe(seconds(1), kGroup, true);
+  readsFail(judge, seconds(2), seconds(9));
+  EXPECT_TRUE(judge.outages().empty());
+  judge.writeEnded(seconds(10), kProxy, kGroup, milliseconds(9900));
+  readsFail(judge, seconds(10), seconds(13));
+  EXPECT_EQ(judge.outages().size(), 1u);
+}
+
+Audit::Send staleSend(const std::string& id) {
+  Audit::Send send;
+  send.at = seconds(5);
+  send.proxy = kProxy;
+  send.server = 1;
+  send.id = id;
+  send.cls = "tour-read";
+  send.read = true;
+  send.age = seconds(6);
+  send.bound = seconds(5);
+  send.hasBeenPrimary = true;
+  return send;
+}
+Audit::Rules takeoverRules() {
+  Audit::Rules rules;
+  rules.judgeTakeovers = true;
+  return rules;
+}
+
+TEST(LabTakeoverAudit, ASendToAFormerPrimaryIsExcusedUntilItHasToldThatItIsNone) {
+  Audit audit(takeoverRules());
+  audit.send(staleSend("a"));
+  EXPECT_EQ(audit.figures().at("stale_reads"), 0);
+  audit.roleTold(milliseconds(4950), kProxy, 1, false);
+  audit.send(staleSend("b"));
+  EXPECT_EQ(audit.figures().at("stale_reads"), 0) << "what an answer tells is known after 100 ms";
+  Audit::Send later = staleSend("c");
+  later.at += milliseconds(60);
+  audit.send(later);
+  EXPECT_EQ(audit.figures().at("stale_reads"), 1);
+}
+TEST(LabTakeoverAudit, ASendToAServerThatNeverWasThePrimaryIsNotExcused) {
+  Audit audit(takeoverRules());
+  Audit::Send send = staleSend("a");
+  send.hasBeenPrimary = false;
+  audit.send(send);
+  EXPECT_EQ(audit.figures().at("stale_reads"), 1);
+}
+TEST(LabTakeoverAudit, NothingIsExcusedInTheSoakOfAllFaults) {
+  Audit audit;
+  audit.send(staleSend("a"));
+  EXPECT_EQ(audit.figures().at("stale_reads"), 1);
+}
+TEST(LabTakeoverAudit, FindsAStaleAnswerThatAClientIsGiven) {
+  Audit audit(takeoverRules());
+  audit.request(seconds(5), "a");
+  const std::uint64_t attempt = audit.send(staleSend("a"));
+  audit.ended(seconds(6), attempt, true);
+  audit.answer(seconds(6), "a", Got::Served, "v-a", milliseconds(20), true, 1, 1);
+  EXPECT_EQ(audit.figures().at("stale_answers"), 1);
+}
+TEST(LabTakeoverAudit, AWithheldAnswerIsNone) {
+  Audit audit(takeoverRules());
+  audit.request(seconds(5), "a");
+  audit.ended(seconds(6), audit.send(staleSend("a")), true);
+  Audit::Send second = staleSend("a");
+  second.server = 2;
+  second.age = Time(0);
+  audit.ended(seconds(7), audit.send(second), true);
+  audit.answer(seconds(7), "a", Got::Served, "v-a", milliseconds(20), true, 1, 1);
+  EXPECT_EQ(audit.figures().at("stale_answers"), 0);
+  EXPECT_TRUE(audit.broken().empty());
+}
+
+TEST(LabTakeoverSchedule, IsTheSameForTheSameSeed) {
+  EXPECT_EQ(takeoverExperiment(7), takeoverExperiment(7));
+  EXPECT_NE(takeoverExperiment(7), takeoverExperiment(8));
+}
+
+}  // namespace
+}  // namespace sablespur::lab
