Lab: the soak's schedules have files of their own and draw by one class

soak.cpp drew and played; the second kind repeated its draws and its script. Change: ScheduleDrawer, and one file for each kind.

--- a/lab/soak.hpp
+++ b/lab/soak.hpp
@@ -7,10 +7,6 @@
 
 namespace sablespur::lab {
 
-// The experiment of a seed of SoakKind::Faults: its deployment, load and schedule of faults, as INI. The same
-// text for the same seed.
-std::string soakExperiment(std::uint64_t seed);
-
 enum class SoakKind {
   Faults,    // overlapping faults of all kinds
   Takeovers  // takeovers, quiet times, readers alone; all ways of load reports
--- a/lab/takeover_schedule.cpp
+++ b/lab/takeover_schedule.cpp
@@ -1,10 +1,9 @@
 #include "lab/takeover_schedule.hpp"
 
-#include <cstddef>
-#include <map>
-#include <pcg_random.hpp>
 #include <sstream>
 
+#include "lab/schedule_drawer.hpp"
+
 namespace sablespur::lab {
 namespace {
 
@@ -12,9 +11,9 @@
 // Time enough at the end to see whether reads are served again after the last takeover.
 constexpr std::int64_t kCalmEndMs = 9000;
 
-class TakeoverSchedule {
+class TakeoverSchedule : private ScheduleDrawer {
  public:
-  explicit TakeoverSchedule(std::uint64_t seed) : seed_(seed), random_(seed) {}
+  explicit TakeoverSchedule(std::uint64_t seed) : ScheduleDrawer(seed), seed_(seed) {}
 
   std::string text() {
     proxies_ = static_cast<int>(between(2, 3));
@@ -26,17 +25,11 @@
   }
 
  private:
-  std::int64_t between(std::int64_t least, std::int64_t most) {
-    return least + static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(most - least + 1));
-  }
-  bool chance(int percent) { return between(1, 100) <= percent; }
-  void at(std::int64_t ms, const std::string& action) { steps_.emplace(ms, action); }
-
   void drawDeployment() {
     static constexpr std::int64_t kBoundsMs[] = {1000, 2000, 5000};
     static constexpr std::int64_t kReadDeadlinesMs[] = {900, 2000};
-    const std::int64_t bound = kBoundsMs[between(0, 2)];
-    const std::int64_t deadline = kReadDeadlinesMs[between(0, 1)];
+    const std::int64_t bound = oneOf(kBoundsMs);
+    const std::int64_t deadline = oneOf(kReadDeadlinesMs);
     hasProbes_ = chance(65);
     // Without probes only a write finds a new primary.
     const std::int64_t writes = hasProbes_ && chance(50) ? 0 : between(10, 30);
@@ -88,19 +81,11 @@
     }
   }
 
-  std::string script() const {
-    std::ostringstream lines;
-    for (const auto& [ms, action] : steps_) lines << ms << "ms " << action << "\n";
-    return lines.str();
-  }
-
   const std::uint64_t seed_;
-  pcg64 random_;
   int proxies_ = 0;
   std::int64_t rate_ = 0;  // requests a second at each proxy
   bool hasProbes_ = true;
   std::ostringstream out_;
-  std::multimap<std::int64_t, std::string> steps_;
 };
 
 }  // namespace
