--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -119,6 +119,23 @@
   )");
 }
 
+// Known to fail (KNOWN-RED.txt): without probes nothing that the rules allow tells readers alone of a new primary.
+TEST(Takeover, ReadersAloneAreServedAgainWithoutProbes) {
+  Scenario t(withoutProbes());
+  t.run(kServerOneIsPrimary);
+  t.run("s2 becomes primary\ns1 stands 0");
+  t.serveFor(kLongerThanTheBound);
+  t.run(R"(
+    c1 send query SELECT 1 /* id=r1,c=read,d=500,cluster=3 */
+    c1 expect error 53300
+  )");
+  t.serveFor(2s);
+  t.run(R"(
+    c1 send query SELECT 1 /* id=r2,c=read,d=1000,cluster=3 */
+    c1 expect row two
+  )");
+}
+
 // A write that is turned away as at no primary was sent there eight times within a millisecond, and refused.
 TEST(Takeover, AWriteIsNotSentAgainToTheServerThatTurnedItAway) {
   for (const bool probing : {true, false}) {
