--- a/tests/discovery_delay_test.cpp
+++ b/tests/discovery_delay_test.cpp
@@ -39,6 +39,36 @@
   t.run("list send line " + t.list(2, "leaving", 6) + "\ns2 expect drained\n" + kReadGoesToThePrimary);
 }
 
+// The watch is silent, and the two calls after it are turned away.
+TEST(DiscoveryDelay, TheListIsTakenThatComesAfterTwoCallsWereTurnedAway) {
+  Scenario t;
+  t.run(R"(
+    s2 wait idle 2
+    list expect calls 2
+    list choose 2
+    list send status 503 Service Unavailable
+    list expect calls 3
+    list choose 3
+    list send status 503 Service Unavailable
+    list expect calls 4
+    list choose 4
+    list answers
+  )");
+  t.run("list send line " + t.list(2, "leaving", 6) + "\ns2 expect drained\n" + kReadGoesToThePrimary);
+}
+
+// The watch is silent, and nobody answers the two calls after it.
+TEST(DiscoveryDelay, TheListIsTakenThatComesAfterTwoCallsWereLost) {
+  Scenario t;
+  t.run(R"(
+    s2 wait idle 2
+    list expect calls 4
+    list choose 4
+    list answers
+  )");
+  t.run("list send line " + t.list(2, "leaving", 6) + "\ns2 expect drained\n" + kReadGoesToThePrimary);
+}
+
 // Each byte makes the list longer, and all of them together take longer than a watch may be silent.
 TEST(DiscoveryDelay, AListThatGrowsSlowlyIsWaitedFor) {
   Scenario t;
