Balancer: a read that waited for its primary may come too late for a repeat

Cause: advancedAwaitedChoice sent to the kept choice without asking mayTake again, nor the budget of a choice that is warming up. Found by reading the change; PrimaryCheck.AKeyedReadIsNotRepeatedAfterTheWindow fails without the line (mutation), the test of a drain meanwhile held already. Change: both are asked again. The comment on the role's validity no longer claims that no takeover is over within it: a drained primary's may be.

--- a/src/balancer/health_checks.cpp
+++ b/src/balancer/health_checks.cpp
@@ -12,7 +12,8 @@
 constexpr int kCheckedCandidates = 2;  // asked before a choice: one may be the worse of two
 constexpr int kWaitsPerObjective = 8;  // a request waits for replies for 1/8 of its latency objective at most
 constexpr int kChecksPerBound = 4;     // positions are asked for four times in a staleness bound at most
-// An answer as primary is believed for so long: no takeover is over sooner.
+// So long an answer as primary is believed without a check. A takeover within it shows in the read's own
+// answer.
 constexpr Time kPrimaryRoleValidity = std::chrono::seconds(1);
 // Between checks, by all proxies together, of an endpoint that none of them hears of.
 constexpr Time kUnknownEndpointProbeInterval = std::chrono::milliseconds(40);
--- a/src/balancer/request_dispatch.cpp
+++ b/src/balancer/request_dispatch.cpp
@@ -109,6 +109,7 @@
   }
   pending.awaitedChoice.reset();
   if (!choice || !isUsable(context.settings, *choice) || !isHealthy(context, *choice)) return false;
+  if (!mayTake(context, pending, *choice) || !slowStartAdmits(context, *choice, pending)) return false;
   const Group& group = context.groups[pending.request.group];
   if (!freshProbability(context, *choice, group, requiredPosition(context, pending))) return false;
   send(context, pending, *choice);
--- a/tests/primary_check_test.cpp
+++ b/tests/primary_check_test.cpp
@@ -57,6 +57,36 @@
   t.report(1, 900, false);
   EXPECT_TRUE(t.sends(t.read).empty());
 }
+// A drain, or the end of the time within which a repeat is dropped, may come while the read waits.
+TEST(PrimaryCheck, AServerThatDrainsMeanwhileIsNotSentTheRead) {
+  LaggingGroup t;
+  t.b.list(t.now, ListKind::Delta, {Bench::entry(1, Lifecycle::Draining)});
+  t.report(1, 10, true);
+  t.run(100);
+  EXPECT_TRUE(t.sends(t.read).empty());
+}
+TEST(PrimaryCheck, AKeyedReadIsNotRepeatedAfterTheWindow) {
+  Settings keyed = settings();
+  keyed.classes[kBounded].idempotency = Idempotency::WithKey;
+  keyed.classes[kBounded].deduplicationWindow = milliseconds(10);
+  Bench t(keyed);
+  t.teachPrimary(1);
+  t.pass(1200);
+  Request request;
+  request.id = 1;
+  request.classIndex = kBounded;
+  request.group = 7;
+  request.mayHaveRunSince = t.now;
+  request.deadline = t.now + milliseconds(500);
+  t.b.request(t.now, request);
+  const std::vector<Action> asked = t.out.of("probe");
+  for (const Action& probe : asked) t.report(probe.member, 800);
+  ASSERT_GT(t.out.of("probe").size(), asked.size()) << "the primary is asked";
+  t.pass(11);
+  t.report(1, 0, true);
+  t.run(200);
+  EXPECT_TRUE(t.sends(1).empty());
+}
 TEST(PrimaryCheck, AnotherPrimaryThatIsHeardOfMeanwhileIsUsed) {
   LaggingGroup t;
   t.report(1, 900, false);
