--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -119,7 +119,8 @@
   )");
 }
 
-// Known to fail (KNOWN-RED.txt): without probes nothing that the rules allow tells readers alone of a new primary.
+// Known to fail (KNOWN-RED.txt): without probes nothing that the rules allow tells readers alone of a new
+// primary.
 TEST(Takeover, ReadersAloneAreServedAgainWithoutProbes) {
   Scenario t(withoutProbes());
   t.run(kServerOneIsPrimary);
