--- a/tests/primary_check_test.cpp
+++ b/tests/primary_check_test.cpp
@@ -24,7 +24,7 @@
   }
 };
 
-// The soak's seed 5: the read went to a server that had hung, and that had been the primary 5.4 s before.
+// The soak's seed 5: the read went to a server that had hung, and that had been the primary over 5 s before.
 TEST(PrimaryCheck, AReadWaitsForTheWordOfAPrimaryOfLongAgo) {
   LaggingGroup t;
   EXPECT_TRUE(t.sends(t.read).empty());
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -72,8 +72,8 @@
 }
 constexpr auto kLongerThanTheBoundWithProbes = 1200ms;
 
-// The soak's seed 5: all replicas were too old, and the read went to a server that had been the primary 5.4 s
-// before, though a check tells what it is now.
+// The soak's seed 5: all replicas were too old, and the read went to a server that had been the primary over
+// 5 s before, though a check tells what it is now.
 TEST(Takeover, APrimaryOfLongAgoIsAskedBeforeAReadGoesThere) {
   Scenario t(withProbes());
   t.run(kServerOneIsPrimary);
