--- a/src/app/status_json.cpp
+++ b/src/app/status_json.cpp
@@ -123,6 +123,18 @@
           {"last_call_ended", view->lastEnding}};
 }
 
+Json referenceClockStatus(const Engine& engine) {
+  const ReferenceClock::Summary summary = engine.referenceClock();
+  return {{"offset_ms", wholeMilliseconds(engine.clockOffset())},
+          {"source", nameOf(summary.source)},
+          {"wall_offset_ms", wholeMilliseconds(summary.wallOffset)},
+          {"primaries", summary.primaries},
+          {"wall_clock_behind", summary.wallClockBehind},
+          {"wall_clock_ahead", summary.wallClockAhead},
+          {"wall_clock_confirmed", summary.wallClockConfirmed},
+          {"lagging_primaries", engine.laggingPrimaries()}};
+}
+
 }  // namespace
 
 std::string statusJson(const StatusSources& sources, Time uptime) {
@@ -136,6 +148,7 @@
       {"registry", registryStatus(sources.discovery.registryView())},
       {"sent_to_draining", sources.engine.sendsToDraining()},
       {"stale_answers_withheld", sources.engine.staleAnswersWithheld()},
+      {"reference_clock", referenceClockStatus(sources.engine)},
       {"store", sources.idempotency ? storeStatus(sources.idempotency->view()) : Json()},
       {"recovery", sources.recovery ? recoveryStatus(sources.recovery->view()) : Json()},
       {"door", sources.admission ? admissionStatus(sources.admission->view()) : Json()},
--- a/src/app/status_table.cpp
+++ b/src/app/status_table.cpp
@@ -54,6 +54,12 @@
       number(descriptors, "short_of_descriptors"), number(descriptors, "short_of_memory"));
 }
 
+std::string referenceClockLine(const Json& clock) {
+  return fmt::format("reference clock: offset {} ms, {}, {} primaries heard, {} lagging\n",
+                     number(clock, "offset_ms"), text(clock, "source"), number(clock, "primaries"),
+                     number(clock, "lagging_primaries"));
+}
+
 std::string registryLine(const Json& registry) {
   const Json& confirmed = registry.at("confirmed_ms_ago");
   const std::string ending = text(registry, "last_call_ended");
@@ -135,6 +141,7 @@
 std::string statusLines(const Json& status) {
   std::string lines = processLines(status);
   if (hasPart(status, "registry")) lines += registryLine(status["registry"]);
+  if (hasPart(status, "reference_clock")) lines += referenceClockLine(status["reference_clock"]);
   if (hasPart(status, "store")) lines += storeLines(status["store"]);
   if (hasPart(status, "recovery")) lines += recoveryLine(status["recovery"]);
   const Json& admission = status.at("door");
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -141,7 +141,7 @@
   for (const EndpointId id : balancer_->removeExpiredEndpoints(now_)) {
     endpoints_.remove(id);
     startTimes_.remove(id);
-    reference_.forget(id);
+    forgetPrimary(id);
     actions_.emplace_back([this, id] { collaborators_.backend->removeEndpoint(id); });
   }
 }
@@ -149,28 +149,62 @@
 // ---- reference time -------------------------------------------------------------------------------------
 void Engine::followWallClock() {
   reference_.followWallClock(clock_, now_);
-  applyClockOffset();
+  applyClockOffset("wall clock");
 }
 
 // Only answers of a primary bound the time of other machines, because a replica's position may lag.
 void Engine::observeAnswer(EndpointId endpoint, const cluster::GossipUpdate& status,
                            std::optional<Time> sentAt) {
   if (status.role == cluster::GossipRole::Primary && status.positionMs > 0 && sentAt) {
-    reference_.primaryAnswered(endpoint, std::chrono::milliseconds(status.positionMs), *sentAt, now_);
-    applyClockOffset();
+    const std::chrono::milliseconds position(status.positionMs);
+    observePrimaryLag(endpoint, position);
+    reference_.primaryAnswered(endpoint, position, *sentAt, now_);
+    applyClockOffset(endpoints_.name(endpoint));
   } else if (status.role == cluster::GossipRole::Replica) {
-    reference_.forget(endpoint);
+    forgetPrimary(endpoint);
   }
 }
 
-void Engine::applyClockOffset() {
+void Engine::observePrimaryLag(EndpointId endpoint, Time position) {
+  const Time behind = now_ + reference_.offset() - position;
+  const std::optional<Time> since = primaryLags_.laggingSince(endpoint);
+  switch (primaryLags_.observe(endpoint, behind, now_)) {
+    case PrimaryLagMonitor::Change::None:
+      return;
+    case PrimaryLagMonitor::Change::Began:
+      return logEvent(LogLevel::Warning, "primary_position_lags",
+                      {{"endpoint", endpoints_.name(endpoint)},
+                       {"behind_ms", behind.count() / 1000},
+                       {"position_ms", position.count() / 1000}});
+    case PrimaryLagMonitor::Change::Ended:
+      return logEvent(LogLevel::Info, "primary_position_current",
+                      {{"endpoint", endpoints_.name(endpoint)},
+                       {"behind_ms", behind.count() / 1000},
+                       {"lagged_ms", (now_ - since.value_or(now_)).count() / 1000}});
+  }
+}
+
+void Engine::forgetPrimary(EndpointId endpoint) {
+  reference_.forget(endpoint);
+  primaryLags_.forget(endpoint);
+}
+
+void Engine::applyClockOffset(const std::string& cause) {
   using std::chrono::milliseconds;
   const auto movedBy = reference_.updateOffset();
   if (!movedBy) return;
   const Time offset = reference_.offset();
+  const ReferenceClock::Summary summary = reference_.summary();
   logEvent(LogLevel::Warning, "reference_clock_moved",
            {{"by_ms", std::chrono::duration_cast<milliseconds>(*movedBy).count()},
-            {"offset_ms", std::chrono::duration_cast<milliseconds>(offset).count()}});
+            {"offset_ms", std::chrono::duration_cast<milliseconds>(offset).count()},
+            {"source", nameOf(summary.source)},
+            {"cause", cause},
+            {"wall_offset_ms", std::chrono::duration_cast<milliseconds>(summary.wallOffset).count()},
+            {"primaries", summary.primaries},
+            {"behind", summary.wallClockBehind},
+            {"ahead", summary.wallClockAhead},
+            {"confirmed", summary.wallClockConfirmed}});
   balancer_->referenceClockMoved(now_, -*movedBy);
   const auto corrected = startTimes_.reassess(now_, offset, config_.settings.warmUpPeriod);
   if (!corrected.empty()) balancer_->endpointsListed(now_, balancer::ListKind::Delta, corrected);
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -15,6 +15,7 @@
 #include "engine/endpoint_start_times.hpp"
 #include "engine/event.hpp"
 #include "engine/interfaces.hpp"
+#include "engine/primary_lag_monitor.hpp"
 #include "engine/queued_event.hpp"
 #include "engine/reference_time.hpp"
 #include "engine/replication_status.hpp"
@@ -66,6 +67,9 @@
   std::uint64_t sendsToDraining() const { return sendsToDraining_; }
   // Number of answers withheld from clients because their replication position showed stale data.
   std::uint64_t staleAnswersWithheld() const { return staleAnswersWithheld_; }
+  ReferenceClock::Summary referenceClock() const { return reference_.summary(); }
+  // Number of primaries whose last reported position was behind the reference clock.
+  std::size_t laggingPrimaries() const { return primaryLags_.laggingCount(); }
   bool hasPendingEvents() const { return !events_.empty(); }
   void runTurn();
   // Removes endpoints that are gone and have nothing in flight; runTurn() calls this once a second.
@@ -134,7 +138,11 @@
   void shareStatus(const engine_event::AttemptEnded&);
   void shareStatus(const engine_event::HealthCheckEnded&);
   void observeAnswer(EndpointId, const cluster::GossipUpdate& status, std::optional<Time> sentAt);
-  void applyClockOffset();
+  void observePrimaryLag(EndpointId, Time position);
+  void forgetPrimary(EndpointId);
+  // `cause` is what moved the reference clock, for the log: the name of an endpoint, or the wall
+  // clock.
+  void applyClockOffset(const std::string& cause);
   Time positionEpochUnix() const { return positionEpoch_ + reference_.offset(); }
 
   // The endpoint list.
@@ -157,6 +165,7 @@
 
   Clock clock_;
   ReferenceTime reference_;
+  PrimaryLagMonitor primaryLags_;
   Time now_;             // time of the current turn
   Time positionEpoch_;   // zero point of the balancer's positions, on clock_
   Time lastExpiryAt_{};  // last call of removeExpired()
--- a/src/engine/reference_clock.cpp
+++ b/src/engine/reference_clock.cpp
@@ -87,22 +87,24 @@
 }
 
 void ReferenceClock::updateOffset() {
-  if (isMajority(statusCounts_.behind)) return followPrimaries(WallClockStatus::Behind);
-  if (isMajority(statusCounts_.ahead)) return followPrimaries(WallClockStatus::Ahead);
+  if (isMajority(statusCounts_.behind))
+    return followPrimaries(WallClockStatus::Behind, Source::PrimariesAheadOfWallClock);
+  if (isMajority(statusCounts_.ahead))
+    return followPrimaries(WallClockStatus::Ahead, Source::PrimariesBehindWallClock);
   // A step back is followed only if most primaries confirm it.
   if (wallOffset_ < offset_ && !isMajority(statusCounts_.confirmed)) return;
   offset_ = wallOffset_;
-  offsetFromPrimaries_ = false;
+  source_ = Source::WallClock;
 }
 
-void ReferenceClock::followPrimaries(WallClockStatus majority) {
+void ReferenceClock::followPrimaries(WallClockStatus majority, Source source) {
   const Time median = medianOffset(majority);
   // Offsets vary with the round trip. Small differences are ignored, except forward beyond the
   // reading jitter, which only makes data look older.
   const bool same =
-      offsetFromPrimaries_ && median <= offset_ + kReadingJitter && median > offset_ - kMaxRoundTrip;
+      source_ != Source::WallClock && median <= offset_ + kReadingJitter && median > offset_ - kMaxRoundTrip;
   if (!same) offset_ = median;
-  offsetFromPrimaries_ = true;
+  source_ = source;
 }
 
 ReferenceClock::Time ReferenceClock::medianOffset(WallClockStatus status) const {
@@ -114,4 +116,27 @@
   return *middle;
 }
 
+ReferenceClock::Summary ReferenceClock::summary() const {
+  Summary summary;
+  summary.source = source_;
+  summary.wallOffset = wallOffset_;
+  summary.primaries = samples_.size();
+  summary.wallClockBehind = statusCounts_.behind;
+  summary.wallClockAhead = statusCounts_.ahead;
+  summary.wallClockConfirmed = statusCounts_.confirmed;
+  return summary;
+}
+
+const char* nameOf(ReferenceClock::Source source) {
+  switch (source) {
+    case ReferenceClock::Source::WallClock:
+      break;
+    case ReferenceClock::Source::PrimariesAheadOfWallClock:
+      return "primaries_ahead_of_wall_clock";
+    case ReferenceClock::Source::PrimariesBehindWallClock:
+      return "primaries_behind_wall_clock";
+  }
+  return "wall_clock";
+}
+
 }  // namespace sablespur
--- a/src/engine/reference_clock.hpp
+++ b/src/engine/reference_clock.hpp
@@ -35,6 +35,24 @@
 
   Time offset() const { return offset_; }
 
+  // What offset() follows.
+  enum class Source {
+    WallClock,
+    PrimariesAheadOfWallClock,
+    PrimariesBehindWallClock,
+  };
+  // State of the estimate, for the log and the status.
+  struct Summary {
+    Source source = Source::WallClock;
+    Time wallOffset{};
+    std::size_t primaries = 0;  // that have answered
+    // How many of them show that the wall clock is behind, is ahead, or is right.
+    std::size_t wallClockBehind = 0;
+    std::size_t wallClockAhead = 0;
+    std::size_t wallClockConfirmed = 0;
+  };
+  Summary summary() const;
+
  private:
   // State of the wall clock according to one primary's answers.
   enum class WallClockStatus { Undecided, Behind, Ahead, Confirmed };
@@ -61,14 +79,17 @@
   void uncountSample(const Sample&);
   bool isMajority(std::size_t count) const { return 2 * count > samples_.size(); }
   void updateOffset();
-  void followPrimaries(WallClockStatus majority);
+  void followPrimaries(WallClockStatus majority, Source);
   Time medianOffset(WallClockStatus) const;  // requires at least one sample with this status
 
   Time wallOffset_{};
   Time offset_{};
   std::unordered_map<ServerId, Sample> samples_;
   StatusCounts statusCounts_;
-  bool offsetFromPrimaries_ = false;  // offset_ comes from the primaries, not the wall clock
+  Source source_ = Source::WallClock;
 };
 
+// Returns the name of the source in the log and the status.
+const char* nameOf(ReferenceClock::Source);
+
 }  // namespace sablespur
--- a/src/engine/reference_time.hpp
+++ b/src/engine/reference_time.hpp
@@ -28,6 +28,7 @@
   std::optional<Time> updateOffset();
   // The reference clock's Unix time minus the process's clock, as of the last updateOffset().
   Time offset() const { return offset_; }
+  ReferenceClock::Summary summary() const { return clock_.summary(); }
 
  private:
   ReferenceClock clock_;
