--- a/lab/experiment.cpp
+++ b/lab/experiment.cpp
@@ -26,7 +26,7 @@
       {"refill", 0},   {"kill", 1},    {"start", 1},  {"vanish", 1}, {"back", 1},    {"hang", 1},
       {"slow", 2},     {"errors", 2},  {"resets", 2}, {"lag", 2},    {"dns", 1},     {"registry", 1},
       {"power", 2},    {"rate", 1},    {"logins", 2}, {"proxy", 2},  {"primary", 2}, {"reconnect", 1},
-      {"revive", 1},   {"load", 2}};
+      {"revive", 1},   {"load", 2},    {"behind", 2}, {"group", 2},  {"wall", 2}};
   return all;
 }
 
@@ -320,6 +320,7 @@
               "actions are " + list);
         continue;
       }
+      e_.stepsWallClocks |= words[0] == "wall";
       for (Time t = from; t <= until; t += every) e_.script.push_back({t, words, e.line});
     }
   }
--- a/lab/experiment.hpp
+++ b/lab/experiment.hpp
@@ -55,6 +55,7 @@
   std::vector<Desks> desks;  // each group connects to every proxy
   std::vector<CrowdLoad> crowds;
   bool probes = true;                  // whether the proxies send health checks: `data_servers.probes`
+  bool stepsWallClocks = false;        // the script steps wall clocks: each proxy gets its own
   bool takeoverRules = false;          // also applies Audit::Rules::judgeTakeovers and Availability
   int inherited = 0, descriptors = 0;  // see ProxyProcess::limits
   std::vector<ClassModel> classes;
--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -207,7 +207,7 @@
       s_.machine_->take(now, static_cast<double>(s_.fleet_.s_.probeWork.count()));
       char report[96];
       std::snprintf(report, sizeof report, "x0=%.3f,x1=%d,inflight=%zu",
-                    static_cast<double>(s_.c_.unixMs(s_.position(now))) / 1e3,
+                    static_cast<double>(s_.c_.unixMs(s_.reportedPosition(now))) / 1e3,
                     s_.fleet_.primary(s_.group_) == &s_ ? 1 : 0, s_.machine_->held(now));
       s_.audit_.roleReported(now, proxy_, s_.number_, s_.fleet_.primary(s_.group_) == &s_);
       return put(bev_.get(), resultRow(report) + postgres::message('C', std::string("SHOW\0", 5)) +
@@ -289,7 +289,7 @@
     const Time now = s_.c_.now();
     std::string value = "v-" + id_;
     if (value.size() < s_.fleet_.s_.valueBytes) value.resize(s_.fleet_.s_.valueBytes, '.');
-    Time position = s_.position(now);
+    Time position = s_.reportedPosition(now);
     const bool primary = s_.fleet_.primary(s_.group_) == &s_;
     if (cls_->write) {
       if (!primary) return error("XX000", "it lost its role while it held the write");
@@ -389,11 +389,16 @@
 }
 
 void DataServer::kill() {
+  if (!runs_) return;
+  stop();
+  if (fleet_.primary(group_) == this) fleet_.onPrimaryLost(group_);
+}
+
+void DataServer::stop() {
   if (!runs_) return;
   runs_ = false;
   audit_.cold(machine_->worst());
   closeAll(true);
-  if (fleet_.primary(group_) == this) fleet_.onPrimaryLost(group_);
 }
 
 void DataServer::start() {
@@ -427,7 +432,13 @@
   if (!on) closeAll(true), listen();  // requests that it had read get no answer
 }
 
-Time DataServer::position(Time now) { return fleet_.primary(group_) == this ? now : log_->position(now); }
+Time DataServer::position(Time now) {
+  return fleet_.primary(group_) == this ? now : delayedPosition_.at(log_->position(now));
+}
+
+Time DataServer::reportedPosition(Time now) {
+  return fleet_.primary(group_) == this ? delayedPosition_.at(now) : position(now);
+}
 
 Fleet::Fleet(Context& c, Audit& audit, const FleetSettings& s, std::vector<ClassModel> classes)
     : c_(c), audit_(audit), s_(s), classes_(std::move(classes)), groups_(static_cast<std::size_t>(s.groups)) {
@@ -461,6 +472,26 @@
   if (primary(group)) onPrimaryLost(group);
 }
 
+void Fleet::delay(int group, Time behind) {
+  for (const auto& s : servers_) {
+    if (s->group() != group) continue;
+    s->reportedPosition(c_.now());  // what it has told by now, it has
+    s->delayedPosition_.setDelay(behind);
+  }
+}
+
+void Fleet::stopGroup(int group) {
+  groups_[static_cast<std::size_t>(group - 1)].stoppedAt = c_.now();
+  for (const auto& s : servers_)
+    if (s->group() == group) s->stop();
+}
+
+void Fleet::startGroup(int group) {
+  delay(group, c_.now() - groups_[static_cast<std::size_t>(group - 1)].stoppedAt);
+  for (const auto& s : servers_)
+    if (s->group() == group) s->start();
+}
+
 void Fleet::revive(int group) {
   for (const auto& s : servers_) {
     if (s->group() != group || !s->runs()) continue;
--- a/lab/fleet.hpp
+++ b/lab/fleet.hpp
@@ -77,7 +77,10 @@
   void lag(double f) { log_->slow(f); }
   void rename(const std::string& n) { name_ = n; }
 
+  // Up to when the server has all commits; a primary stands at the present.
   Time position(Time now);
+  // The position that it tells: that of a primary may be behind what it has (Fleet::delay).
+  Time reportedPosition(Time now);
   LogApply& log() { return *log_; }
   double coldMultiple() const { return machine_->worst(); }
   // Greatest number of connections accepted within one second while the server was cold.
@@ -89,6 +92,7 @@
   void listen();
   void onAccepted();
   void closeAll(bool reset);
+  void stop();  // like kill(), but no other server takes over
 
   Context& c_;
   Fleet& fleet_;
@@ -102,6 +106,7 @@
   Timer killTimer_;
   std::unique_ptr<Machine> machine_;
   std::unique_ptr<LogApply> log_;
+  DelayedPosition delayedPosition_;
   struct ListenerContext {  // the server and the proxy that a listener serves
     DataServer* server;
     int proxy;
@@ -131,6 +136,14 @@
   DataServer* primary(int group);
   // Script action: the primary becomes a replica, and after a failover delay a server takes over.
   void stepDown(int group);
+  // Script action: all positions that the group tells are `behind` the present, and keep step with
+  // time, like a group that continues from where it stood. The data of its replicas are as old; the
+  // primary has all its commits.
+  void delay(int group, Time behind);
+  // Script actions: all servers of the group end, and start again. The group keeps its primary and
+  // is behind by the time that it was down, until the next delay().
+  void stopGroup(int group);
+  void startGroup(int group);
   // Script action: servers of the group that hang or have vanished answer again.
   void revive(int group);
   // Whether a healthy server of the group has data that is at most `maxAge` old.
@@ -143,6 +156,7 @@
   struct Group {
     DataServer* primary = nullptr;
     std::unique_ptr<Timer> failover;
+    Time stoppedAt{};
     struct AppliedWrite {
       Time at;
       std::string value;
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -181,9 +181,10 @@
   soak.program = program;
   CLI::App* const soaking =
       app.add_subcommand("soak", "seeded runs under overlapping faults; exit 1 if a rule is broken");
-  const std::map<std::string, SoakKind> kinds{{"faults", SoakKind::Faults},
-                                              {"takeovers", SoakKind::Takeovers}};
-  soaking->add_option("--kind", soak.kind, "faults or takeovers")->transform(CLI::CheckedTransformer(kinds));
+  const std::map<std::string, SoakKind> kinds{
+      {"faults", SoakKind::Faults}, {"clocks", SoakKind::Clocks}, {"takeovers", SoakKind::Takeovers}};
+  soaking->add_option("--kind", soak.kind, "faults, clocks or takeovers")
+      ->transform(CLI::CheckedTransformer(kinds));
   soaking->add_option("--seeds", seeds, "FIRST..LAST")->capture_default_str();
   soaking->add_option("--jobs", soak.jobs, "number of parallel runs")
       ->capture_default_str()
--- a/lab/model.cpp
+++ b/lab/model.cpp
@@ -84,6 +84,11 @@
   return standsAt_;
 }
 
+Time DelayedPosition::at(Time position) {
+  reached_ = std::max(reached_, position - delay_);
+  return reached_;
+}
+
 void LogApply::restartFrom(Time position, Time now) {
   pending_.clear();
   busyUntil_ = now;
--- a/lab/model.hpp
+++ b/lab/model.hpp
@@ -87,4 +87,16 @@
   std::deque<Record> pending_;
 };
 
+// The position of a server that is behind by a fixed time. A position never goes back: once the
+// delay has grown, it stands still until time has caught up with it.
+class DelayedPosition {
+ public:
+  void setDelay(Time delay) { delay_ = delay; }
+  // `position` is the position without the delay.
+  Time at(Time position);
+
+ private:
+  Time delay_{}, reached_{};
+};
+
 }  // namespace sablespur::lab
--- a/lab/proxy_process.cpp
+++ b/lab/proxy_process.cpp
@@ -44,6 +44,7 @@
       const rlimit limit{static_cast<rlim_t>(descriptors_), static_cast<rlim_t>(descriptors_)};
       setrlimit(RLIMIT_NOFILE, &limit);
     }
+    if (wallClock_) wallClock_->preload();
     execl(program_.c_str(), "sablespur", "serve", "--config", settingsPath_.c_str(),
           static_cast<char*>(nullptr));
     _exit(127);
@@ -74,6 +75,10 @@
   if (ready_) ready_(port);
 }
 
+void ProxyProcess::setWallClockOffset(std::chrono::milliseconds offset) {
+  if (wallClock_) wallClock_->setOffset(offset);
+}
+
 void ProxyProcess::signal(int number) const {
   if (pid_ > 0) ::kill(pid_, number);
 }
--- a/lab/proxy_process.hpp
+++ b/lab/proxy_process.hpp
@@ -2,10 +2,13 @@
 // measures its CPU time and memory.
 #pragma once
 
+#include <chrono>
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "lab/context.hpp"
+#include "lab/wall_clock.hpp"
 
 namespace sablespur::lab {
 
@@ -22,6 +25,11 @@
     inherited_ = inherited;
     descriptors_ = descriptors;
   }
+  // Applies to each later start: the process reads a wall clock of its own, whose offset is stored in
+  // the file `path`.
+  void useOwnWallClock(const std::string& path) { wallClock_ = std::make_unique<SteppableWallClock>(path); }
+  // Sets how far the process's own wall clock is ahead, also while it runs.
+  void setWallClockOffset(std::chrono::milliseconds);
   // Does nothing if the process runs. Calls `ready` with the port once the process is listening.
   void start(std::function<void(int port)> ready);
   void signal(int) const;
@@ -36,6 +44,7 @@
 
   Context& c_;
   const std::string program_, settingsPath_, logPath_;
+  std::unique_ptr<SteppableWallClock> wallClock_;  // null: the system's
   std::function<void(int)> ready_;
   int inherited_ = 0, descriptors_ = 0;
   int pid_ = -1, output_ = -1, exitStatus_ = -1;
--- a/lab/run.cpp
+++ b/lab/run.cpp
@@ -171,6 +171,7 @@
                                                  d.name + std::to_string(k + 1) + "-"));
     }
     p.process->limits(e_.inherited, e_.descriptors);
+    if (e_.stepsWallClocks) p.process->useOwnWallClock(base + ".clock");
     p.process->start([this, k](int port) {
       proxies_[k].address = loopbackAddress(0, 1, port);
       for (const auto& d : proxies_[k].crowds) d->target(proxies_[k].address);
@@ -290,6 +291,16 @@
     if (s && w[1] == "hang") s->hang(true);
     if (s && w[1] == "vanish") s->vanish(true);
     if (s && w[1] == "stepdown") fleet_->stepDown(std::atoi(w[2].c_str()));
+  } else if (what == "behind") {
+    // "behind 1 3000": the positions that group 1 tells are 3000 ms behind the present
+    fleet_->delay(std::atoi(w[1].c_str()), std::chrono::milliseconds(std::atoi(w[2].c_str())));
+  } else if (what == "group") {  // "group stop 1": all servers of group 1
+    executeGroupAction(w[1], std::atoi(w[2].c_str()), fail);
+  } else if (what == "wall") {
+    // "wall 2 -3000": the wall clock of proxy 2 is 3000 ms behind the true time
+    const auto k = static_cast<std::size_t>(std::atoi(w[1].c_str())) - 1;
+    if (k >= proxies_.size()) fail("there is no proxy " + w[1]);
+    proxies_[k].process->setWallClockOffset(std::chrono::milliseconds(std::atoi(w[2].c_str())));
   } else if (what == "revive") {
     // "revive 1": servers of group 1 that hang or have vanished answer again
     fleet_->revive(std::atoi(w[1].c_str()));
@@ -345,6 +356,24 @@
   }
 }
 
+void Run::executeGroupAction(const std::string& action, int group,
+                             const std::function<void(const std::string&)>& fail) {
+  if (action == "stop")
+    fleet_->stopGroup(group);
+  else if (action == "start")
+    fleet_->startGroup(group);
+  else if (action == "publish")
+    publishGroup(group);
+  else
+    fail("the group action must be stop, start or publish");
+}
+
+// The list tells the new start of each server of the group.
+void Run::publishGroup(int group) {
+  for (const auto& s : fleet_->servers())
+    if (s->group() == group && listed_[s->number()]) publish(*s, false);
+}
+
 void Run::terminateProxy(Proxy& p) {
   if (!p.terminatedAt) p.terminatedAt = c_.now();
   p.process->signal(SIGTERM);
--- a/lab/run.hpp
+++ b/lab/run.hpp
@@ -76,6 +76,9 @@
   void withdraw(DataServer&);
   void list(DataServer&);
   void execute(const Step&);
+  void executeGroupAction(const std::string& action, int group,
+                          const std::function<void(const std::string&)>& fail);
+  void publishGroup(int group);
   static bool setRegistryMode(Registry&, const std::string& responseMode);
   void terminateProxy(Proxy&);
   void killProxy(Proxy&);
--- a/lab/schedule_drawer.hpp
+++ b/lab/schedule_drawer.hpp
@@ -1,6 +1,7 @@
 // Shared by the soak's schedules: seeded random draws, and script steps ordered by time.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -27,6 +28,21 @@
 
   // Steps with equal times keep the order in which they were added.
   void at(std::int64_t ms, const std::string& action) { steps_.emplace(ms, action); }
+  // A proxy (`who`: "proxy N ") gets signals in series, is killed as early as allowed, and starts
+  // again. The earliest allowed SIGKILL follows SIGTERM by the longest deadline, counted as at most
+  // 3 s, plus 0.7 s.
+  void terminateAndRestart(std::int64_t time, const std::string& who, std::int64_t longestDeadlineMs) {
+    constexpr std::int64_t kLongestCountedDeadlineMs = 3000;
+    constexpr std::int64_t kKillAfterDeadlineMs = 700;
+    if (chance(50)) at(time - between(5, 200), who + "hup");
+    if (chance(50)) at(time - between(1, 4), who + "hup");
+    at(time, who + "term");
+    if (chance(50)) at(time + between(1, 300), who + "term");
+    const std::int64_t kill =
+        time + std::min(longestDeadlineMs, kLongestCountedDeadlineMs) + kKillAfterDeadlineMs;
+    at(kill, who + "kill");
+    at(kill + between(50, 500), who + "start");
+  }
   std::string script() const {
     std::ostringstream lines;
     for (const auto& [ms, action] : steps_) lines << ms << "ms " << action << "\n";
--- a/lab/soak.hpp
+++ b/lab/soak.hpp
@@ -9,6 +9,7 @@
 
 enum class SoakKind {
   Faults,    // overlapping faults of all kinds
+  Clocks,    // groups that lag or restart, takeovers, stepped wall clocks of proxies
   Takeovers  // takeovers, idle periods, read-only load; all kinds of load reports
 };
 
