Lab: a proxy that was told to end is not judged for outages until it serves again

Such a proxy is not judged from SIGTERM to its next start, and then by later reads only. Test: LabAvailability.DoesNotJudgeAProxyFromItsTerminationToItsNextStart.

--- a/lab/availability.cpp
+++ b/lab/availability.cpp
@@ -14,10 +14,28 @@
 }
 
 void Availability::writeEnded(Time now, int proxy, int group, Time begun) {
+  if (!isJudged(proxy, begun)) return;
   const std::optional<Time>& since = availableSince_[group];
   if (since && begun >= *since) firstWrite_.try_emplace({proxy, group}, now);
 }
 
+void Availability::proxyStopped(int proxy) {
+  servingSince_[proxy] = std::nullopt;
+  const auto isOf = [proxy](const auto& entry) { return entry.first.first == proxy; };
+  for (auto entry = failing_.begin(); entry != failing_.end();)
+    entry = isOf(*entry) ? failing_.erase(entry) : std::next(entry);
+  // The next process has to find the primary by itself.
+  for (auto entry = firstWrite_.begin(); entry != firstWrite_.end();)
+    entry = isOf(*entry) ? firstWrite_.erase(entry) : std::next(entry);
+}
+
+void Availability::proxyStarted(Time now, int proxy) { servingSince_[proxy] = now; }
+
+bool Availability::isJudged(int proxy, Time begun) const {
+  const auto since = servingSince_.find(proxy);
+  return since == servingSince_.end() || (since->second && begun >= *since->second);
+}
+
 std::optional<Time> Availability::couldServeSince(int proxy, int group) const {
   const auto since = availableSince_.find(group);
   if (since == availableSince_.end() || !since->second) return std::nullopt;
@@ -27,6 +45,7 @@
 }
 
 void Availability::readEnded(Time now, int proxy, int group, Time begun, bool served) {
+  if (!isJudged(proxy, begun)) return;
   const std::pair<int, int> key{proxy, group};
   const std::optional<Time> available = couldServeSince(proxy, group);
   if (served || !available) {
--- a/lab/availability.hpp
+++ b/lab/availability.hpp
@@ -32,6 +32,11 @@
   // any.
   void readEnded(Time now, int proxy, int group, Time begun, bool served);
 
+  // A proxy that was told to end, or has ended, is not judged until proxyStarted(), and then only by
+  // reads that begin later.
+  void proxyStopped(int proxy);
+  void proxyStarted(Time, int proxy);
+
   struct Outage {
     Time at{};
     int proxy = 0, group = 0;
@@ -50,7 +55,10 @@
   // it could not.
   std::optional<Time> couldServeSince(int proxy, int group) const;
 
+  bool isJudged(int proxy, Time begun) const;
+
   const Rules rules_;
+  std::map<int, std::optional<Time>> servingSince_;    // of proxies that were stopped; nullopt: stopped
   std::map<int, std::optional<Time>> availableSince_;  // by group; std::nullopt: not available
   std::map<std::pair<int, int>, Time> firstWrite_;     // end of the first write since, by (proxy, group)
   std::map<std::pair<int, int>, Failing> failing_;     // failed reads in series, by (proxy, group)
--- a/lab/run.cpp
+++ b/lab/run.cpp
@@ -125,6 +125,7 @@
   for (std::size_t k = 0; k < proxies_.size(); ++k) {
     Proxy& p = proxies_[k];
     const int number = static_cast<int>(k) + 1;
+    p.number = number;
     const auto onListed = [this, number](const std::string& name, bool in) {
       for (const auto& s : fleet_->servers())
         if (s->name() == name) audit_.told(c_.now(), number, s->number(), in);
@@ -376,6 +377,7 @@
 
 void Run::terminateProxy(Proxy& p) {
   if (!p.terminatedAt) p.terminatedAt = c_.now();
+  availability_.proxyStopped(p.number);
   p.process->signal(SIGTERM);
 }
 
@@ -385,6 +387,7 @@
   constexpr Time kAcceptedAfterTerm = std::chrono::milliseconds(700);
   p.clients->excuseClosesUntil(p.terminatedAt ? *p.terminatedAt + kAcceptedAfterTerm : c_.now());
   p.process->kill();
+  availability_.proxyStopped(p.number);
 }
 
 void Run::startProxy(std::size_t k) {
@@ -393,7 +396,10 @@
     audit_.crashed(c_.now(), static_cast<int>(k) + 1, p.process->exitStatus());
   p.terminatedAt.reset();
   audit_.restarted(static_cast<int>(k) + 1);
-  p.process->start([this, k](int port) { proxies_[k].clients->target(loopbackAddress(0, 1, port)); });
+  p.process->start([this, k](int port) {
+    proxies_[k].clients->target(loopbackAddress(0, 1, port));
+    availability_.proxyStarted(c_.now(), proxies_[k].number);
+  });
 }
 
 // Sets the fault mode of a registry stand-in. Returns false if `mood` names no mode.
--- a/lab/run.hpp
+++ b/lab/run.hpp
@@ -58,6 +58,7 @@
 
  private:
   struct Proxy {
+    int number = 0;  // from 1
     std::unique_ptr<NameServer> names;
     std::unique_ptr<Registry> registry;
     std::unique_ptr<ProxyProcess> process;
--- a/tests/availability_test.cpp
+++ b/tests/availability_test.cpp
@@ -21,6 +21,21 @@
     availability.readEnded(at + milliseconds(50), kProxy, kGroup, at, false);
 }
 
+// A terminating proxy refuses all reads; the soak of clocks restarts proxies.
+TEST(LabAvailability, DoesNotJudgeAProxyFromItsTerminationToItsNextStart) {
+  Availability availability;
+  availability.observe(seconds(1), kGroup, true);
+  failReads(availability, seconds(2), seconds(3));
+  availability.proxyStopped(kProxy);
+  failReads(availability, seconds(3), seconds(8));
+  EXPECT_TRUE(availability.outages().empty());
+  availability.proxyStarted(seconds(8), kProxy);
+  failReads(availability, seconds(8), seconds(9));
+  EXPECT_TRUE(availability.outages().empty()) << "the reads from before do not count";
+  failReads(availability, seconds(9), seconds(12));
+  EXPECT_EQ(availability.outages().size(), 1u);
+}
+
 TEST(LabAvailability, ReportsAProxyThatFailsEveryReadWhileAServerIsAvailable) {
   Availability availability;
   availability.observe(seconds(1), kGroup, true);
