Reference clock: a primary whose positions lag no longer sets the clock back

Cause: an answer of a primary was taken as both bounds of the true time. Its position is only a lower bound: a primary that lags in step with time looks like a wall clock that is ahead, and assessWallClock followed it after 1 s if it was most of the primaries that had answered, which one is where no other has.

Why it works: upper bounds come from commits of writes alone, by most groups; positions set the clock back only to a time that it had before; a lower bound once proven holds whoever is the primary later, and expires only while wall clock and primaries agree for 60 s.

--- a/src/engine/endpoint_registry.cpp
+++ b/src/engine/endpoint_registry.cpp
@@ -25,9 +25,25 @@
   return id;
 }
 
+void EndpointRegistry::setGroup(EndpointId id, balancer::GroupId group) {
+  Endpoint* const endpoint = find(id);
+  if (!endpoint || endpoint->group == group) return;
+  leaveGroup(*endpoint);
+  endpoint->group = group;
+  ++groupSizes_[group];
+}
+
+void EndpointRegistry::leaveGroup(Endpoint& endpoint) {
+  if (!endpoint.group) return;
+  const auto size = groupSizes_.find(*endpoint.group);
+  if (--size->second == 0) groupSizes_.erase(size);
+  endpoint.group.reset();
+}
+
 void EndpointRegistry::remove(EndpointId id) {
   const auto it = endpoints_.find(id);
   if (it == endpoints_.end()) return;
+  leaveGroup(it->second);
   idsByName_.erase(it->second.name);
   idsByTag_.erase(it->second.gossipTag);
   endpoints_.erase(it);
--- a/src/engine/endpoint_registry.hpp
+++ b/src/engine/endpoint_registry.hpp
@@ -23,6 +23,7 @@
     bool ready = false;                           // listed as ready
     std::optional<balancer::Time> notReadySince;  // std::nullopt while ready
     std::optional<balancer::Time> healthCheckSentAt;
+    std::optional<balancer::GroupId> group;  // std::nullopt until listed
 
     void setReady(bool isReady, balancer::Time now) {
       ready = isReady;
@@ -35,6 +36,10 @@
 
   // Returns the endpoint's id; assigns one if the name is new.
   EndpointId add(const std::string& name);
+  // Records the replication group of a registered endpoint.
+  void setGroup(EndpointId, balancer::GroupId);
+  // Number of replication groups of the registered endpoints.
+  std::size_t groupCount() const { return groupSizes_.size(); }
   // Removes the endpoint; wasListed() still returns true for its name.
   void remove(EndpointId);
 
@@ -56,11 +61,14 @@
   bool wasListed(const std::string& name) const { return listedNames_.count(name) > 0; }
 
  private:
+  void leaveGroup(Endpoint&);
+
   std::unordered_map<EndpointId, Endpoint> endpoints_;
   std::unordered_map<std::string, EndpointId> idsByName_;
   // std::nullopt: the tag is shared by two endpoints.
   std::unordered_map<std::uint64_t, std::optional<EndpointId>> idsByTag_;
   std::unordered_set<std::string> listedNames_;
+  std::unordered_map<balancer::GroupId, std::size_t> groupSizes_;
   EndpointId lastId_ = 0;
 };
 
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -50,6 +50,7 @@
   pending.handler = &handler;
   pending.message = std::make_shared<const RequestMessage>(std::move(message));
   pending.classIndex = request.classIndex;
+  pending.mayHaveRunBefore = request.mayHaveRunSince > Time(0);
   events_.emplace_back(engine_event::RequestReceived{request});
   return request.id;
 }
@@ -140,6 +141,7 @@
   lastExpiryAt_ = now_;
   for (const EndpointId id : balancer_->removeExpiredEndpoints(now_)) {
     endpoints_.remove(id);
+    reference_.setGroupCount(endpoints_.groupCount());
     startTimes_.remove(id);
     forgetPrimary(id);
     actions_.emplace_back([this, id] { collaborators_.backend->removeEndpoint(id); });
@@ -154,11 +156,14 @@
 
 // Only answers of a primary bound the time of other machines, because a replica's position may lag.
 void Engine::observeAnswer(EndpointId endpoint, const cluster::GossipUpdate& status,
-                           std::optional<Time> sentAt) {
+                           std::optional<Time> sentAt, bool isNewCommit) {
   if (status.role == cluster::GossipRole::Primary && status.positionMs > 0 && sentAt) {
     const std::chrono::milliseconds position(status.positionMs);
     observePrimaryLag(endpoint, position);
-    reference_.primaryAnswered(endpoint, position, *sentAt, now_);
+    if (isNewCommit)
+      reference_.writeCommitted(endpoint, position, *sentAt, now_);
+    else
+      reference_.primaryAnswered(endpoint, position, *sentAt, now_);
     applyClockOffset(endpoints_.name(endpoint));
   } else if (status.role == cluster::GossipRole::Replica) {
     forgetPrimary(endpoint);
@@ -201,6 +206,8 @@
             {"source", nameOf(summary.source)},
             {"cause", cause},
             {"wall_offset_ms", std::chrono::duration_cast<milliseconds>(summary.wallOffset).count()},
+            {"proven_offset_ms",
+             std::chrono::duration_cast<milliseconds>(summary.provenOffset.value_or(Time(0))).count()},
             {"primaries", summary.primaries},
             {"behind", summary.wallClockBehind},
             {"ahead", summary.wallClockAhead},
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -99,6 +99,7 @@
     ResponseHandler* handler = nullptr;  // null: the client has disconnected
     std::shared_ptr<const RequestMessage> message;
     int classIndex = 0;
+    bool mayHaveRunBefore = false;          // an earlier request with the same key
     std::vector<InFlightAttempt> attempts;  // indexed by attempt number; ended attempts stay
     const InFlightAttempt& attempt(int number) const { return attempts[static_cast<std::size_t>(number)]; }
   };
@@ -137,7 +138,10 @@
   void respond(const PendingRequest&, AttemptEnd&);
   void shareStatus(const engine_event::AttemptEnded&);
   void shareStatus(const engine_event::HealthCheckEnded&);
-  void observeAnswer(EndpointId, const cluster::GossipUpdate& status, std::optional<Time> sentAt);
+  void observeAnswer(EndpointId, const cluster::GossipUpdate& status, std::optional<Time> sentAt,
+                     bool isNewCommit);
+  // Whether the answer is to a write that can only have run with this attempt.
+  bool isNewCommit(const PendingRequest&, const engine_event::AttemptEnded&) const;
   void observePrimaryLag(EndpointId, Time position);
   void forgetPrimary(EndpointId);
   // `cause` is what moved the reference clock, for the log: the name of an endpoint, or the wall
--- a/src/engine/engine_events.cpp
+++ b/src/engine/engine_events.cpp
@@ -77,7 +77,8 @@
   const auto it = requests_.find(event.request);
   const bool pending = it != requests_.end();
   observeAnswer(event.endpoint, replicationStatusOf(end),
-                pending ? std::make_optional(it->second.attempt(event.attempt).sentAt) : std::nullopt);
+                pending ? std::make_optional(it->second.attempt(event.attempt).sentAt) : std::nullopt,
+                pending && isNewCommit(it->second, event));
 
   balancer::AttemptOutcome outcome = outcomeOf(event);
   if (outcome.result == AttemptResult::Ok && !balancer_->isFreshEnough(now_, outcome)) {
@@ -94,6 +95,14 @@
   balancer_->attemptEnded(now_, outcome);
 }
 
+bool Engine::isNewCommit(const PendingRequest& request, const engine_event::AttemptEnded& event) const {
+  const auto classIndex = static_cast<std::size_t>(request.classIndex);
+  const std::vector<balancer::ClassSettings>& classes = config_.settings.classes;
+  const bool isWrite =
+      classIndex < classes.size() && classes[classIndex].requirement == balancer::Requirement::Write;
+  return isWrite && event.end.result == AttemptResult::Ok && event.attempt == 0 && !request.mayHaveRunBefore;
+}
+
 balancer::AttemptOutcome Engine::outcomeOf(const engine_event::AttemptEnded& event) const {
   balancer::AttemptOutcome outcome;
   outcome.request = event.request;
@@ -152,7 +161,7 @@
   const auto& fields = config_.settings.reportFields;
   const auto* const endpoint = endpoints_.find(event.endpoint);
   const GossipUpdate status = replicationStatusOf(event.healthy, event.report, fields);
-  observeAnswer(event.endpoint, status, endpoint ? endpoint->healthCheckSentAt : std::nullopt);
+  observeAnswer(event.endpoint, status, endpoint ? endpoint->healthCheckSentAt : std::nullopt, false);
   balancer::HealthCheckResult result;
   result.endpoint = event.endpoint;
   result.ok = event.healthy;
@@ -240,6 +249,8 @@
   listed.suspended = suspended_.count(discovered.name) > 0;
   startTimes_.recordListed(listed);
   endpoints_.find(listed.id)->setReady(ready, now_);
+  endpoints_.setGroup(listed.id, listed.group);
+  reference_.setGroupCount(endpoints_.groupCount());
   endpoints_.recordListed(discovered.name);
   const Time warmAt = listed.started > Time(0) ? listed.started + config_.settings.warmUpPeriod : Time(0);
   collaborators_.backend->endpointListed(listed.id, discovered.address, ready && !listed.suspended, warmAt);
--- a/src/engine/reference_clock.cpp
+++ b/src/engine/reference_clock.cpp
@@ -1,7 +1,6 @@
 #include "engine/reference_clock.hpp"
 
 #include <algorithm>
-#include <vector>
 
 namespace sablespur {
 namespace {
@@ -10,120 +9,111 @@
 
 // Differences between two readings below this are not a step of the wall clock.
 constexpr Time kReadingJitter = std::chrono::milliseconds(5);
-// Synchronized clocks differ by less than this.
-constexpr Time kMaxClockSkew = std::chrono::milliseconds(50);
 // The last commit of an idle primary may be this old.
 constexpr Time kMaxIdlePositionAge = std::chrono::seconds(1);
-// Answers with a longer round trip are ignored: their bounds are too wide.
-constexpr Time kMaxRoundTrip = std::chrono::milliseconds(250);
-// The wall clock counts as ahead only if the primary's position has advanced with time for at least
-// this long. A position that does not advance, as of a primary cut off from the network, is merely
-// old.
-constexpr Time kMinStablePeriod = std::chrono::seconds(1);
+// While most primaries agree with the wall clock, or prove that it is ahead, a proof from before that
+// expires after this long: a primary's clock may have been ahead. Longer than a wrong wall clock and
+// a lagging primary are likely to agree by chance.
+constexpr Time kProofLifetime = std::chrono::seconds(60);
 
 }  // namespace
 
 void ReferenceClock::updateWallOffset(Time wallOffset) {
   if (std::chrono::abs(wallOffset - wallOffset_) < kReadingJitter) return;
   wallOffset_ = wallOffset;
-  statusCounts_ = {};
-  for (auto& [server, sample] : samples_) {
-    sample.status = assessWallClock(sample);
-    countSample(sample);
-  }
+  agreedSince_.reset();
+  evidence_.wallClockStepped(wallOffset_);
   updateOffset();
 }
 
 void ReferenceClock::primaryAnswered(ServerId server, Time position, Time sent, Time received) {
-  if (received - sent > kMaxRoundTrip) return;
-  const auto [it, added] = samples_.try_emplace(server);
-  Sample& sample = it->second;
-  if (!added) uncountSample(sample);
-  sample.minOffset = position - received;
-  sample.maxOffset = position - sent;
-  if (added || std::chrono::abs(sample.minOffset - sample.stableOffset) > kMaxRoundTrip) {
-    sample.stableOffset = sample.minOffset;
-    sample.stableSince = received;
-  }
-  sample.stable = received - sample.stableSince >= kMinStablePeriod;
-  sample.status = assessWallClock(sample);
-  countSample(sample);
+  observe(server, {position, sent, received, false});
+}
+
+void ReferenceClock::writeCommitted(ServerId server, Time commit, Time sent, Time received) {
+  observe(server, {commit, sent, received, true});
+}
+
+void ReferenceClock::observe(ServerId server, const PrimaryClockEvidence::Answer& answer) {
+  if (answer.received - answer.sent > PrimaryClockEvidence::kMaxRoundTrip) return;
+  evidence_.observe(server, answer, wallOffset_);
+  updateProvenOffset();
+  expireProvenOffset(answer.received);
   updateOffset();
 }
 
-void ReferenceClock::forget(ServerId server) {
-  const auto it = samples_.find(server);
-  if (it == samples_.end()) return;
-  uncountSample(it->second);
-  samples_.erase(it);
+void ReferenceClock::forget(ServerId server) { evidence_.forget(server); }
+
+bool ReferenceClock::isMajorityOfGroups(std::size_t primaries) const {
+  return 2 * primaries > std::max(groupCount_, evidence_.primaries());
 }
 
-ReferenceClock::WallClockStatus ReferenceClock::assessWallClock(const Sample& sample) const {
-  if (sample.minOffset > wallOffset_ + kMaxClockSkew) return WallClockStatus::Behind;
-  if (sample.maxOffset >= wallOffset_ - kMaxIdlePositionAge) return WallClockStatus::Confirmed;
-  return sample.stable ? WallClockStatus::Ahead : WallClockStatus::Undecided;
+std::size_t ReferenceClock::countAhead() const {
+  return evidence_.count(Status::AheadOfPositions) + evidence_.count(Status::AheadOfCommits);
 }
 
-std::size_t* ReferenceClock::counterOf(WallClockStatus status) {
-  switch (status) {
-    case WallClockStatus::Behind:
-      return &statusCounts_.behind;
-    case WallClockStatus::Ahead:
-      return &statusCounts_.ahead;
-    case WallClockStatus::Confirmed:
-      return &statusCounts_.confirmed;
-    case WallClockStatus::Undecided:
-      break;
-  }
-  return nullptr;
+bool ReferenceClock::wasInUseBefore(Time offset) const {
+  return offset >= lowestOffset_ - kMaxIdlePositionAge;
 }
 
-void ReferenceClock::countSample(const Sample& sample) {
-  if (std::size_t* const counter = counterOf(sample.status)) ++*counter;
+void ReferenceClock::updateProvenOffset() {
+  if (!evidence_.takeProofChanged()) return;
+  const std::optional<Time> proven = evidence_.provenOffset();
+  if (proven) provenOffset_ = std::max(provenOffset_.value_or(*proven), *proven);
 }
 
-void ReferenceClock::uncountSample(const Sample& sample) {
-  if (std::size_t* const counter = counterOf(sample.status)) --*counter;
+void ReferenceClock::expireProvenOffset(Time now) {
+  if (!isMajority(evidence_.count(Status::Confirmed) + evidence_.count(Status::AheadOfCommits))) {
+    agreedSince_.reset();
+    return;
+  }
+  if (!agreedSince_) {
+    agreedSince_ = now;
+    evidence_.startProofWindow();
+  }
+  if (now - *agreedSince_ < kProofLifetime) return;
+  agreedSince_ = now;
+  evidence_.limitProofToWindow();
+  provenOffset_ = evidence_.provenOffset();
 }
 
 void ReferenceClock::updateOffset() {
-  if (isMajority(statusCounts_.behind))
-    return followPrimaries(WallClockStatus::Behind, Source::PrimariesAheadOfWallClock);
-  if (isMajority(statusCounts_.ahead))
-    return followPrimaries(WallClockStatus::Ahead, Source::PrimariesBehindWallClock);
+  if (isMajority(evidence_.count(Status::Behind)))
+    return adopt(evidence_.medianOffset(Status::Behind), Source::PrimariesAheadOfWallClock);
+  if (isMajorityOfGroups(evidence_.count(Status::AheadOfCommits)))
+    return adopt(evidence_.medianOffset(Status::AheadOfCommits), Source::CommitsBehindWallClock);
+  if (isMajority(countAhead())) {
+    const Time median = evidence_.medianAheadOffset();
+    if (wasInUseBefore(median))
+      return adopt(std::max(median, lowestOffset_), Source::PrimariesBehindWallClock);
+  }
   // A step back is followed only if most primaries confirm it.
-  if (wallOffset_ < offset_ && !isMajority(statusCounts_.confirmed)) return;
-  offset_ = wallOffset_;
-  source_ = Source::WallClock;
+  if (wallOffset_ < offset_ && !isMajority(evidence_.count(Status::Confirmed))) return;
+  adopt(wallOffset_, Source::WallClock);
 }
 
-void ReferenceClock::followPrimaries(WallClockStatus majority, Source source) {
-  const Time median = medianOffset(majority);
-  // Offsets vary with the round trip. Small differences are ignored, except forward beyond the
-  // reading jitter, which only makes data look older.
-  const bool same =
-      source_ != Source::WallClock && median <= offset_ + kReadingJitter && median > offset_ - kMaxRoundTrip;
-  if (!same) offset_ = median;
+void ReferenceClock::adopt(Time target, Source source) {
+  const Time offset = std::max(target, provenOffset_.value_or(target));
+  if (offset > target) source = Source::EarlierAnswers;
+  // Offsets from answers vary with the round trip. Small differences are ignored, except forward
+  // beyond the reading jitter, which only makes data look older.
+  const bool isSame = source != Source::WallClock && source_ != Source::WallClock &&
+                      offset <= offset_ + kReadingJitter &&
+                      offset > offset_ - PrimaryClockEvidence::kMaxRoundTrip;
+  if (!isSame) offset_ = offset;
   source_ = source;
-}
-
-ReferenceClock::Time ReferenceClock::medianOffset(WallClockStatus status) const {
-  std::vector<Time> offsets;
-  for (const auto& [server, sample] : samples_)
-    if (sample.status == status) offsets.push_back(sample.maxOffset);
-  const auto middle = offsets.begin() + static_cast<std::ptrdiff_t>(offsets.size() / 2);
-  std::nth_element(offsets.begin(), middle, offsets.end());
-  return *middle;
+  lowestOffset_ = std::min(lowestOffset_, offset_);
 }
 
 ReferenceClock::Summary ReferenceClock::summary() const {
   Summary summary;
   summary.source = source_;
   summary.wallOffset = wallOffset_;
-  summary.primaries = samples_.size();
-  summary.wallClockBehind = statusCounts_.behind;
-  summary.wallClockAhead = statusCounts_.ahead;
-  summary.wallClockConfirmed = statusCounts_.confirmed;
+  summary.provenOffset = provenOffset_;
+  summary.primaries = evidence_.primaries();
+  summary.wallClockBehind = evidence_.count(Status::Behind);
+  summary.wallClockAhead = countAhead();
+  summary.wallClockConfirmed = evidence_.count(Status::Confirmed);
   return summary;
 }
 
@@ -135,6 +125,10 @@
       return "primaries_ahead_of_wall_clock";
     case ReferenceClock::Source::PrimariesBehindWallClock:
       return "primaries_behind_wall_clock";
+    case ReferenceClock::Source::CommitsBehindWallClock:
+      return "commits_behind_wall_clock";
+    case ReferenceClock::Source::EarlierAnswers:
+      return "earlier_answers";
   }
   return "wall_clock";
 }
--- a/src/engine/reference_clock.hpp
+++ b/src/engine/reference_clock.hpp
@@ -5,18 +5,25 @@
 // time at the endpoint, and this machine's wall clock may be stepped. The reference time is
 // therefore stored as an offset to the process's monotonic clock: reference = monotonic + offset().
 //
+// A step back makes data look fresher than they are, so it needs more evidence than a step forward
+// (docs/design/time.md):
+//
 // - The offset follows the wall clock unless most primaries contradict it, so a single endpoint
 //   with a wrong clock has no effect.
-// - A primary's position is its current time. A response received at R to a request sent at S, with
-//   position P, therefore bounds the true offset: at least P - R, at most P - S.
-// - A step back, which makes data look fresher, is followed only if most primaries confirm it, so
-//   never before a primary has answered.
+// - It is never below what answers have proven as a lower bound (PrimaryClockEvidence), whichever
+//   server is the primary now.
+// - Positions behind the wall clock are evidence against the wall clock only back to an offset that
+//   was in use before. Otherwise the primaries' positions may lag; only commits of writes, in most
+//   groups, prove that the wall clock is ahead.
+// - A step back of the wall clock is followed only if most primaries confirm it.
 #pragma once
 
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <unordered_map>
+#include <optional>
+
+#include "engine/primary_clock_evidence.hpp"
 
 namespace sablespur {
 
@@ -30,8 +37,12 @@
   // Records a response of a primary. `sent` and `received` are monotonic times, `position` is Unix
   // time.
   void primaryAnswered(ServerId, Time position, Time sent, Time received);
+  // Records the commit of a write that was sent once and had not run before.
+  void writeCommitted(ServerId, Time commit, Time sent, Time received);
   // Called for a server that was removed or is no longer a primary.
   void forget(ServerId);
+  // Number of replication groups whose servers are listed.
+  void setGroupCount(std::size_t count) { groupCount_ = count; }
 
   Time offset() const { return offset_; }
 
@@ -39,12 +50,15 @@
   enum class Source {
     WallClock,
     PrimariesAheadOfWallClock,
-    PrimariesBehindWallClock,
+    PrimariesBehindWallClock,  // back to an offset that was in use before
+    CommitsBehindWallClock,
+    EarlierAnswers,  // the lower bound that answers have proven
   };
   // State of the estimate, for the log and the status.
   struct Summary {
     Source source = Source::WallClock;
     Time wallOffset{};
+    std::optional<Time> provenOffset;
     std::size_t primaries = 0;  // that have answered
     // How many of them show that the wall clock is behind, is ahead, or is right.
     std::size_t wallClockBehind = 0;
@@ -54,39 +68,27 @@
   Summary summary() const;
 
  private:
-  // State of the wall clock according to one primary's answers.
-  enum class WallClockStatus { Undecided, Behind, Ahead, Confirmed };
-  struct Sample {
-    // Bounds of the true offset from the latest response.
-    Time minOffset{};
-    Time maxOffset{};
-    Time stableOffset{};  // within kMaxRoundTrip of each minOffset since `stableSince`
-    Time stableSince{};
-    bool stable = false;  // long enough to show that the position advances with time
-    WallClockStatus status = WallClockStatus::Undecided;
-  };
-  // Number of samples with each status.
-  struct StatusCounts {
-    std::size_t behind = 0;
-    std::size_t ahead = 0;
-    std::size_t confirmed = 0;
-  };
+  using Status = PrimaryClockEvidence::WallClockStatus;
 
-  WallClockStatus assessWallClock(const Sample&) const;
-  // Returns null for Undecided, which is not counted.
-  std::size_t* counterOf(WallClockStatus);
-  void countSample(const Sample&);
-  void uncountSample(const Sample&);
-  bool isMajority(std::size_t count) const { return 2 * count > samples_.size(); }
+  void observe(ServerId, const PrimaryClockEvidence::Answer&);
+  bool isMajority(std::size_t primaries) const { return 2 * primaries > evidence_.primaries(); }
+  bool isMajorityOfGroups(std::size_t primaries) const;
+  std::size_t countAhead() const;
+  bool wasInUseBefore(Time offset) const;
+  void updateProvenOffset();
+  void expireProvenOffset(Time now);
   void updateOffset();
-  void followPrimaries(WallClockStatus majority, Source);
-  Time medianOffset(WallClockStatus) const;  // requires at least one sample with this status
+  void adopt(Time target, Source);
 
+  PrimaryClockEvidence evidence_;
+  std::size_t groupCount_ = 0;
   Time wallOffset_{};
   Time offset_{};
-  std::unordered_map<ServerId, Sample> samples_;
-  StatusCounts statusCounts_;
+  Time lowestOffset_{};  // the least that offset_ has been
   Source source_ = Source::WallClock;
+  std::optional<Time> provenOffset_;
+  // Since when most primaries agree with the wall clock, or prove that it is ahead.
+  std::optional<Time> agreedSince_;
 };
 
 // Returns the name of the source in the log and the status.
--- a/src/engine/reference_time.hpp
+++ b/src/engine/reference_time.hpp
@@ -20,6 +20,10 @@
   void primaryAnswered(balancer::EndpointId id, Time position, Time sentAt, Time receivedAt) {
     clock_.primaryAnswered(id, position, sentAt, receivedAt);
   }
+  void writeCommitted(balancer::EndpointId id, Time commit, Time sentAt, Time receivedAt) {
+    clock_.writeCommitted(id, commit, sentAt, receivedAt);
+  }
+  void setGroupCount(std::size_t count) { clock_.setGroupCount(count); }
   // Called for an endpoint that was removed or is no longer a primary.
   void forget(balancer::EndpointId id) { clock_.forget(id); }
 
--- a/tests/lagging_primary_test.cpp
+++ b/tests/lagging_primary_test.cpp
@@ -56,6 +56,19 @@
   }
 }
 
+// The same after the proxy has read from the replica while the group was current.
+TEST(LaggingPrimary, DoesNotMakeReplicasThatWereCurrentBeforeLookFresh) {
+  for (const char* const reports : {"pull", "piggyback"}) {
+    SCOPED_TRACE(reports);
+    Scenario t(settingWithReports(reports));
+    t.run(kServersAnswer);
+    t.run(kWriteAtServerOne);
+    t.run("s1 lags 3000\ns2 lags 3100");
+    t.serveFor(1100ms);  // the replica's proof expires
+    expectReads(t, kLongerThanThePositionMustKeepStep, "one");
+  }
+}
+
 // Without health checks and reports: a former primary was proven fresh by its last write.
 TEST(LaggingPrimary, DoesNotRenewTheProofOfAFormerPrimary) {
   Scenario t(settingWithReports("silent"));
@@ -72,6 +85,51 @@
   expectReads(t, kLongerThanThePositionMustKeepStep, "two");
 }
 
+// The lag begins with a takeover.
+TEST(LaggingPrimary, ThatHasJustTakenOverDoesNotMakeReplicasLookFresh) {
+  for (const char* const reports : {"pull", "piggyback"}) {
+    SCOPED_TRACE(reports);
+    Scenario t(settingWithReports(reports));
+    t.run(kServersAnswer);
+    t.run(kWriteAtServerOne);
+    t.run("s2 becomes primary\ns1 stands 0\ns2 lags 3000");
+    t.serveFor(1100ms);  // the former primary's proof expires
+    t.run(R"(
+      c1 send query INSERT 1 /* id=w2,c=write,d=7000,k=2,cluster=3 */
+      c1 expect row two
+      s1 stands 1500
+    )");
+    expectReads(t, kLongerThanThePositionMustKeepStep, "two");
+  }
+}
+
+// The wall clock is stepped back wrongly by as much as the primary lags, so that both agree.
+TEST(LaggingPrimary, DoesNotConfirmAWrongStepBackOfTheWallClock) {
+  for (const char* const reports : {"pull", "piggyback"}) {
+    SCOPED_TRACE(reports);
+    Scenario t(settingWithReports(reports));
+    t.run(kServersAnswer);
+    t.run(kWriteAtServerOne);
+    t.run("s1 lags 3000\ns2 lags 3100\nproxy steps clock -3000");
+    t.serveFor(1100ms);  // the replica's proof expires
+    expectReads(t, kLongerThanThePositionMustKeepStep, "one");
+  }
+}
+
+// While the wall clock is behind, primaries alone tell the time; one that then lags may not set it back.
+TEST(LaggingPrimary, DoesNotSetBackATimeThatPrimariesToldBefore) {
+  for (const char* const reports : {"pull", "piggyback"}) {
+    SCOPED_TRACE(reports);
+    Scenario t(settingWithReports(reports));
+    t.run(kServersAnswer);
+    t.run("proxy steps clock -60000\ns1 serves either\ns2 serves either");
+    expectReads(t, kLongerThanThePositionMustKeepStep, "either");
+    t.run("s1 serves one\ns2 serves two\ns1 lags 3000\ns2 lags 3100");
+    t.serveFor(1100ms);  // the replica's proof expires
+    expectReads(t, kLongerThanThePositionMustKeepStep, "one");
+  }
+}
+
 TEST(LaggingPrimary, IsLogged) {
   Scenario t(settingWithReports("pull"));
   t.run(kServersAnswer);
