Find a restarted primary by its report although its positions lag

Cause: recordReport dated a reported role by the position told with it. A lagging position is older than the connections that failed during the restart, so the role counted as older evidence than those failures. The trace shows health_check_ended role=1 every 0.1 s and no attempt there.

A report is at most half a second old, so its role is dated by that at least; a report that is only old keeps its date by position. The lab's restarted groups now continue from where they stood, as they were meant to.

--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -481,15 +481,22 @@
 }
 
 void Fleet::stopGroup(int group) {
-  groups_[static_cast<std::size_t>(group - 1)].stoppedAt = c_.now();
-  for (const auto& s : servers_)
-    if (s->group() == group) s->stop();
+  const Time now = c_.now();
+  groups_[static_cast<std::size_t>(group - 1)].stoppedAt = now;
+  for (const auto& s : servers_) {
+    if (s->group() != group) continue;
+    s->reportedPosition(now);
+    s->stop();
+  }
 }
 
 void Fleet::startGroup(int group) {
-  delay(group, c_.now() - groups_[static_cast<std::size_t>(group - 1)].stoppedAt);
-  for (const auto& s : servers_)
-    if (s->group() == group) s->start();
+  const Time down = c_.now() - groups_[static_cast<std::size_t>(group - 1)].stoppedAt;
+  for (const auto& s : servers_) {
+    if (s->group() != group) continue;
+    s->delayedPosition_.setDelay(down);
+    s->start();
+  }
 }
 
 void Fleet::revive(int group) {
--- a/src/balancer/endpoint_state.cpp
+++ b/src/balancer/endpoint_state.cpp
@@ -12,6 +12,8 @@
 // Enough to estimate a share, few enough to follow a change of lag.
 constexpr std::size_t kLagSamples = 8;
 constexpr Time kLoadReportValidity = std::chrono::seconds(1);
+// Endpoints renew their reports several times a second.
+constexpr Time kMaxReportAge = std::chrono::milliseconds(500);
 // Multiple of the usual latency after which silence is a symptom.
 constexpr double kSilenceFactor = 4;
 constexpr float kMaxReportedPosition = 1e9F;   // seconds; larger values are not positions
@@ -50,10 +52,12 @@
       endpoint.reportedLoad = {static_cast<int>(value), context.now};
     }
   }
-  // The position in a report dates it. Without a position, the age of the reported role is unknown.
+  // The position in a report dates it, unless it is older than any report: then the endpoint lags.
+  // Without a position, the age of the reported role is unknown.
   if (!position || *position > context.now) return;
   recordPosition(context, endpoint, *position);
-  if (role != Role::Unknown) recordRole(context, endpoint, role, *position);
+  const Time reportedAt = std::max(*position, context.now - kMaxReportAge);
+  if (role != Role::Unknown) recordRole(context, endpoint, role, reportedAt);
 }
 
 Time silenceThreshold(const Context& context, int classIndex) {
--- a/tests/primary_discovery_test.cpp
+++ b/tests/primary_discovery_test.cpp
@@ -20,6 +20,21 @@
   EXPECT_EQ(t.sends(write).size(), 3u);
 }
 
+// Regression test (soak of clocks, seed 2): a group restarted, and its primary told positions from
+// before the restart. Its role was dated by them, before the connections that had failed, and so
+// was not believed; every read and write was rejected until the position had caught up.
+TEST(PrimaryDiscovery, APrimaryThatLagsIsFoundByItsReportAfterAFailedConnection) {
+  BalancerFixture t;
+  t.reportAsPrimary(3);
+  const RequestId failed = t.request(kWrite);
+  ASSERT_EQ(t.lastEndpoint(failed), 3u);
+  t.endAttempt(failed, AttemptResult::ConnectFailed);
+  t.endAttempt(failed, AttemptResult::TooStale);
+  t.run(2000);
+  t.report(3, 4000, true);
+  EXPECT_EQ(t.lastEndpoint(t.request(kWrite)), 3u);
+}
+
 Settings withoutHealthChecks() {
   Settings s = settings();
   s.healthChecksAllowed = false;
