A primary that lags proves its data by its position, not by its role

What callers could see: a read answered by a former primary whose data are older than allowed.

A position more than 1 s before the send (an idle primary's last commit may be so old) now stands for itself.

--- a/src/balancer/attempt_outcome.cpp
+++ b/src/balancer/attempt_outcome.cpp
@@ -17,6 +17,9 @@
 
 // A failure within this fraction of the low latency of its class is assumed to have done no work.
 constexpr double kFastFailureFraction = 0.5;
+// The last commit of an idle primary may be this old. A position that is older shows that the primary
+// lags.
+constexpr Time kMaxIdlePositionAge = std::chrono::seconds(1);
 // A commit's position may have been rounded up by as much as this.
 constexpr Time kCommitRounding = std::chrono::milliseconds(1);
 
@@ -63,11 +66,12 @@
                             const AttemptOutcome& outcome, bool isWrite) {
   const Role role = observedRole(outcome, isWrite);
   if (role != Role::Unknown) recordRole(context, endpoint, role, context.now);
+  const std::optional<Time> position = plausiblePositionOf(context, outcome.replicationStatus);
+  const bool lags = position && *position < attempt.sentAt - kMaxIdlePositionAge;
   // The endpoint wrote the answer after the attempt was sent, so at the send it had all earlier
   // commits, whenever the answer arrived.
-  if (role == Role::Primary)
+  if (role == Role::Primary && !lags)
     endpoint.replication.primaryAt = std::max(endpoint.replication.primaryAt, attempt.sentAt);
-  const std::optional<Time> position = plausiblePositionOf(context, outcome.replicationStatus);
   if (position)
     recordPosition(context, endpoint,
                    std::min(context.now, isWrite ? *position - kCommitRounding : *position));
--- a/tests/consistency_test.cpp
+++ b/tests/consistency_test.cpp
@@ -113,6 +113,16 @@
   EXPECT_TRUE(t.sends(t.request(kBounded)).empty()) << "600 ms exceed the bound";
 }
 
+// Regression test: the answer as primary counted as proof up to its send, although it told a position
+// that was seconds old.
+TEST(StaleAnswer, AFormerPrimaryThatLaggedIsProvenByItsPositionOnly) {
+  BalancerFixture t(withoutHealthChecks());
+  const RequestId write = t.request(kWrite);
+  t.endAttempt(write, AttemptResult::Ok, t.replicationStatus(3000, kPrimaryRole));
+  t.advance(300);
+  EXPECT_FALSE(t.receiveAnswer(t.request(kBounded), kReplicaRole)) << "its data may be 3.3 s old";
+}
+
 // For an attempt that waited for its connection, staleness is measured at the time of the actual
 // send.
 TEST(StaleAnswer, StalenessIsMeasuredAtTheSend) {
