--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -159,11 +159,12 @@
                            std::optional<Time> sentAt, bool isNewCommit) {
   if (status.role == cluster::GossipRole::Primary && status.positionMs > 0 && sentAt) {
     const std::chrono::milliseconds position(status.positionMs);
-    observePrimaryLag(endpoint, position);
-    if (isNewCommit)
+    if (isNewCommit) {
       reference_.writeCommitted(endpoint, position, *sentAt, now_);
-    else
+    } else {
+      observePrimaryLag(endpoint, position);
       reference_.primaryAnswered(endpoint, position, *sentAt, now_);
+    }
     applyClockOffset(endpoints_.name(endpoint));
   } else if (status.role == cluster::GossipRole::Replica) {
     forgetPrimary(endpoint);
