--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -151,7 +151,7 @@
 // ---- reference time -------------------------------------------------------------------------------------
 void Engine::followWallClock() {
   reference_.followWallClock(clock_, now_);
-  applyClockOffset("wall clock");
+  applyClockOffset(std::nullopt);
 }
 
 // Only answers of a primary bound the time of other machines, because a replica's position may lag.
@@ -165,7 +165,7 @@
       observePrimaryLag(endpoint, position);
       reference_.primaryAnswered(endpoint, position, *sentAt, now_);
     }
-    applyClockOffset(endpoints_.name(endpoint));
+    applyClockOffset(endpoint);
   } else if (status.role == cluster::GossipRole::Replica) {
     forgetPrimary(endpoint);
   }
@@ -195,7 +195,7 @@
   primaryLags_.forget(endpoint);
 }
 
-void Engine::applyClockOffset(const std::string& cause) {
+void Engine::applyClockOffset(std::optional<EndpointId> cause) {
   using std::chrono::milliseconds;
   const auto movedBy = reference_.updateOffset();
   if (!movedBy) return;
@@ -205,7 +205,7 @@
            {{"by_ms", std::chrono::duration_cast<milliseconds>(*movedBy).count()},
             {"offset_ms", std::chrono::duration_cast<milliseconds>(offset).count()},
             {"source", nameOf(summary.source)},
-            {"cause", cause},
+            {"cause", cause ? endpoints_.name(*cause) : "wall clock"},
             {"wall_offset_ms", std::chrono::duration_cast<milliseconds>(summary.wallOffset).count()},
             {"proven_offset_ms",
              std::chrono::duration_cast<milliseconds>(summary.provenOffset.value_or(Time(0))).count()},
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -144,9 +144,9 @@
   bool isNewCommit(const PendingRequest&, const engine_event::AttemptEnded&) const;
   void observePrimaryLag(EndpointId, Time position);
   void forgetPrimary(EndpointId);
-  // `cause` is what moved the reference clock, for the log: the name of an endpoint, or the wall
+  // `cause` is the endpoint whose answer may have moved the reference clock; std::nullopt: the wall
   // clock.
-  void applyClockOffset(const std::string& cause);
+  void applyClockOffset(std::optional<EndpointId> cause);
   Time positionEpochUnix() const { return positionEpoch_ + reference_.offset(); }
 
   // The endpoint list.
