--- a/src/engine/primary_clock_evidence.cpp
+++ b/src/engine/primary_clock_evidence.cpp
@@ -11,8 +11,6 @@
 
 // Synchronized clocks differ by less than this.
 constexpr Time kMaxClockSkew = std::chrono::milliseconds(50);
-// The last commit of an idle primary may be this old.
-constexpr Time kMaxIdlePositionAge = std::chrono::seconds(1);
 // Offsets count as steady once they have kept step with time for this long.
 constexpr Time kMinSteadyPeriod = std::chrono::seconds(1);
 
--- a/src/engine/primary_clock_evidence.hpp
+++ b/src/engine/primary_clock_evidence.hpp
@@ -39,6 +39,8 @@
   using ServerId = std::uint64_t;
 
   static constexpr Time kMaxRoundTrip = std::chrono::milliseconds(250);
+  // The last commit of an idle primary may be this old.
+  static constexpr Time kMaxIdlePositionAge = std::chrono::seconds(1);
 
   // State of the wall clock according to one primary.
   enum class WallClockStatus {
--- a/src/engine/primary_lag_monitor.cpp
+++ b/src/engine/primary_lag_monitor.cpp
@@ -1,15 +1,12 @@
 #include "engine/primary_lag_monitor.hpp"
 
-namespace sablespur {
-namespace {
-
-// The last commit of an idle primary may be this old.
-constexpr PrimaryLagMonitor::Time kMaxIdlePositionAge = std::chrono::seconds(1);
+#include "engine/primary_clock_evidence.hpp"
 
-}  // namespace
+namespace sablespur {
 
 PrimaryLagMonitor::Change PrimaryLagMonitor::observe(ServerId server, Time behind, Time now) {
-  if (behind <= kMaxIdlePositionAge) return laggingSince_.erase(server) > 0 ? Change::Ended : Change::None;
+  if (behind <= PrimaryClockEvidence::kMaxIdlePositionAge)
+    return laggingSince_.erase(server) > 0 ? Change::Ended : Change::None;
   return laggingSince_.emplace(server, now).second ? Change::Began : Change::None;
 }
 
--- a/src/engine/reference_clock.cpp
+++ b/src/engine/reference_clock.cpp
@@ -9,8 +9,6 @@
 
 // Differences between two readings below this are not a step of the wall clock.
 constexpr Time kReadingJitter = std::chrono::milliseconds(5);
-// The last commit of an idle primary may be this old.
-constexpr Time kMaxIdlePositionAge = std::chrono::seconds(1);
 // While most primaries agree with the wall clock, or prove that it is ahead, a proof from before that
 // expires after this long: a primary's clock may have been ahead. Longer than a wrong wall clock and
 // a lagging primary are likely to agree by chance.
@@ -53,7 +51,7 @@
 }
 
 bool ReferenceClock::wasInUseBefore(Time offset) const {
-  return offset >= lowestOffset_ - kMaxIdlePositionAge;
+  return offset >= lowestOffset_ - PrimaryClockEvidence::kMaxIdlePositionAge;
 }
 
 void ReferenceClock::updateProvenOffset() {
