--- a/review/standins.py
+++ b/review/standins.py
@@ -16,6 +16,7 @@
 import signal
 import socket
 import struct
+import sys
 import tempfile
 import time
 
@@ -524,23 +525,32 @@
     return await asyncio.wait_for(task, limit)
 
 
+def say(text):
+    """Prints a line; a reader that has gone changes no verdict."""
+    try:
+        print(text, flush=True)
+    except OSError:
+        sys.stdout = open(os.devnull, "w", encoding="utf-8")
+
+
+BROKEN, HELD, NOT_RUN = 10, 0, 2  # exit statuses; run.sh turns 10 into 1, so that an error of Python is no verdict
+
+
 def play(folder, scenario):
-    """Runs `scenario(record, trouble, folder)` and exits: 1 if it returns breaks, 0 if it returns none,
-    2 if the case could not run."""
+    """Runs `scenario(record, trouble, folder)`, which returns a line for each break, and exits with the verdict."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(os.path.join(folder, "record.txt"))
     record(f"trouble {'on' if trouble else 'off'}")
-    status = 2
-    with tempfile.TemporaryDirectory() as temporary:
-        try:
+    try:
+        with tempfile.TemporaryDirectory() as temporary:
             breaks = asyncio.run(within(scenario(record, trouble, temporary), 110))
-            for line in breaks:
-                record(f"BROKEN {line}")
-                print(f"BROKEN {line}")
-            record(f"rule {'broken' if breaks else 'held'}")
-            print(f"rule {'broken' if breaks else 'held'}, {len(breaks)} breaks")
-            status = 1 if breaks else 0
-        except (CannotRun, OSError, Closed, asyncio.TimeoutError, asyncio.CancelledError) as cause:
-            record(f"could not run: {cause!r}")
-            print(f"could not run: {cause!r}")
-    raise SystemExit(status)
+    except (Exception, asyncio.CancelledError) as cause:
+        record(f"could not run: {cause!r}")
+        say(f"could not run: {cause!r}")
+        raise SystemExit(NOT_RUN) from cause
+    for line in breaks:
+        record(f"BROKEN {line}")
+        say(f"BROKEN {line}")
+    record(f"rule {'broken' if breaks else 'held'}")
+    say(f"rule {'broken' if breaks else 'held'}, {len(breaks)} breaks")
+    raise SystemExit(BROKEN if breaks else HELD)
