--- a/review/2/case.py
+++ b/review/former/2/case.py
@@ -4,7 +4,7 @@
 import signal
 import sys
 
-sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__)))))
 from standins import (Client, Closed, Deployment, Ids, Proxy, free_port, now, play, read_statement,  # noqa: E402
                       request_class, settings)
 
