Review: after an upgrade a data server that drains gets requests again

Cause: the new process starts from the list in its configuration and has no bound on its age where discovery is asked; what the old process was told is not handed over.

Done: case 3 of the new review; the stand-in of discovery can turn callers away.

--- a/review/standins.py
+++ b/review/standins.py
@@ -224,6 +224,7 @@
         self.generation = 1
         self.entries = {}  # name: (generation, entry)
         self.watches = set()
+        self.turns_away = False
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -235,6 +236,11 @@
         for event in self.watches:
             event.set()
 
+    def turn_away(self, on):
+        """While on, each new call is answered at once with 503; watches that are open go on."""
+        self.turns_away = on
+        self.record(f"discovery {'turns callers away' if on else 'takes calls'}")
+
     def list(self, after=0, whole=True):
         instances = [e for g, e in self.entries.values()
                      if g > after and not (whole and e["lifecycle"] == "left")]
@@ -244,6 +250,11 @@
         try:
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
             target = head.split(" ", 2)[1]
+            if self.turns_away:
+                self.record(f"discovery answers 503 to {target}")
+                writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+                await writer.drain()
+                return
             if "watch=1" not in target:
                 body = json.dumps(self.list()).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
