Clients' input is processed in turns, so that many clients hold back no other request

Cause: a pass of EVLOOP_ONCE ends only when no libevent callback is active. A session that answers a command by itself scheduled its next read as a deferred callback, and libevent keeps those beyond 32 active. With more such sessions than that, a pass never ended, and the engine's turn, which hands requests to data servers, never ran.

Change: InputScheduler. A message that is whole but still waits is neither counted as incomplete nor evicted for it.

--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -102,6 +102,7 @@
   now_ = std::max(now_, clock_.now());
   followWallClock();
   advancePositionEpoch();
+  ++turn_;
   handleQueuedEvents();
   fireDueTimers();
   if (now_ - lastExpiryAt_ >= kExpiryInterval) removeExpired(now_);
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -77,6 +77,8 @@
 
   Time now() const { return clock_.now(); }
   const Clock& clock() const { return clock_; }
+  // Changes with each turn.
+  std::uint64_t turn() const { return turn_; }
   // Unix time by the reference clock, for comparison with time stamps of other machines. Durations
   // are measured with now().
   Time unixNow() const { return clock_.now() + reference_.offset(); }
@@ -170,6 +172,7 @@
   Clock clock_;
   ReferenceTime reference_;
   PrimaryLagMonitor primaryLags_;
+  std::uint64_t turn_ = 1;
   Time now_;             // time of the current turn
   Time positionEpoch_;   // zero point of the balancer's positions, on clock_
   Time lastExpiryAt_{};  // last call of removeExpired()
--- a/src/frontend/postgres/clients.cpp
+++ b/src/frontend/postgres/clients.cpp
@@ -46,7 +46,8 @@
                  const Config& config)
     : services_{base, engine, workers, budget, admission, config},
       requestHandler_(requestHandler),
-      users_(config.users) {
+      users_(config.users),
+      inputs_(base, engine) {
   Acceptor::ConnectionHandler handler;
   handler.accepted = [this](evutil_socket_t fd, const sockaddr* from) { onAccepted(fd, from); };
   handler.hasRoom = [this] { return hasRoom(); };
@@ -283,7 +284,10 @@
 
 void Clients::onSessionDestroyed(Session& session) {
   watchForDisconnect(session, false);
+void Clients::scheduleInput(Session& session) { inputs_.schedule(session); }
+
   unadmitted_.erase(&session);
+  inputs_.remove(session);
   keys_.erase(session.key().process);
   if (session.hasSentRequest()) --activeSessions_;
 }
--- a/src/frontend/postgres/clients.hpp
+++ b/src/frontend/postgres/clients.hpp
@@ -16,6 +16,7 @@
 #include "engine/acceptor.hpp"
 #include "engine/engine.hpp"
 #include "engine/event.hpp"
+#include "frontend/postgres/input_scheduler.hpp"
 #include "frontend/postgres/session_owner.hpp"
 
 namespace sablespur {
@@ -49,6 +50,7 @@
   void onSessionDestroyed(Session&) override;
   void onFirstRequest(const Session&) override;
   void setUnadmitted(Session&, bool) override;
+  void scheduleInput(Session&) override;
   void watchForDisconnect(Session&, bool on) override;
   void logRejection(const char* code, std::string_view why, const Address& from) override;
   postgres::Key newKey(Session&, std::size_t secretLength) override;
@@ -96,6 +98,7 @@
   Time answerBy_ = Time::max();  // set by drain()
   std::function<void()> done_;
 
+  InputScheduler inputs_;
   std::unordered_set<std::string> openRequestNames_;  // client-assigned ids of open requests
   std::unordered_map<std::uint32_t, Session*> keys_;  // by process number of the cancel key
   std::unordered_set<Session*> pausedReads_;          // sessions with reading disabled
--- a/src/frontend/postgres/session.cpp
+++ b/src/frontend/postgres/session.cpp
@@ -22,6 +22,8 @@
 // Minimum time left for the rest of an incomplete message once its beginning has been looked at;
 // the rest may already be in the socket's receive buffer.
 constexpr Time kMinRestOfMessageTime = std::chrono::milliseconds(500);
+// Messages that one client may have processed before others get their turn.
+constexpr int kMessagesPerSlice = 16;
 // No further request is processed while the client has this many bytes of unsent output.
 constexpr std::size_t kMaxUnsentOutput = 16 << 10;
 constexpr const char* kInvalidPassword = "28P01";
@@ -120,7 +122,7 @@
   // one that had already arrived, so input that has arrived is processed first.
   const bool hasInput = pastAnswerDeadline() ? evbuffer_get_length(input()) > 0 : hasUnreadInput();
   if (hasInput)
-    scheduleRead();
+    scheduleInput();
   else
     beginClose();
 }
@@ -129,7 +131,7 @@
   if (closing()) return;
   startDraining();
   setReading(false);
-  if (!request_.id) return scheduleRead();
+  if (!request_.id) return scheduleInput();
   owner_.cancelRequest(*request_.id);
   failed();
 }
@@ -184,7 +186,8 @@
 
 // While a key is being derived, input is not processed, so it may hold complete messages.
 bool Session::hasPartialMessage() {
-  return inputState_.partialMessageSince && !startup_.passwordWork && evbuffer_get_length(input()) > 0;
+  return inputState_.partialMessageSince && !isScheduled() && !startup_.passwordWork &&
+         evbuffer_get_length(input()) > 0;
 }
 
 bool Session::mayHoldRequest() {
@@ -197,7 +200,7 @@
 }
 
 bool Session::checkIdleTimeout(Time now) {
-  if (inputState_.paused && !closing() && evbuffer_get_length(input()) > 0) scheduleRead();
+  if (inputState_.paused && !closing() && evbuffer_get_length(input()) > 0) scheduleInput();
   inputState_.paused = false;
   const bool flushed = evbuffer_get_length(output()) == 0;
   // If the client does not read its last output, the write timeout closes the session.
@@ -213,6 +216,11 @@
 
 void Session::onIdleTimeout() {
   if (closeState_ == CloseState::Lingering) return owner_.onSessionClosed(*this);
+  if (isScheduled()) {
+    // What it was waited for may have arrived.
+    processInput();
+    if (checkIdleTimeout(services_.engine.now())) return;
+  }
   if (!inputState_.partialMessageSince || evbuffer_get_length(input()) == 0) return beginClose();
   reject("08P01", "a message that was begun and not finished in time", true);
 }
@@ -232,7 +240,8 @@
 
 void Session::onFlushed() {
   if (closing()) return shutdownSending();
-  onReadable();  // processes the input that was left while too much output was unsent
+  // Input may be left that was not processed while too much output was unsent.
+  if (evbuffer_get_length(input()) > 0 || pastAnswerDeadline()) scheduleInput();
   if (draining()) beginDrain();
 }
 
@@ -247,15 +256,16 @@
     self.inputState_.timestamps.onReceived(change->n_added, self.services_.engine.now(), full);
 }
 
-void Session::scheduleRead() {
-  bufferevent_trigger(bev_.get(), EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+// Within processInput() there is nothing to do: it looks at all of the input itself.
+void Session::scheduleInput() {
+  if (!inputState_.processing) owner_.scheduleInput(*this);
 }
 
 // Called after an answer. The next pipelined request is processed in a later callback of the event
 // loop rather than within this call, because the current callback has not returned yet.
 void Session::resumeOrDrain() {
   if (evbuffer_get_length(input()) > 0 || pastAnswerDeadline())
-    scheduleRead();
+    scheduleInput();
   else if (draining() || owner_.shutdownPhase() >= ShutdownPhase::ClosingIdle)
     beginDrain();
 }
@@ -269,22 +279,48 @@
   return protocol_.version == ProtocolVersion::Version3 ? readMessageV3() : readMessageV2();
 }
 
+bool Session::inputIsFull() {
+  return evbuffer_get_length(input()) >= std::max(kReadAhead, inputState_.messageReservation);
+}
+
+// libevent keeps calling back while the input is at its high watermark, so reading is disabled until
+// it is below.
 void Session::onReadable() {
   if (closing()) return discardInput();
-  while (!request_.id && !closing() && !inputState_.paused &&
-         evbuffer_get_length(output()) < kMaxUnsentOutput) {
-    if (!readMessage()) break;
+  if (inputIsFull()) setReading(false);
+  scheduleInput();
+}
+
+bool Session::mayProcessMessage() {
+  return !request_.id && !closing() && !inputState_.paused &&
+         evbuffer_get_length(output()) < kMaxUnsentOutput;
+}
+
+// Returns whether it stopped at kMessagesPerSlice, so that the input may hold more whole messages.
+bool Session::processMessages() {
+  for (int count = 0; mayProcessMessage(); ++count) {
+    if (count == kMessagesPerSlice) return evbuffer_get_length(input()) > 0;
+    if (!readMessage()) return false;
     inputState_.partialMessageSince.reset();
   }
+  return false;
+}
+
+void Session::processInput() {
+  if (closing()) return discardInput();
+  inputState_.processing = true;
+  const bool hasMore = processMessages();
+  inputState_.processing = false;
   if (closing()) return;
+  if (hasMore) {
+    setReading(!inputIsFull() && !pastAnswerDeadline());
+    return scheduleInput();
+  }
   const std::size_t left = evbuffer_get_length(input());
   if (pastAnswerDeadline()) return rejectRemainder(left);
-  // libevent keeps calling back while the input is at its high watermark, so reading is disabled
-  // until it is below.
-  const bool belowWatermark = left < std::max(kReadAhead, inputState_.messageReservation);
   if (!inputState_.partialMessageSince && left > 0)
-    inputState_.partialMessageSince = belowWatermark ? partialMessageStart() : services_.engine.now();
-  setReading(belowWatermark);
+    inputState_.partialMessageSince = inputIsFull() ? services_.engine.now() : partialMessageStart();
+  setReading(!inputIsFull());
 }
 
 // Ends the session once the answer deadline of a shutdown has passed. Remaining input is an
--- a/src/frontend/postgres/session.hpp
+++ b/src/frontend/postgres/session.hpp
@@ -20,6 +20,7 @@
 #include "engine/resource_budget.hpp"
 #include "engine/workers.hpp"
 #include "frontend/admission_controller.hpp"
+#include "frontend/postgres/input_scheduler.hpp"
 #include "frontend/postgres/input_timestamps.hpp"
 #include "frontend/postgres/login.hpp"
 #include "frontend/postgres/prepared_statements.hpp"
@@ -44,7 +45,7 @@
 };
 
 // Requests pipelined behind the current one wait in the input buffer, which is bounded.
-class Session final : public ResponseHandler, public AdmittedConnection {
+class Session final : public ResponseHandler, public AdmittedConnection, public InputSource {
  public:
   // Takes ownership of the descriptor. `awaitProxyHeader` means that the connection comes from a
   // trusted proxy and starts with a PROXY header that contains the client's address.
@@ -86,9 +87,12 @@
   // requests that were already read are answered, and nothing more is read.
   void failOutstanding();
 
+  // Processes up to kMessagesPerSlice messages of the input buffer.
+  void processInput() override;
   // Returns whether there is unprocessed input in the input buffer or the socket.
   bool hasUnreadInput();
-  // Returns whether the input buffer holds nothing but an incomplete message.
+  // Returns whether the input buffer holds nothing but an incomplete message. Input that is still to
+  // be looked at does not count as such.
   bool hasPartialMessage();
   // Returns whether the input buffer or the socket may hold a request that has not been parsed yet.
   bool mayHoldRequest();
@@ -140,6 +144,7 @@
   };
   struct InputState {
     bool reading = true;                 // if false, the owner polls for disconnects
+    bool processing = false;             // within processInput()
     bool paused = false;                 // after a client's error, until the next idle sweep
     std::size_t messageReservation = 0;  // bytes of the budget reserved for the current message
     std::size_t discarded = 0;           // bytes discarded while lingering
@@ -174,7 +179,10 @@
   bool readMessage();
   Time partialMessageStart() const;
   void rejectRemainder(std::size_t length);
-  void scheduleRead();
+  bool mayProcessMessage();
+  bool processMessages();
+  bool inputIsFull();
+  void scheduleInput();
   void resumeOrDrain();
   void setReading(bool);
 
--- a/src/frontend/postgres/session_handshake.cpp
+++ b/src/frontend/postgres/session_handshake.cpp
@@ -230,7 +230,7 @@
             startup_.passwordWork.reset();
             inputState_.partialMessageSince.reset();  // recomputed for the next message
             applyLoginStep(startup_.login->onKeyDerived(derived));
-            if (!closing()) scheduleRead();
+            if (!closing()) scheduleInput();
           });
       if (!startup_.passwordWork) reject("53300", "too many logins at once", true);
       return;
--- a/src/frontend/postgres/session_owner.hpp
+++ b/src/frontend/postgres/session_owner.hpp
@@ -58,6 +58,8 @@
   virtual void onFirstRequest(const Session&) = 0;
   // Records whether the session is without a permit of the AdmissionController.
   virtual void setUnadmitted(Session&, bool) = 0;
+  // Schedules Session::processInput(), so that all sessions get their share of the event loop's time.
+  virtual void scheduleInput(Session&) = 0;
   // Starts or stops polling for the client's disconnect, for a session with reading disabled.
   virtual void watchForDisconnect(Session&, bool on) = 0;
   // Logs an error of a client. At most one line is logged per interval; it contains the number of
