SIGHUPs that arrive together reload the settings once

libevent calls the handler of a signal once for each delivery since its last pass, in a row, and each call read, checked and applied the file. So a script that sends SIGHUP in a loop held back the turn by one reload for each signal.

Change: the handler notes the request; `serve` reloads once between two turns. There is no test of its own: how many deliveries meet in one pass is up to the system. The test of reloads (ReloadsTheConfigurationOnSighupAndMovesItsWatch) passes.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -27,13 +27,12 @@
   return limited;
 }
 
-// Handles the signals of a running proxy: SIGTERM and SIGINT drain it, SIGHUP reloads its settings.
-// Both references have to outlive this object.
+// Handles the signals of a running proxy: SIGTERM and SIGINT drain it, SIGHUP requests a reload of
+// its settings. The proxy has to outlive this object.
 class SignalHandlers {
  public:
-  SignalHandlers(event_base* base, Proxy& proxy, const SettingsSource& settings)
+  SignalHandlers(event_base* base, Proxy& proxy)
       : proxy_(proxy),
-        settings_(settings),
         terminate_(evsignal_new(base, SIGTERM, onStop, this)),
         interrupt_(evsignal_new(base, SIGINT, onStop, this)),
         hangup_(evsignal_new(base, SIGHUP, onReload, this)) {
@@ -44,21 +43,24 @@
 
   // Returns whether the proxy has been drained.
   bool stopped() const { return stopped_; }
+  // Returns whether a reload was requested since the last call. Requests that arrive together count
+  // as one, so that many of them do not hold up the clients.
+  bool takeReloadRequest() { return std::exchange(reloadRequested_, false); }
 
  private:
   static void onStop(evutil_socket_t, short, void* self) {
-    logEvent(LogLevel::Info, "drain_started");
     auto& handlers = *static_cast<SignalHandlers*>(self);
+    if (!std::exchange(handlers.draining_, true)) logEvent(LogLevel::Info, "drain_started");
     handlers.proxy_.drain([&handlers] { handlers.stopped_ = true; });
   }
 
   static void onReload(evutil_socket_t, short, void* self) {
-    const auto& handlers = *static_cast<SignalHandlers*>(self);
-    handlers.proxy_.reload(handlers.settings_);
+    static_cast<SignalHandlers*>(self)->reloadRequested_ = true;
   }
 
   Proxy& proxy_;
-  const SettingsSource& settings_;
+  bool draining_ = false;
+  bool reloadRequested_ = false;
   bool stopped_ = false;
   const Event terminate_;
   const Event interrupt_;
@@ -72,9 +74,12 @@
   Config config = limitToSystem(given);
   const EventBase base(event_base_new());
   Proxy proxy(base.get(), std::move(config));
-  SignalHandlers signals(base.get(), proxy, source);
+  SignalHandlers signals(base.get(), proxy);
   proxy.start();
-  while (!signals.stopped()) proxy.runOnce();
+  while (!signals.stopped()) {
+    proxy.runOnce();
+    if (signals.takeReloadRequest()) proxy.reload(source);
+  }
   return 0;
 }
 
