At most 64 KiB of a rejected connection's input are read before it is closed

A connection that is rejected without a session (no descriptor or permit left) is read until it is empty, so that its close does not reset the error away. The loop had no bound: a client that sends as fast as 1 KiB a read is taken would have kept the process in it.

Change: 16 reads of 4 KiB, more than an honest client sends before its first answer. A client that goes on sending gets a reset, which costs itself alone.

The tests of rejected connections and their CancelRequests pass.

--- a/src/frontend/postgres/clients.cpp
+++ b/src/frontend/postgres/clients.cpp
@@ -23,6 +23,10 @@
 // a fifth of that.
 constexpr Time kDisconnectPollInterval = std::chrono::milliseconds(20);
 constexpr Time kRejectionLogInterval = std::chrono::seconds(1);
+// Input of a rejected connection that is read before its socket is closed: more than an honest client
+// sends before its first answer. A client that goes on sending is reset.
+constexpr std::size_t kDiscardBytesPerRead = 4 << 10;
+constexpr int kMaxDiscardReads = 16;
 // Clients with an incomplete message are not evicted unless there are more of them than this, which
 // counts as a flood.
 constexpr std::size_t kPartialMessageFloodThreshold = 8;
@@ -143,14 +147,12 @@
 // admission, since the request would otherwise keep running although its client no longer wants the
 // answer.
 void Clients::cancelFromStartup(evutil_socket_t fd) {
-  char startup[1024];
-  constexpr auto kSize = static_cast<ssize_t>(sizeof startup);
-  ssize_t length = recv(fd, startup, sizeof startup, MSG_DONTWAIT);
-  if (length > 0) {
-    const auto key = postgres::parseCancel({startup, static_cast<std::size_t>(length)});
-    if (key) cancel(*key);
-  }
-  while (length == kSize) length = recv(fd, startup, sizeof startup, MSG_DONTWAIT);
+  char bytes[kDiscardBytesPerRead];
+  const ssize_t length = recv(fd, bytes, sizeof bytes, MSG_DONTWAIT);
+  if (length <= 0) return;
+  if (const auto key = postgres::parseCancel({bytes, static_cast<std::size_t>(length)})) cancel(*key);
+  for (int reads = 1; reads < kMaxDiscardReads; ++reads)
+    if (recv(fd, bytes, sizeof bytes, MSG_DONTWAIT) <= 0) return;
 }
 
 // Returns whether to accept another connection; otherwise it stays in the listener's backlog. With
@@ -282,12 +284,12 @@
     done_();
 }
 
-void Clients::onSessionDestroyed(Session& session) {
-  watchForDisconnect(session, false);
 void Clients::scheduleInput(Session& session) { inputs_.schedule(session); }
 
-  unadmitted_.erase(&session);
+void Clients::onSessionDestroyed(Session& session) {
   inputs_.remove(session);
+  watchForDisconnect(session, false);
+  unadmitted_.erase(&session);
   keys_.erase(session.key().process);
   if (session.hasSentRequest()) --activeSessions_;
 }
