Updates of peers have 5 ms a turn; the rest waits for the next one

Up to 64 datagrams of 25 updates are taken in one pass, and each update may let all requests that wait in its group try again. So peers could make one turn as long as 1,600 times the requests that wait.

Change: the engine handles updates for 5 ms and queues the rest; beyond 4,096 that wait, further ones are dropped. A lost update costs a health check.

--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -16,6 +16,8 @@
 // millisecond; 4 x milliseconds would overflow 32 bits only after twelve days.
 constexpr Time kPositionEpochLifetime = std::chrono::hours(2);
 constexpr Time kExpiryInterval = std::chrono::seconds(1);
+// Updates from other proxies that wait for their turn; a lost one costs a health check.
+constexpr std::size_t kMaxWaitingGossip = 4096;
 
 // Positions are whole milliseconds of Unix time. Their epoch is, too, so that rounding cannot make
 // data look newer.
@@ -75,6 +77,7 @@
 }
 
 void Engine::gossipReceived(const cluster::GossipUpdate& update) {
+  if (gossip_.size() >= kMaxWaitingGossip) return;
   if (gossip_.empty()) events_.emplace_back(engine_event::GossipReceived{});
   gossip_.push_back(update);
 }
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -134,6 +134,7 @@
   void recordSend(RequestId, EndpointId, const char* reason);
 
   // Processing of answers: the response to the client, and updates to other proxies and the
+  void handleGossip(const cluster::GossipUpdate&);
   // reference clock.
   balancer::AttemptOutcome outcomeOf(const engine_event::AttemptEnded&) const;
   void withholdStaleAnswer(EndpointId, AttemptEnd&);
@@ -178,7 +179,7 @@
   Time lastExpiryAt_{};  // last call of removeExpired()
 
   std::vector<engine_event::QueuedEvent> events_;
-  std::vector<cluster::GossipUpdate> gossip_;   // since the last turn; storage is reused
+  std::vector<cluster::GossipUpdate> gossip_;   // not handled yet; storage is reused
   std::vector<std::function<void()>> actions_;  // in order of execution
   std::unordered_map<RequestId, PendingRequest> requests_;
   RequestId lastRequest_ = 0;
--- a/src/engine/engine_events.cpp
+++ b/src/engine/engine_events.cpp
@@ -21,6 +21,7 @@
 // The known list of the settings and the first list from discovery: their endpoints may have
 // started long ago.
 constexpr int kInitialLists = 2;
+constexpr Time kGossipTimePerTurn = std::chrono::milliseconds(5);
 
 std::optional<std::chrono::milliseconds> startStampOf(const DiscoveredEndpoint& endpoint) {
   if (endpoint.startedMs == 0) return std::nullopt;
@@ -180,13 +181,18 @@
 }
 
 void Engine::handle(engine_event::GossipReceived&) {
-  for (const GossipUpdate& update : gossip_) {
-    const auto endpoint = endpoints_.findByTag(update.endpointTag);
-    if (!endpoint || millisecondsSince(positionEpochUnix(), update.positionMs) == 0) continue;
-    balancer_->gossipReceived(now_, *endpoint, replicationStatusWord(positionEpochUnix(), update),
-                              update.classIndex, Time(update.latencyUs));
-  }
-  gossip_.clear();
+  const Time end = clock_.now() + kGossipTimePerTurn;
+  std::size_t handled = 0;
+  while (handled < gossip_.size() && (handled == 0 || clock_.now() < end)) handleGossip(gossip_[handled++]);
+  gossip_.erase(gossip_.begin(), gossip_.begin() + static_cast<std::ptrdiff_t>(handled));
+  if (!gossip_.empty()) events_.emplace_back(engine_event::GossipReceived{});
+}
+
+void Engine::handleGossip(const GossipUpdate& update) {
+  const auto endpoint = endpoints_.findByTag(update.endpointTag);
+  if (!endpoint || millisecondsSince(positionEpochUnix(), update.positionMs) == 0) return;
+  balancer_->gossipReceived(now_, *endpoint, replicationStatusWord(positionEpochUnix(), update),
+                            update.classIndex, Time(update.latencyUs));
 }
 
 void Engine::handle(engine_event::SuspensionChanged& event) {
@@ -200,6 +206,8 @@
   // A restored endpoint warms up again, as in the balancer.
   const bool ready = !event.suspended && endpoints_.find(*id)->ready;
   const Time warmAt = now_ + config_.settings.warmUpPeriod;
+// An update may let many waiting requests try again, so the time for updates is limited; the rest
+// waits for the next turn.
   actions_.emplace_back([this, id = *id, ready, warmAt] {
     collaborators_.backend->endpointListed(id, Address(), ready, warmAt);
   });
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -72,6 +72,21 @@
   EXPECT_EQ(discovery.watches, std::vector<std::uint64_t>{5});
   EXPECT_TRUE(backend.ready[1] && backend.ready[2]);
 }
+// A peer that sends without a pause may not hold up the turn: each update can wake all that wait.
+TEST_F(EngineTest, UpdatesOfPeersBeyondTheTimeForThemWaitForTheNextTurn) {
+  Time steady{};
+  ClockSource source;
+  source.steady = [&steady] { return steady += std::chrono::milliseconds(1); };
+  Engine slow(base.get(), config, source);
+  slow.start(backend, discovery);
+  slow.runTurn();
+  for (int k = 0; k < 20; ++k) slow.gossipReceived({});
+  slow.runTurn();
+  EXPECT_TRUE(slow.hasPendingEvents());
+  int turns = 0;
+  while (slow.hasPendingEvents() && ++turns < 100) slow.runTurn();
+  EXPECT_FALSE(slow.hasPendingEvents());
+}
 TEST_F(EngineTest, ProcessesQueuedEventsInTheNextTurn) {
   balancer::Request request;
   request.group = 3;
