--- a/src/admin/suspended_endpoints.cpp
+++ b/src/admin/suspended_endpoints.cpp
@@ -1,18 +1,10 @@
 #include "admin/suspended_endpoints.hpp"
 
-#include <fcntl.h>
-#include <sys/stat.h>
-#include <unistd.h>
-
 #include <algorithm>
-#include <array>
 #include <cerrno>
-#include <cstdio>
 #include <cstring>
 #include <utility>
 
-#include "engine/file_calls.hpp"
-#include "engine/file_descriptor.hpp"
 #include "logging/log.hpp"
 
 namespace sablespur::admin {
@@ -22,30 +14,6 @@
 constexpr std::size_t kMaxFileBytes = std::size_t{2} << 20;
 constexpr int kMaxBackoffPolls = 25;  // 5 s with a poll every 200 ms
 
-// Returns std::nullopt, with errno set, if the file could not be read. Stops reading one buffer
-// after kMaxFileBytes, the size of the longest valid file.
-std::optional<std::string> readFile(const std::string& path) {
-  const FileDescriptor file(open(path.c_str(), O_RDONLY | O_CLOEXEC | O_NONBLOCK));
-  if (!file) return std::nullopt;
-  std::string text;
-  std::array<char, 4096> bytes{};
-  while (text.size() <= kMaxFileBytes) {
-    const ssize_t got = fileCalls().read(file.get(), bytes.data(), bytes.size());
-    if (got < 0 && errno == EINTR) continue;
-    if (got < 0) return std::nullopt;
-    if (got == 0) break;
-    text.append(bytes.data(), static_cast<std::size_t>(got));
-  }
-  return text;
-}
-
-bool syncDirectoryOf(const std::string& path) {
-  const std::size_t slash = path.rfind('/');
-  const std::string folder = slash == std::string::npos ? "." : path.substr(0, slash + 1);
-  const FileDescriptor file(open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
-  return file && syncFully(file.get());
-}
-
 }  // namespace
 
 std::string formatSuspendedEndpoints(const std::set<std::string>& names) {
@@ -73,23 +41,15 @@
 
 SuspendedEndpoints::SuspendedEndpoints(std::string path) : path_(std::move(path)) { load(); }
 
-std::optional<SuspendedEndpoints::FileVersion> SuspendedEndpoints::versionOf(const std::string& path) {
-  struct stat status {};
-  if (stat(path.c_str(), &status) != 0) return std::nullopt;
-  using std::chrono::nanoseconds;
-  using std::chrono::seconds;
-  return FileVersion{status.st_ino, seconds(status.st_mtim.tv_sec) + nanoseconds(status.st_mtim.tv_nsec)};
-}
-
 // Reads the file if it has changed. Returns whether endpoints() has changed.
 bool SuspendedEndpoints::load() {
-  const auto version = versionOf(path_);
+  const auto version = versionOfFile(path_);
   if (path_.empty() || version == lastSeen_) return false;
   if (!version) {
     lastSeen_ = version;
     return false;  // deleted: the known set is kept
   }
-  const auto text = readFile(path_);
+  const auto text = readSharedFile(path_, kMaxFileBytes);
   if (!text) {  // lastSeen_ is left unchanged so that the next poll retries
     logUnreadable();
     return false;
@@ -146,10 +106,10 @@
 // Writes the whole set, including earlier changes that could not be written. Returns whether it is
 // durable.
 bool SuspendedEndpoints::save() {
-  if (!replaceFile(formatSuspendedEndpoints(endpoints_))) {
+  if (!replaceSharedFile(path_, formatSuspendedEndpoints(endpoints_), Durability::PowerLoss)) {
     if (!std::exchange(writeFailing_, true))
       logEvent(LogLevel::Error, "suspensions_write_failed", {{"file", path_}, {"why", std::strerror(errno)}});
-    lastSeen_ = versionOf(path_);
+    lastSeen_ = versionOfFile(path_);
     return false;
   }
   if (std::exchange(writeFailing_, false))
@@ -157,24 +117,8 @@
   unwritten_.clear();
   pollsToSkip_ = 0;
   nextBackoff_ = 1;
-  lastSeen_ = versionOf(path_);
+  lastSeen_ = versionOfFile(path_);
   return true;
 }
 
-// Replaces the file atomically. Returns true once the new file and its directory entry are durable;
-// otherwise returns false with errno set, and the earlier file is intact unless only the sync of
-// the directory failed.
-bool SuspendedEndpoints::replaceFile(const std::string& text) const {
-  const std::string temporaryPath = path_ + "." + std::to_string(getpid());
-  FileDescriptor file(open(temporaryPath.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
-  if (!file) return false;
-  const bool written = writeFully(file.get(), text) && syncFully(file.get());
-  file.reset();
-  if (written && std::rename(temporaryPath.c_str(), path_.c_str()) == 0) return syncDirectoryOf(path_);
-  const int error = errno;
-  unlink(temporaryPath.c_str());
-  errno = error;
-  return false;
-}
-
 }  // namespace sablespur::admin
--- a/src/admin/suspended_endpoints.hpp
+++ b/src/admin/suspended_endpoints.hpp
@@ -3,9 +3,6 @@
 // file is replaced atomically and validated when it is read.
 #pragma once
 
-#include <sys/types.h>
-
-#include <chrono>
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -13,6 +10,8 @@
 #include <string>
 #include <string_view>
 
+#include "engine/shared_file.hpp"
+
 namespace sablespur::admin {
 
 constexpr std::size_t kMaxSuspendedEndpoints = 10000;
@@ -29,10 +28,10 @@
   explicit SuspendedEndpoints(std::string path);
   // Returns the names of the suspended endpoints.
   const std::set<std::string>& endpoints() const { return endpoints_; }
-  // Suspends or restores an endpoint and blocks until the change is on disk. Returns true if the
-  // change is durable. Returns false if the set is full, or if the file could not be written
-  // (logged); in the second case the change takes effect in this process and poll() retries the
-  // write.
+  // Suspends or restores an endpoint, takes over what another process has written, and blocks until the
+  // change is on disk. Returns true if the change is durable. Returns false if the set is full, or if the
+  // file could not be written (logged); in the second case the change takes effect in this process and poll()
+  // retries the write.
   bool set(const std::string& name, bool suspended);
   // Applies changes that another process has written and returns whether endpoints() has changed.
   // Costs one stat(2); retries a failed write with exponential backoff.
@@ -41,21 +40,10 @@
   bool allWritten() const { return unwritten_.empty(); }
 
  private:
-  // Distinguishes the files that different writes have put at the path.
-  struct FileVersion {
-    ino_t inode = 0;
-    std::chrono::nanoseconds modified{};
-    friend bool operator==(const FileVersion& a, const FileVersion& b) {
-      return a.inode == b.inode && a.modified == b.modified;
-    }
-  };
-  // Returns std::nullopt if there is no file.
-  static std::optional<FileVersion> versionOf(const std::string& path);
   bool load();
   void logUnreadable();
   bool replaceBy(std::set<std::string> read);
   bool save();
-  bool replaceFile(const std::string& text) const;
 
   const std::string path_;
   std::set<std::string> endpoints_;
