A suspension by the other process is not lost to a command right behind it

Cause: SuspendedEndpoints::set reads what the other process has written before it writes, and takes it into its set. The engine was told only of differences that poll() itself found, and what set() had read was none any more.

Change: AdminCommands keeps which suspensions the engine has, and passes on the difference after each access to the file, a command as well as a poll.

--- a/src/app/admin_handler.cpp
+++ b/src/app/admin_handler.cpp
@@ -25,7 +25,8 @@
             base, -1, EV_PERSIST,
             [](evutil_socket_t, short, void* self) { static_cast<AdminCommands*>(self)->pollFile(); }, this)),
         listener_(base, config.control, *this) {
-    for (const std::string& name : suspended_.endpoints()) engine_.restoreSuspension(name);
+    applied_ = suspended_.endpoints();
+    for (const std::string& name : applied_) engine_.restoreSuspension(name);
     if (!suspended_.endpoints().empty())
       logEvent(LogLevel::Info, "suspensions_loaded", {{"count", suspended_.endpoints().size()}});
     if (!config.suspensionsFile.empty()) startTimer(pollTimer_.get(), kPollInterval);
@@ -52,26 +53,33 @@
   admin::CommandResult changeSuspension(const std::string& name, bool suspend) {
     if (!engine_.suspend(name, suspend)) return {false, name + " was never on the list"};
     const bool durable = suspended_.set(name, suspend);
+    applyChanges();  // set() may have read those of the other process
     logEvent(LogLevel::Info, suspend ? "member_suspended" : "member_restored", {{"name", name}});
     const char* const durability = durable ? "" : ", in this process alone: not kept on disk yet";
     return {true, name + (suspend ? " suspended" : " restored") + durability};
   }
 
-  // Applies the changes that another process of this proxy has written to the suspensions file.
   void pollFile() {
-    const std::set<std::string> before = suspended_.endpoints();
     if (!suspended_.poll()) return;
+    applyChanges();
+    logEvent(LogLevel::Info, "suspensions_changed", {{"count", suspended_.endpoints().size()}});
+  }
+
+  // Passes on to the engine what has changed since the last call, here or in another process of this
+  // proxy.
+  void applyChanges() {
     const std::set<std::string>& now = suspended_.endpoints();
-    for (const std::string& name : before)
+    for (const std::string& name : applied_)
       if (now.count(name) == 0) engine_.suspend(name, false);
     for (const std::string& name : now)
-      if (before.count(name) == 0 && !engine_.suspend(name, true)) engine_.restoreSuspension(name);
-    logEvent(LogLevel::Info, "suspensions_changed", {{"count", suspended_.endpoints().size()}});
+      if (applied_.count(name) == 0 && !engine_.suspend(name, true)) engine_.restoreSuspension(name);
+    applied_ = now;
   }
 
   Engine& engine_;
   const Clients& clients_;
   admin::SuspendedEndpoints suspended_;
+  std::set<std::string> applied_;  // the suspensions that the engine has
   Event pollTimer_;
   admin::Listener listener_;
 };
--- a/tests/admin_test.cpp
+++ b/tests/admin_test.cpp
@@ -303,6 +303,21 @@
   t.run("s2 wait idle 2");
   EXPECT_TRUE(SuspendedEndpoints(folder + "/sablespur-bans-n0").endpoints().empty());
 }
+// A suspension given to the other process of an upgrade was lost if a command to this one followed
+// before it had looked at the file; it went on sending.
+TEST_F(AdminCommandTest, ASuspensionByTheOtherProcessIsNotLostToACommandRightBehindIt) {
+  s.servers = 3;
+  test::Scenario t(s);
+  t.run("s2 serves suspended\ns3 serves v\ns1 wait idle 2\ns2 wait idle 2");
+  SuspendedEndpoints otherProcess(folder + "/sablespur-bans-n0");
+  ASSERT_TRUE(otherProcess.set("s-2", true));
+  EXPECT_EQ(runCommand(t, "SUSPEND s-1\n").substr(0, 7), "SUCCESS");
+  for (int k = 0; k < 20; ++k) {
+    t.run("c1 send query SELECT 1 /* id=" + std::to_string(k) +
+          ",c=read,d=7000,cluster=3 */\nc1 expect row v");
+    if (HasFatalFailure()) return;
+  }
+}
 TEST_F(AdminCommandTest, AnUnwrittenSuspensionIsReportedAndWrittenOnceTheDiskRecovers) {
   test::Scenario t(s);
   t.run("s2 wait idle 2");
