During an upgrade each process assumes writes that the other one has answered

Cause: the commits of sessions whose marks the proxy remembers are known to one process alone, and a session that a process does not know counted as one that has written nothing. That held for the new process, whose reads may follow writes of the old one, also those answered after its yes; and as well for the old one, which serves its clients on while the new one takes writes.

Change: a lower bound without transfer. Each process holds a lock on a file in $TMPDIR from before it listens until it ends, however it ends, and appends a byte when it starts (ProcessPresence). In the turn of a session read the engine looks whether another process runs or has run since the last look; if so, every session may have written until now, and the read needs data of this instant (SessionCommits::assumeUnseenUntil). The last look after the other's end sets the bound for good, and replicas pass it by themselves. The bound is one for all groups, also those that are met later; the one for forgotten sessions was kept in each group that existed then.

--- a/src/app/cli.cpp
+++ b/src/app/cli.cpp
@@ -39,8 +39,9 @@
   const std::string control = environmentVariable("NODE_CONTROL");
   if (!control.empty() && config.control.none()) config.control = parseAddress(control, "NODE_CONTROL");
   const std::string folder = environmentVariable("TMPDIR");
-  if (!folder.empty() && !config.control.none())
-    config.suspensionsFile = folder + "/sablespur-bans-" + config.name;
+  if (folder.empty() || config.control.none()) return;
+  config.suspensionsFile = folder + "/sablespur-bans-" + config.name;
+  config.presenceFile = folder + "/sablespur-processes-" + config.name;
 }
 
 int serveOnPlatform() {
--- a/src/app/proxy.hpp
+++ b/src/app/proxy.hpp
@@ -14,6 +14,7 @@
 #include "engine/endpoint_updater.hpp"
 #include "engine/engine.hpp"
 #include "engine/event.hpp"
+#include "engine/process_presence.hpp"
 #include "engine/resource_budget.hpp"
 #include "engine/system_calls.hpp"
 #include "engine/workers.hpp"
@@ -62,6 +63,7 @@
   const std::unique_ptr<RecoveryCoordinator> recovery_;  // null: recovery is off
   EndpointUpdater endpointUpdater_;
   const std::unique_ptr<ConfiguredDiscovery> discovery_;
+  ProcessPresence processes_;  // constructed before clients_, which listens
   RequestHandler& recoveryOrEngine_;
   const std::unique_ptr<IdempotencyHandler> idempotency_;  // null: no store
   RequestHandler& requestHandler_;                         // handles admitted requests
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -171,6 +171,11 @@
   return !showsStaleData(context, *endpoint, attempt, outcome.replicationStatus);
 }
 
+void Balancer::unseenCommitsPossible(Time now) {
+  context_->now = now;
+  context_->sessionCommits.assumeUnseenUntil(now);
+}
+
 std::vector<EndpointId> Balancer::removeExpiredEndpoints(Time now) {
   context_->now = now;
   return removeExpired(*context_);
@@ -202,7 +207,6 @@
     for (LagSample& sample : endpoint.replication.lags) sample.lag -= by;
   }
   context.sessionCommits.shift(by);
-  for (auto& [id, group] : context.groups) shiftInstant(group.forgottenCommit, by);
   for (auto& [id, pending] : context.requests) {
     if (context.classOf(pending).requirement == Requirement::Session)
       shiftInstant(pending.requiredPosition, by);
--- a/src/balancer/balancer.hpp
+++ b/src/balancer/balancer.hpp
@@ -99,6 +99,11 @@
   // endpoint counts as just started, unless the list reports a later start.
   void suspend(Time now, EndpointId, bool suspended);
 
+  // Another process may have answered writes of any session until now. Session reads whose clients
+  // do not send their last commit require data of this instant from then on. To be called in the
+  // turn of such a read, before the read.
+  void unseenCommitsPossible(Time now);
+
   // Replaces the settings. Classes that pending requests may use keep their indices; new classes
   // are appended.
   void updateSettings(Time now, const Settings&);
--- a/src/balancer/consistency.cpp
+++ b/src/balancer/consistency.cpp
@@ -31,11 +31,8 @@
   const Requirement requirement = context.classOf(pending).requirement;
   if (requirement == Requirement::Strong) return context.now;
   if (requirement != Requirement::Session) return kNever;
-  Time required = kNever;
-  if (!context.settings.sessionTokensCarried) {
-    const std::optional<Time> commit = context.sessionCommits.find(request.session);
-    required = commit ? *commit : context.groups[request.group].forgottenCommit;
-  }
+  const Time required =
+      context.settings.sessionTokensCarried ? kNever : context.sessionCommits.requiredBy(request.session);
   if (!(request.sessionTokenAgeMs > 0)) return required;
   return std::max(required, tokenPosition(context.now, request.sessionTokenAgeMs));
 }
@@ -76,14 +73,7 @@
   const std::uint64_t session = write.request.session;
   if (context.classOf(write).requirement != Requirement::Write || session == 0) return;
   const Time commit = positionOf(context.settings, outcome.replicationStatus).value_or(context.now);
-  const std::optional<Time> newestForgotten = context.sessionCommits.record(session, commit);
-  if (!newestForgotten) return;
-  // Reads of forgotten sessions must not become stale: all of them require the newest
-  // forgotten commit.
-  for (auto& entry : context.groups) {
-    Group& group = entry.second;
-    group.forgottenCommit = std::max(group.forgottenCommit, *newestForgotten);
-  }
+  context.sessionCommits.record(session, commit);
 }
 
 Time tightestStalenessBound(const Settings& settings) {
--- a/src/balancer/endpoint_list.cpp
+++ b/src/balancer/endpoint_list.cpp
@@ -91,8 +91,7 @@
 void removeUnusedGroups(std::map<GroupId, Group>& groups) {
   for (auto it = groups.begin(); it != groups.end();) {
     const Group& group = it->second;
-    const bool isUnused = group.endpoints.empty() && group.waiting.empty() && group.discovery.write == 0 &&
-                          group.forgottenCommit == kNever;
+    const bool isUnused = group.endpoints.empty() && group.waiting.empty() && group.discovery.write == 0;
     it = isUnused ? groups.erase(it) : std::next(it);
   }
 }
--- a/src/balancer/session_commits.cpp
+++ b/src/balancer/session_commits.cpp
@@ -9,24 +9,23 @@
 
 }  // namespace
 
-std::optional<Time> SessionCommits::record(std::uint64_t session, Time commit) {
+void SessionCommits::record(std::uint64_t session, Time commit) {
   Time& last = lastCommit_[session];
   last = std::max(last, commit);
-  if (lastCommit_.size() <= kMaxRememberedSessions) return std::nullopt;
-  Time newest = kNever;
-  for (const auto& entry : lastCommit_) newest = std::max(newest, entry.second);
+  if (lastCommit_.size() <= kMaxRememberedSessions) return;
+  for (const auto& entry : lastCommit_) newestForgotten_ = std::max(newestForgotten_, entry.second);
   lastCommit_.clear();
-  return newest;
 }
 
-std::optional<Time> SessionCommits::find(std::uint64_t session) const {
+Time SessionCommits::requiredBy(std::uint64_t session) const {
   const auto found = lastCommit_.find(session);
-  if (found == lastCommit_.end()) return std::nullopt;
-  return found->second;
+  const Time remembered = found == lastCommit_.end() ? newestForgotten_ : found->second;
+  return std::max(remembered, unseenUntil_);
 }
 
 void SessionCommits::shift(Time by) {
   for (auto& entry : lastCommit_) shiftInstant(entry.second, by);
+  shiftInstant(newestForgotten_, by);
 }
 
 }  // namespace sablespur::balancer
--- a/src/balancer/session_commits.hpp
+++ b/src/balancer/session_commits.hpp
@@ -1,8 +1,10 @@
 // Remembers the last commit of each session, for session reads whose clients do not send it.
+//
+// A session that is not remembered has not necessarily written nothing: it may have been forgotten,
+// or its commit may never have been seen. Lower bounds that apply to every session cover both.
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <unordered_map>
 
 #include "balancer/time_math.hpp"
@@ -11,18 +13,25 @@
 
 class SessionCommits {
  public:
-  // Stores the newer of the remembered commit and `commit`. At the limit of sessions, all are
-  // forgotten and the newest commit among them is returned; the caller must require it of reads of
-  // every unknown session. Otherwise returns `std::nullopt`.
-  std::optional<Time> record(std::uint64_t session, Time commit);
+  // Remembers `commit` if it is the session's newest. At the limit of sessions, all are forgotten,
+  // and the newest commit among them applies to every session.
+  void record(std::uint64_t session, Time commit);
 
-  std::optional<Time> find(std::uint64_t session) const;
+  // Any session may have committed until `instant`, which is of the caller's own clock, without a
+  // call of record().
+  void assumeUnseenUntil(Time instant) { unseenUntil_ = std::max(unseenUntil_, instant); }
 
-  // Shifts all commits after the caller's estimate of the clock behind them has changed.
+  // Returns the position that a read of the session needs; kNever if the session has certainly
+  // written nothing.
+  Time requiredBy(std::uint64_t session) const;
+
+  // Shifts the commits after the caller's estimate of the clock behind them has changed.
   void shift(Time by);
 
  private:
   std::unordered_map<std::uint64_t, Time> lastCommit_;
+  Time newestForgotten_ = kNever;
+  Time unseenUntil_ = kNever;
 };
 
 }  // namespace sablespur::balancer
--- a/src/balancer/state.hpp
+++ b/src/balancer/state.hpp
@@ -129,7 +129,6 @@
   EndpointId primary = 0;             // 0: none known
   Time lastFailureAt = kNever;        // latest time-out, ejection, stale answer or TooStale
   PrimaryDiscovery discovery;
-  Time forgottenCommit = kNever;  // newest commit among sessions that are no longer remembered
   std::vector<RequestId> waiting;
 };
 
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -102,13 +102,16 @@
 
 // ---- the turn -------------------------------------------------------------------------------------------
 void Engine::runTurn() {
+  ++turn_;
   now_ = std::max(now_, clock_.now());
   followWallClock();
   advancePositionEpoch();
-  ++turn_;
   handleQueuedEvents();
   fireDueTimers();
-  if (now_ - lastExpiryAt_ >= kExpiryInterval) removeExpired(now_);
+  if (now_ - lastExpiryAt_ >= kExpiryInterval) {
+    removeExpired(now_);
+    if (!config_.settings.sessionTokensCarried) detectUnseenCommits();
+  }
   performActions();
   armWakeup();
 }
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -16,6 +16,7 @@
 #include "engine/event.hpp"
 #include "engine/interfaces.hpp"
 #include "engine/primary_lag_monitor.hpp"
+#include "engine/process_presence.hpp"
 #include "engine/queued_event.hpp"
 #include "engine/reference_time.hpp"
 #include "engine/replication_status.hpp"
@@ -36,6 +37,8 @@
   // Null: no observer. An observer must outlive the last turn.
   void setAttemptObserver(AttemptObserver* observer) { collaborators_.attempts = observer; }
   void setReplicationObserver(ReplicationObserver* observer) { collaborators_.replication = observer; }
+  // Null: this is the only process of the proxy. The presence must outlive the last turn.
+  void setProcessPresence(ProcessPresence* presence) { collaborators_.processes = presence; }
   // Queues the known list of the settings. Both arguments must outlive the last turn.
   void start(Backend&, DiscoverySource&);
 
@@ -46,7 +49,8 @@
   void attemptEnded(RequestId, int attempt, EndpointId, AttemptEnd);
   // `report` holds the values of the configured report fields; positions in Unix seconds.
   void healthCheckEnded(EndpointId, bool healthy, const std::vector<double>& report);
-  // Queues an update from another proxy. Updates of unknown endpoints are ignored.
+  // Queues an update from another proxy. Updates of unknown endpoints, and those that arrive faster
+  // than they are handled, are ignored.
   void gossipReceived(const cluster::GossipUpdate&);
   void endpointsListed(EndpointList) override;
   void discoveryFailed(const std::string& why) override;
@@ -65,20 +69,22 @@
   // Number of requests sent to an endpoint that had been listed as draining or gone for more than
   // half of the drain grace period.
   std::uint64_t sendsToDraining() const { return sendsToDraining_; }
+  // Number of session reads for which commits of another process of this proxy had to be assumed.
+  std::uint64_t readsWithUnseenCommits() const { return readsWithUnseenCommits_; }
   // Number of answers withheld from clients because their replication position showed stale data.
   std::uint64_t staleAnswersWithheld() const { return staleAnswersWithheld_; }
   ReferenceClock::Summary referenceClock() const { return reference_.summary(); }
   // Number of primaries whose last reported position was behind the reference clock.
   std::size_t laggingPrimaries() const { return primaryLags_.laggingCount(); }
   bool hasPendingEvents() const { return !events_.empty(); }
+  // Changes with each turn.
+  std::uint64_t turn() const { return turn_; }
   void runTurn();
   // Removes endpoints that are gone and have nothing in flight; runTurn() calls this once a second.
   void removeExpired(Time now);
 
   Time now() const { return clock_.now(); }
   const Clock& clock() const { return clock_; }
-  // Changes with each turn.
-  std::uint64_t turn() const { return turn_; }
   // Unix time by the reference clock, for comparison with time stamps of other machines. Durations
   // are measured with now().
   Time unixNow() const { return clock_.now() + reference_.offset(); }
@@ -92,6 +98,7 @@
     DiscoverySource* discovery = nullptr;
     AttemptObserver* attempts = nullptr;         // null: no observer
     ReplicationObserver* replication = nullptr;  // null: no observer
+    ProcessPresence* processes = nullptr;        // null: no other process of this proxy can run
   };
   struct InFlightAttempt {
     EndpointId endpoint;
@@ -127,14 +134,17 @@
   void handle(engine_event::EndpointsListed&);
   void handle(engine_event::DiscoveryFailed&);
   void handle(engine_event::GossipReceived&);
+  void handleGossip(const cluster::GossipUpdate&);
   void handle(engine_event::SuspensionChanged&);
   void handle(engine_event::SettingsUpdated&);
 
+  // Tells the balancer if another process of this proxy may have answered writes. Checks once a turn.
+  void detectUnseenCommits();
+  bool dependsOnSessionCommits(const balancer::Request&) const;
   // Counts and logs a request that is sent to an endpoint after half of its drain grace period.
   void recordSend(RequestId, EndpointId, const char* reason);
 
   // Processing of answers: the response to the client, and updates to other proxies and the
-  void handleGossip(const cluster::GossipUpdate&);
   // reference clock.
   balancer::AttemptOutcome outcomeOf(const engine_event::AttemptEnded&) const;
   void withholdStaleAnswer(EndpointId, AttemptEnd&);
@@ -174,9 +184,11 @@
   ReferenceTime reference_;
   PrimaryLagMonitor primaryLags_;
   std::uint64_t turn_ = 1;
-  Time now_;             // time of the current turn
-  Time positionEpoch_;   // zero point of the balancer's positions, on clock_
-  Time lastExpiryAt_{};  // last call of removeExpired()
+  Time now_;                                // time of the current turn
+  Time positionEpoch_;                      // zero point of the balancer's positions, on clock_
+  Time lastExpiryAt_{};                     // last call of removeExpired()
+  std::optional<Time> processesCheckedAt_;  // turn in which detectUnseenCommits() last checked
+  bool unseenCommits_ = false;              // as found then
 
   std::vector<engine_event::QueuedEvent> events_;
   std::vector<cluster::GossipUpdate> gossip_;   // not handled yet; storage is reused
@@ -185,6 +197,7 @@
   RequestId lastRequest_ = 0;
   std::uint64_t sendsToDraining_ = 0;
   std::uint64_t staleAnswersWithheld_ = 0;
+  std::uint64_t readsWithUnseenCommits_ = 0;
 
   EndpointRegistry endpoints_;
   EndpointStartTimes startTimes_;
--- a/src/engine/engine_events.cpp
+++ b/src/engine/engine_events.cpp
@@ -39,9 +39,30 @@
         reference_.offset() - it->second.message->clockOffset;
     request.sessionTokenAgeMs = std::max(kMinTokenAgeMs, request.sessionTokenAgeMs + moved.count());
   }
+  if (dependsOnSessionCommits(request)) {
+    detectUnseenCommits();
+    readsWithUnseenCommits_ += unseenCommits_ ? 1 : 0;
+  }
   balancer_->request(now_, request);
 }
 
+bool Engine::dependsOnSessionCommits(const balancer::Request& request) const {
+  const auto classIndex = static_cast<std::size_t>(request.classIndex);
+  const balancer::Settings& settings = config_.settings;
+  return !settings.sessionTokensCarried && classIndex < settings.classes.size() &&
+         settings.classes[classIndex].requirement == balancer::Requirement::Session;
+}
+
+void Engine::detectUnseenCommits() {
+  if (!collaborators_.processes || processesCheckedAt_ == now_) return;
+  processesCheckedAt_ = now_;
+  const bool before = std::exchange(unseenCommits_, collaborators_.processes->othersRanSinceLastCheck());
+  if (unseenCommits_) balancer_->unseenCommitsPossible(now_);
+  if (unseenCommits_ != before)
+    logEvent(LogLevel::Info, unseenCommits_ ? "other_process_began" : "other_process_ended",
+             {{"session_reads", readsWithUnseenCommits_}});
+}
+
 void Engine::handle(engine_event::ClientDisconnected& event) {
   balancer_->clientDisconnected(now_, event.request);
   requests_.erase(event.request);
@@ -180,6 +201,8 @@
   if (update.positionMs > 0) collaborators_.replication->statusObserved(update);
 }
 
+// An update may let many waiting requests try again, so the time for updates is limited; the rest
+// waits for the next turn.
 void Engine::handle(engine_event::GossipReceived&) {
   const Time end = clock_.now() + kGossipTimePerTurn;
   std::size_t handled = 0;
@@ -206,8 +229,6 @@
   // A restored endpoint warms up again, as in the balancer.
   const bool ready = !event.suspended && endpoints_.find(*id)->ready;
   const Time warmAt = now_ + config_.settings.warmUpPeriod;
-// An update may let many waiting requests try again, so the time for updates is limited; the rest
-// waits for the next turn.
   actions_.emplace_back([this, id = *id, ready, warmAt] {
     collaborators_.backend->endpointListed(id, Address(), ready, warmAt);
   });
--- a/tests/decision_log.cpp
+++ b/tests/decision_log.cpp
@@ -234,6 +234,11 @@
   balancer_.suspend(now, endpoint, on);
 }
 
+void RecordingBalancer::unseenCommitsPossible(Time now) {
+  record("unseen_commits", {now.count()});
+  balancer_.unseenCommitsPossible(now);
+}
+
 void RecordingBalancer::updateSettings(Time now, const Settings& settings) {
   record("settings", {now.count()});
   balancer_.updateSettings(now, settings);
--- a/tests/decision_log.hpp
+++ b/tests/decision_log.hpp
@@ -67,6 +67,7 @@
   bool maySendNow(Time now, RequestId, EndpointId);
   bool isFreshEnough(Time now, const AttemptOutcome&);
   void suspend(Time now, EndpointId, bool on);
+  void unseenCommitsPossible(Time now);
   void updateSettings(Time now, const Settings&);
   std::vector<EndpointId> removeExpiredEndpoints(Time now);
   void setPositionEpoch(Time epoch);
