Reads of a class that appears with SIGHUP do not miss earlier writes

Cause: as long as no class has session reads, the proxy does not read the sessions of writes, so none of their commits is recorded. When such a class appeared, all these sessions counted as having written nothing.

Change: with the first such class, every session may have written until now; and a write that is under way then may be of any session, so its answer raises that bound. Reading the sessions of all writes in advance was not taken: it costs memory where no class ever needs it.

The test failed before: reads of all ten sessions went to replicas.

--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -189,6 +189,7 @@
 void Balancer::updateSettings(Time now, const Settings& settings) {
   Context& context = *context_;
   context.now = now;
+  if (!hasSessionReads(context.settings) && hasSessionReads(settings)) startSessionReads(context);
   const Time positionEpoch = context.settings.positionEpoch;
   context.settings = settings;
   context.settings.positionEpoch = positionEpoch;
--- a/src/balancer/consistency.cpp
+++ b/src/balancer/consistency.cpp
@@ -71,11 +71,24 @@
 
 void recordSessionCommit(Context& context, const PendingRequest& write, const AttemptOutcome& outcome) {
   const std::uint64_t session = write.request.session;
-  if (context.classOf(write).requirement != Requirement::Write || session == 0) return;
+  if (context.classOf(write).requirement != Requirement::Write) return;
+  if (write.sessionUnknown) context.sessionCommits.assumeUnseenUntil(context.now);
+  if (session == 0) return;
   const Time commit = positionOf(context.settings, outcome.replicationStatus).value_or(context.now);
   context.sessionCommits.record(session, commit);
 }
 
+bool hasSessionReads(const Settings& settings) {
+  return std::any_of(settings.classes.begin(), settings.classes.end(),
+                     [](const ClassSettings& c) { return c.requirement == Requirement::Session; });
+}
+
+void startSessionReads(Context& context) {
+  context.sessionCommits.assumeUnseenUntil(context.now);
+  for (auto& [id, pending] : context.requests)
+    pending.sessionUnknown = context.classOf(pending).requirement == Requirement::Write;
+}
+
 Time tightestStalenessBound(const Settings& settings) {
   std::optional<Time> tightest;
   for (const ClassSettings& c : settings.classes) {
--- a/src/balancer/consistency.hpp
+++ b/src/balancer/consistency.hpp
@@ -41,6 +41,14 @@
 // Remembers the commit of a write for later reads of its session.
 void recordSessionCommit(Context&, const PendingRequest& write, const AttemptOutcome&);
 
+// Returns whether any class has session reads. Without one, callers need not tell the sessions of
+// writes.
+bool hasSessionReads(const Settings&);
+
+// To be called when the first class with session reads appears: the sessions of the writes until
+// now, answered or pending, are unknown.
+void startSessionReads(Context&);
+
 // Returns the position in a replication status; `std::nullopt` if there is none or it lies in the
 // future, which proves nothing.
 std::optional<Time> plausiblePositionOf(const Context&, std::uint32_t replicationStatus);
--- a/src/balancer/state.hpp
+++ b/src/balancer/state.hpp
@@ -165,6 +165,7 @@
   bool reachedEndpoint = false;   // an attempt has reached an endpoint, whatever its outcome
   std::optional<PossibleExecution> possibleExecution;
   bool waiting = false;
+  bool sessionUnknown = false;       // a write that arrived before session reads were possible
   bool healthChecksAwaited = false;  // the next attempt has already waited for health checks
   std::optional<AwaitedChoice> awaitedChoice;
 };
--- a/tests/consistency_test.cpp
+++ b/tests/consistency_test.cpp
@@ -25,6 +25,36 @@
   }
 };
 
+// A class of session reads appeared with SIGHUP, and 20 of 20 sessions read the state from before
+// their answered write.
+TEST(SessionReads, OfAClassThatAppearsDoNotMissEarlierWrites) {
+  Settings without = withoutHealthChecks();
+  without.classes.erase(without.classes.begin() + kSession);  // kWrite becomes kWrite - 1
+  BalancerFixture t(without);
+  const RequestId write = t.request(kWrite - 1);
+  const RequestId pending = t.request(kWrite - 1);
+  t.endAttempt(write, AttemptResult::Ok, t.replicationStatus(0, kPrimaryRole));
+  t.advance(10);
+  Settings with = without;
+  with.classes.push_back(settings().classes[kSession]);
+  t.b.updateSettings(t.now, with);
+  t.s = with;
+  const int session = static_cast<int>(with.classes.size()) - 1;
+  for (std::uint64_t key = 1; key <= 10; ++key) EXPECT_EQ(t.lastEndpoint(t.request(session, key)), 1u);
+  // A replica that is known to be past the new settings serves the reads again, until a write that
+  // was under way then is answered.
+  t.advance(20);
+  t.b.gossipReceived(t.now, 2, t.replicationStatus(5, kReplicaRole), -1, Time(0));
+  const auto replicaServes = [&] {
+    for (std::uint64_t key = 1; key <= 10; ++key)
+      if (t.lastEndpoint(t.request(session, key)) == 2u) return true;
+    return false;
+  };
+  EXPECT_TRUE(replicaServes());
+  t.endAttempt(pending, AttemptResult::Ok, t.replicationStatus(0, kPrimaryRole));
+  EXPECT_FALSE(replicaServes());
+}
+
 // Regression test (fault soak, seed 5): an answer that showed data 5.1 s old, with a bound of 5 s,
 // was delivered.
 TEST(StaleAnswer, FromAFormerPrimaryIsWithheld) {
