A new process takes over the list that discovery has told the old one

Cause: the new process begins with the list of its settings, which may be old, and nothing of what the old one was told reaches it.

Change: ProcessHandover. While a second process runs, the first writes the list that discovery has told it to a file in $TMPDIR, and anew with each change; the second applies it as if discovery had sent it, unless its own list is newer. A file from before its start is never read, so an ordinary start is as before, and a process that runs alone writes nothing. Not synced to disk.

--- a/src/app/cli.cpp
+++ b/src/app/cli.cpp
@@ -42,6 +42,7 @@
   if (folder.empty() || config.control.none()) return;
   config.suspensionsFile = folder + "/sablespur-bans-" + config.name;
   config.presenceFile = folder + "/sablespur-processes-" + config.name;
+  config.handoverListFile = folder + "/sablespur-list-" + config.name;
 }
 
 int serveOnPlatform() {
--- a/src/app/members_report.cpp
+++ b/src/app/members_report.cpp
@@ -14,21 +14,9 @@
 namespace {
 
 using Json = nlohmann::ordered_json;
-using balancer::Lifecycle;
 
 constexpr int kIndent = 2;
 
-const char* stateName(Lifecycle state) {
-  switch (state) {
-    case Lifecycle::Ready:
-      return "active";
-    case Lifecycle::Draining:
-      return "leaving";
-    default:
-      return "left";
-  }
-}
-
 std::string groupName(const Config& config, balancer::GroupId id) {
   for (const GroupName& group : config.groups)
     if (group.id == id) return group.name;
@@ -56,7 +44,7 @@
               {"zone", endpoint.zone},
               {"kind", endpoint.kind},
               {"weight", endpoint.weight},
-              {"state", stateName(endpoint.state)},
+              {"state", lifecycleName(endpoint.state)},
               {"started_ms", endpoint.startedMs},
               {"withdrawals", row.withdrawals}};
   if (!row.exclusionReason.empty()) member["left_out"] = row.exclusionReason;
@@ -77,7 +65,7 @@
     const DiscoveredEndpoint& endpoint = row.endpoint;
     if (row.exclusionReason.empty()) ++used;
     rows.push_back({endpoint.name, endpoint.address.text(), groupName(config, endpoint.group), endpoint.zone,
-                    endpoint.kind, fmt::format("{:g}", endpoint.weight), stateName(endpoint.state),
+                    endpoint.kind, fmt::format("{:g}", endpoint.weight), lifecycleName(endpoint.state),
                     startText(endpoint.startedMs), row.exclusionReason});
   }
   for (const auto& [name, reason] : view.faults) rows.push_back({name, "", "", "", "", "", "", "", reason});
--- a/src/app/proxy.cpp
+++ b/src/app/proxy.cpp
@@ -34,7 +34,7 @@
       endpointUpdater_(base, engine_.clock(), orElse<EndpointListConsumer>(recovery_, engine_),
                        endpointTablePolicy(config_)),
       discovery_(createDiscoverySource(base, engine_.clock(), endpointUpdater_, config_)),
-      processes_(config_.presenceFile),
+      handover_(base, config_, endpointUpdater_),
       recoveryOrEngine_(orElse<RequestHandler>(recovery_, engine_)),
       idempotency_(openStore(base, engine_, recoveryOrEngine_, config_)),
       requestHandler_(orElse<RequestHandler>(idempotency_, recoveryOrEngine_)),
@@ -43,7 +43,7 @@
                config_),
       status_(openStatus()),
       adminHandler_(createAdminHandler(base, config_, engine_, clients_)) {
-  engine_.setProcessPresence(&processes_);
+  engine_.setProcessPresence(&handover_.presence());
   if (config_.source == DiscoveryKind::Registry) endpointUpdater_.adoptKnown(config_.known);
   backends_.onShortage([this] { clients_.onExhaustion(); });
 }
--- a/src/app/proxy.hpp
+++ b/src/app/proxy.hpp
@@ -6,6 +6,7 @@
 
 #include "app/admin_handler.hpp"
 #include "app/discovery_source.hpp"
+#include "app/process_handover.hpp"
 #include "app/status_server.hpp"
 #include "backend/postgres/backend_pool.hpp"
 #include "cluster/udp/link.hpp"
@@ -14,7 +15,6 @@
 #include "engine/endpoint_updater.hpp"
 #include "engine/engine.hpp"
 #include "engine/event.hpp"
-#include "engine/process_presence.hpp"
 #include "engine/resource_budget.hpp"
 #include "engine/system_calls.hpp"
 #include "engine/workers.hpp"
@@ -63,7 +63,7 @@
   const std::unique_ptr<RecoveryCoordinator> recovery_;  // null: recovery is off
   EndpointUpdater endpointUpdater_;
   const std::unique_ptr<ConfiguredDiscovery> discovery_;
-  ProcessPresence processes_;  // constructed before clients_, which listens
+  ProcessHandover handover_;  // constructed before clients_, which listens
   RequestHandler& recoveryOrEngine_;
   const std::unique_ptr<IdempotencyHandler> idempotency_;  // null: no store
   RequestHandler& requestHandler_;                         // handles admitted requests
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -103,8 +103,9 @@
   std::string statusSocket;     // path of the local socket; empty: none
   Address control;              // where admin commands are accepted; unspecified: they are not
   std::string suspensionsFile;  // file of suspended endpoints; empty: none
-  // File that shows the processes of this proxy to each other, see ProcessPresence; empty: none.
-  std::string presenceFile;
+  // Files that a second process of this proxy shares during an upgrade; empty: none.
+  std::string presenceFile;      // see ProcessPresence
+  std::string handoverListFile;  // see ProcessHandover
   LogForm logForm = LogForm::Logfmt;
   LogLevel logLevel = LogLevel::Info;
 };
--- a/src/discovery/endpoint_list.cpp
+++ b/src/discovery/endpoint_list.cpp
@@ -46,6 +46,17 @@
   return true;
 }
 
+const char* lifecycleName(Lifecycle state) {
+  switch (state) {
+    case Lifecycle::Ready:
+      return "active";
+    case Lifecycle::Draining:
+      return "leaving";
+    default:
+      return "left";
+  }
+}
+
 Address parseAddress(std::string_view text, const std::string& key) {
   const auto address = Address::parse(text);
   if (!address) throw BadInput("key " + key + ": '" + std::string(text) + "' is not an address with a port");
--- a/src/discovery/endpoint_list.hpp
+++ b/src/discovery/endpoint_list.hpp
@@ -72,6 +72,8 @@
   bool inString_ = false, afterBackslash_ = false;
 };
 
+// Returns the word for the state in the registry's JSON form.
+const char* lifecycleName(balancer::Lifecycle);
 // Parses with Address::parse. Throws BadInput naming the key.
 Address parseAddress(std::string_view text, const std::string& key);
 // Parses a list in the registry's JSON form. Throws BadInput naming the key.
--- a/src/discovery/endpoint_table.cpp
+++ b/src/discovery/endpoint_table.cpp
@@ -152,6 +152,16 @@
   registryUpdates_.push_back(std::move(list));
 }
 
+std::optional<EndpointList> EndpointTable::registryList() const {
+  if (!fromRegistry_) return std::nullopt;
+  EndpointList list;
+  list.generation = newestGeneration_;
+  list.reset = true;
+  for (const auto& [name, entry] : entries_)
+    if (entry.present) list.instances.push_back(entry.endpoint);
+  return list;
+}
+
 // Returns whether a list with a lower generation than the newest one cannot be an earlier list of
 // the same registry, so that the registry must have restarted its generations: an endpoint has a
 // later start time, one that started long ago is absent, or no endpoint would be left ready.
--- a/src/discovery/endpoint_table.hpp
+++ b/src/discovery/endpoint_table.hpp
@@ -87,6 +87,9 @@
   std::uint64_t generation() const { return wantsWholeList_ ? 0 : generation_; }
   // Returns the generation of the last list.
   std::uint64_t lastGeneration() const { return generation_; }
+  // Returns the endpoints that are listed now, as one whole list of the newest generation;
+  // `std::nullopt` unless a registry has sent a list.
+  std::optional<EndpointList> registryList() const;
   void setPolicy(const EndpointTablePolicy& policy) { policy_ = policy; }
 
   // The state shown by `sablespur members`.
--- a/src/engine/endpoint_updater.cpp
+++ b/src/engine/endpoint_updater.cpp
@@ -51,6 +51,7 @@
 
 void EndpointUpdater::endpointsListed(EndpointList list) {
   logReceived(list);
+  ++listCount_;
   table_.applyUpdate(clock_.now(), std::move(list));
   deliverDueLists();
 }
--- a/src/engine/endpoint_updater.hpp
+++ b/src/engine/endpoint_updater.hpp
@@ -5,6 +5,7 @@
 // changes that flap damping delays, and logs each change that the consumer receives.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -29,6 +30,11 @@
   void discoveryFailed(const std::string& why) override;
   std::uint64_t generation() const override { return table_.generation(); }
 
+  // Number of lists received with endpointsListed().
+  std::uint64_t listCount() const { return listCount_; }
+  std::uint64_t lastGeneration() const { return table_.lastGeneration(); }
+  std::optional<EndpointList> registryList() const { return table_.registryList(); }
+
   void setPolicy(const EndpointTablePolicy& policy) { table_.setPolicy(policy); }
   EndpointTable::View view() const { return table_.view(clock_.now()); }
 
@@ -41,6 +47,7 @@
   EndpointListConsumer& consumer_;
   EndpointTable table_;
   Event timer_;
+  std::uint64_t listCount_ = 0;
   std::optional<Clock::Time> failureLoggedAt_;
 };
 
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -5,8 +5,11 @@
 
 #include <chrono>
 #include <filesystem>
+#include <fstream>
 #include <optional>
+#include <vector>
 
+#include "app/process_handover.hpp"
 #include "engine/engine.hpp"
 #include "engine/process_presence.hpp"
 #include "engine_fakes.hpp"
@@ -16,6 +19,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using balancer::Lifecycle;
 
 struct SharedFolder {
   SharedFolder() {
@@ -150,5 +154,86 @@
   EXPECT_EQ(t.engine->readsWithUnseenCommits(), 0u);
 }
 
+struct ListRecorder : EndpointListConsumer {
+  void endpointsListed(EndpointList list) override { lists.push_back(std::move(list)); }
+  void discoveryFailed(const std::string&) override {}
+  std::uint64_t generation() const override { return 0; }
+  std::vector<EndpointList> lists;
+};
+DiscoveredEndpoint endpoint(const std::string& name, Lifecycle state) {
+  DiscoveredEndpoint described;
+  described.name = name;
+  described.address = *Address::parse("127.0.0.1:5432");
+  described.zone = "a \"quoted\" zone";
+  described.kind = "m";
+  described.group = 3;
+  described.state = state;
+  described.weight = 0.1;
+  described.startedMs = 1764800000123;
+  return described;
+}
+struct HandoverProcess {
+  HandoverProcess(event_base* base, const Config& config)
+      : updater(base, clock, lists, {}), handover(base, config, updater) {}
+  Clock clock;
+  ListRecorder lists;
+  EndpointUpdater updater;
+  ProcessHandover handover;
+};
+struct Handover : testing::Test {
+  Handover() {
+    config.presenceFile = folder.file("processes");
+    config.handoverListFile = folder.file("list");
+  }
+  // Two polls of both processes.
+  void runFor(std::chrono::milliseconds time = 500ms) {
+    const auto end = std::chrono::steady_clock::now() + time;
+    while (std::chrono::steady_clock::now() < end) event_base_loop(base.get(), EVLOOP_ONCE);
+  }
+  const SharedFolder folder;
+  EventBase base{event_base_new()};
+  Config config;
+};
+// After an upgrade a data server that the old process knew to drain got requests again, for as long
+// as discovery turned callers away.
+TEST_F(Handover, TheNewProcessKnowsTheDrainsThatTheOldOneWasToldOf) {
+  HandoverProcess old(base.get(), config);
+  const std::vector<DiscoveredEndpoint> told{endpoint("s-1", Lifecycle::Draining),
+                                             endpoint("s-2", Lifecycle::Ready)};
+  old.updater.endpointsListed({7, true, told});
+  runFor();
+  EXPECT_FALSE(std::filesystem::exists(folder.file("list"))) << "a process alone writes nothing";
+  HandoverProcess upgraded(base.get(), config);
+  upgraded.updater.adoptKnown(
+      {5, true, {endpoint("s-1", Lifecycle::Ready), endpoint("s-2", Lifecycle::Ready)}});
+  runFor();
+  ASSERT_EQ(upgraded.lists.lists.size(), 1u);
+  EXPECT_EQ(upgraded.lists.lists[0].generation, 7u);
+  EXPECT_TRUE(upgraded.lists.lists[0].reset);
+  EXPECT_EQ(upgraded.lists.lists[0].instances, told);
+  old.updater.endpointsListed({8, false, {endpoint("s-2", Lifecycle::Draining)}});
+  runFor();
+  ASSERT_EQ(upgraded.lists.lists.size(), 2u) << "also what the old process is told later";
+  EXPECT_EQ(upgraded.lists.lists[1].instances[1].state, Lifecycle::Draining);
+}
+TEST_F(Handover, AListOfAnEarlierUpgradeOrWithAFaultIsNotInherited) {
+  std::ofstream(folder.file("list")) << formatEndpointList({9, true, {endpoint("s-1", Lifecycle::Draining)}});
+  const HandoverProcess old(base.get(), config);
+  const HandoverProcess upgraded(base.get(), config);
+  runFor();
+  EXPECT_TRUE(upgraded.lists.lists.empty());
+  std::ofstream(folder.file("list")) << R"({"generation":9,"reset":true,"inst)";
+  runFor();
+  EXPECT_TRUE(upgraded.lists.lists.empty());
+}
+TEST_F(Handover, AnInheritedListDoesNotReplaceANewerOneOfDiscovery) {
+  HandoverProcess old(base.get(), config);
+  old.updater.endpointsListed({7, true, {endpoint("s-1", Lifecycle::Ready)}});
+  HandoverProcess upgraded(base.get(), config);
+  upgraded.updater.endpointsListed({8, true, {endpoint("s-1", Lifecycle::Draining)}});
+  runFor();
+  EXPECT_EQ(upgraded.lists.lists.size(), 1u);
+}
+
 }  // namespace
 }  // namespace sablespur
