Hand over what the old process was told right before its end

The list file was written at a poll, five times a second, so a change in the last 0.2 s of the old process did not reach the new one. Its end writes it now. The file is complete before the process gives up its lock, and the new process reads once more after it has seen that. The test failed without it: no list.

--- a/src/app/process_handover.cpp
+++ b/src/app/process_handover.cpp
@@ -52,6 +52,7 @@
 }
 
 void ProcessHandover::poll() {
+  if (listFile_.empty()) return;
   const bool othersRun = presence_.othersRun();
   if (isSuccessor_) {
     inheritList();  // once more after the other process has ended
--- a/src/app/process_handover.hpp
+++ b/src/app/process_handover.hpp
@@ -26,6 +26,10 @@
   // Registers this process; has to be constructed before the first client is accepted. The updater
   // has to outlive it.
   ProcessHandover(event_base*, const Config&, EndpointUpdater&);
+  // Hands over what was told since the last poll.
+  ~ProcessHandover() { poll(); }
+  ProcessHandover(const ProcessHandover&) = delete;
+  ProcessHandover& operator=(const ProcessHandover&) = delete;
 
   ProcessPresence& presence() { return presence_; }
 
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -216,6 +216,14 @@
   ASSERT_EQ(upgraded.lists.lists.size(), 2u) << "also what the old process is told later";
   EXPECT_EQ(upgraded.lists.lists[1].instances[1].state, Lifecycle::Draining);
 }
+TEST_F(Handover, WhatTheOldProcessIsToldRightBeforeItsEndIsNotLost) {
+  std::optional<HandoverProcess> old(std::in_place, base.get(), config);
+  HandoverProcess upgraded(base.get(), config);
+  old->updater.endpointsListed({7, true, {endpoint("s-1", Lifecycle::Draining)}});
+  old.reset();
+  runFor();
+  EXPECT_EQ(upgraded.lists.lists.size(), 1u);
+}
 TEST_F(Handover, AListOfAnEarlierUpgradeOrWithAFaultIsNotInherited) {
   std::ofstream(folder.file("list")) << formatEndpointList({9, true, {endpoint("s-1", Lifecycle::Draining)}});
   const HandoverProcess old(base.get(), config);
