While nobody waits, a client's input is processed as soon as it is read

Cause: InputScheduler put all input behind the callbacks that were due in the pass. The accept of the second connection is one of them, so admission still took the first client for idle. Before InputScheduler, input was processed in the callback that had read it.

Change: so it is again as long as no client waits and the 5 ms of the turn are not used up; else it queues as before. Slices of both kinds count towards the 5 ms.

The new test of InputSchedulerTest needs the call that this adds; the failure itself depends on two events meeting in one pass.

--- a/src/frontend/postgres/clients.cpp
+++ b/src/frontend/postgres/clients.cpp
@@ -286,6 +286,8 @@
 
 void Clients::scheduleInput(Session& session) { inputs_.schedule(session); }
 
+void Clients::processOrScheduleInput(Session& session) { inputs_.processOrSchedule(session); }
+
 void Clients::onSessionDestroyed(Session& session) {
   inputs_.remove(session);
   watchForDisconnect(session, false);
--- a/src/frontend/postgres/clients.hpp
+++ b/src/frontend/postgres/clients.hpp
@@ -51,6 +51,7 @@
   void onFirstRequest(const Session&) override;
   void setUnadmitted(Session&, bool) override;
   void scheduleInput(Session&) override;
+  void processOrScheduleInput(Session&) override;
   void watchForDisconnect(Session&, bool on) override;
   void logRejection(const char* code, std::string_view why, const Address& from) override;
   postgres::Key newKey(Session&, std::size_t secretLength) override;
--- a/src/frontend/postgres/input_scheduler.cpp
+++ b/src/frontend/postgres/input_scheduler.cpp
@@ -35,6 +35,31 @@
     event_active(run_.get(), EV_TIMEOUT, 0);  // runs behind the callbacks that are already due
 }
 
+void InputScheduler::processOrSchedule(InputSource& source) {
+  if (waiting_.empty() && hasTimeLeft())
+    processSlice(source);
+  else
+    schedule(source);
+}
+
+void InputScheduler::processSlice(InputSource& source) {
+  restartCountInNewTurn();
+  const Clock::Time began = engine_.now();
+  source.processInput();
+  timeUsed_ += engine_.now() - began;
+}
+
+bool InputScheduler::hasTimeLeft() {
+  restartCountInNewTurn();
+  return timeUsed_ < kTimePerPass;
+}
+
+void InputScheduler::restartCountInNewTurn() {
+  if (engine_.turn() == usedTurn_) return;
+  usedTurn_ = engine_.turn();
+  timeUsed_ = {};
+}
+
 void InputScheduler::remove(InputSource& source) {
   if (!source.scheduled_) return;
   source.scheduled_ = false;
@@ -44,14 +69,13 @@
 void InputScheduler::processWaiting() {
   runPending_ = true;
   lastRunTurn_ = engine_.turn();
-  const Clock::Time end = engine_.now() + kTimePerPass;
   bool outOfTime = false;
   for (std::size_t slices = waiting_.size(); slices > 0 && !waiting_.empty() && !outOfTime; --slices) {
     InputSource& source = *waiting_.front();
     waiting_.pop_front();
     source.scheduled_ = false;
-    source.processInput();
-    outOfTime = engine_.now() >= end;
+    processSlice(source);
+    outOfTime = !hasTimeLeft();
   }
   runPending_ = false;
   if (waiting_.empty()) return;
--- a/src/frontend/postgres/input_scheduler.hpp
+++ b/src/frontend/postgres/input_scheduler.hpp
@@ -47,18 +47,26 @@
   // Schedules a call of processInput(): before the next turn of the engine if there is time,
   // otherwise after it. No effect if the source is scheduled already.
   void schedule(InputSource&);
+  // Processes the input at once while nobody waits and there is time, so that what it changes is known
+  // to the callbacks that follow; otherwise schedules it. May destroy the source.
+  void processOrSchedule(InputSource&);
   // Must be called before a source is destroyed.
   void remove(InputSource&);
 
  private:
   void scheduleRun();
   void processWaiting();
+  void processSlice(InputSource&);
+  bool hasTimeLeft();
+  void restartCountInNewTurn();
   void logDelay();
 
   const Engine& engine_;
   std::deque<InputSource*> waiting_;  // in the order of scheduling
   bool runPending_ = false;           // processWaiting() runs or will be called
   std::uint64_t lastRunTurn_ = 0;     // Engine::turn() at the last call of processWaiting()
+  std::uint64_t usedTurn_ = 0;        // Engine::turn() that timeUsed_ counts for
+  Clock::Time timeUsed_{};            // by slices
   std::size_t delaysSinceLog_ = 0;    // passes that ended with sources left over
   std::optional<Clock::Time> delayLoggedAt_;
   Event run_;
--- a/src/frontend/postgres/session.cpp
+++ b/src/frontend/postgres/session.cpp
@@ -288,7 +288,7 @@
 void Session::onReadable() {
   if (closing()) return discardInput();
   if (inputIsFull()) setReading(false);
-  scheduleInput();
+  owner_.processOrScheduleInput(*this);
 }
 
 bool Session::mayProcessMessage() {
--- a/src/frontend/postgres/session_owner.hpp
+++ b/src/frontend/postgres/session_owner.hpp
@@ -60,6 +60,8 @@
   virtual void setUnadmitted(Session&, bool) = 0;
   // Schedules Session::processInput(), so that all sessions get their share of the event loop's time.
   virtual void scheduleInput(Session&) = 0;
+  // Calls Session::processInput() at once if no other session waits, otherwise as scheduleInput().
+  virtual void processOrScheduleInput(Session&) = 0;
   // Starts or stops polling for the client's disconnect, for a session with reading disabled.
   virtual void watchForDisconnect(Session&, bool on) = 0;
   // Logs an error of a client. At most one line is logged per interval; it contains the number of
--- a/tests/client_load_test.cpp
+++ b/tests/client_load_test.cpp
@@ -233,6 +233,21 @@
   }
   scheduler.remove(waker);
 }
+// A client that had begun a batch was evicted for one whose connection came right behind its message.
+TEST_F(InputSchedulerTest, ASourceIsProcessedAtOnceWhileNobodyWaitsAndThereIsTime) {
+  std::vector<CountingSource> three(3);
+  for (CountingSource& source : three) source.scheduler = &scheduler;
+  three[0].slice = InputScheduler::kTimePerPass;
+  scheduler.processOrSchedule(three[0]);
+  EXPECT_EQ(three[0].processed, 1);
+  scheduler.processOrSchedule(three[1]);
+  EXPECT_EQ(three[1].processed, 0) << "the time is used up";
+  engine.runTurn();
+  scheduler.processOrSchedule(three[2]);
+  EXPECT_EQ(three[2].processed, 0) << "another one waits";
+  pass();
+  EXPECT_EQ(three[1].processed + three[2].processed, 2);
+}
 TEST_F(InputSchedulerTest, ARemovedSourceIsNotCalled) {
   add(2, 1);
   scheduler.remove(sources[0]);
