--- a/review/standins2.py
+++ b/review/standins2.py
@@ -92,6 +92,7 @@
         self.primary = primary
         self.work = work
         self.hanging = False
+        self.reports_in_answers = False
         self.lag_ms = 10
         self.runs = []
         self.arrivals = []
@@ -118,7 +119,7 @@
         return unix_ms() if self.primary else unix_ms() - self.lag_ms
 
     def report(self):
-        return f"x0={self.position() / 1000:.3f},x1={int(self.primary)},inflight=0".encode()
+        return f"x0={self.position() / 1000:.3f},x1={int(self.primary)},inflight=0,util=0.1,queue=0".encode()
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
@@ -167,6 +168,8 @@
             writer.write(note + error("25006", "read-only") + READY)
             return
         note += parameter("applied_ms", self.position() + (1 if write else 0))
+        if self.reports_in_answers:
+            note += parameter("load", self.report().decode())
         writer.write(row(values["id"].encode(), tag=b"INSERT 0 1" if write else b"SELECT 1") + note + READY)
 
 
@@ -306,6 +309,10 @@
         "handset-write": {"name": "handset-write", "effect": "keyed", "group": "cell", "promiseUs": 1000000,
                           "deadlineUs": 3000000, "worth": 6.0, "lateWorth": 0.5, "memorySpanUs": 2000000,
                           "stream": False},
+        "browse": {"name": "browse", "effect": "safe", "group": "all", "promiseUs": 400000, "deadlineUs": 1000000,
+                   "worth": 1.0, "lateWorth": 0.2, "memorySpanUs": 0, "stream": False},
+        "book-pay": {"name": "book-pay", "effect": "unsafe", "group": "all", "promiseUs": 600000,
+                     "deadlineUs": 3000000, "worth": 3.0, "lateWorth": 0.3, "memorySpanUs": 0, "stream": False},
         "rental-report": {"name": "rental-report", "effect": "safe", "group": "all", "promiseUs": 1000000,
                           "deadlineUs": 3000000, "worth": 1.0, "lateWorth": 0.5, "memorySpanUs": 5000000,
                           "stream": False},
@@ -314,7 +321,7 @@
 
 
 CONSISTENCY = {"tour-read": ("bounded", 200000), "any-read": ("any", 0), "handset-write": ("write", 0),
-               "rental-report": ("any", 0)}
+               "rental-report": ("any", 0), "browse": ("bounded", 500000), "book-pay": ("write", 0)}
 
 
 def settings(names=("tour-read", "handset-write"), **changes):
