--- a/review/standins2.py
+++ b/review/standins2.py
@@ -46,6 +46,11 @@
     return kind + struct.pack(">I", len(body) + 4) + body
 
 
+def startup_message():
+    body = struct.pack(">I", 196608) + b"user\0api\0database\0ledger\0\0"
+    return struct.pack(">I", len(body) + 4) + body
+
+
 def parameter(name, value):
     return message(b"S", name.encode() + b"\0" + str(value).encode() + b"\0")
 
@@ -444,8 +449,7 @@
         await self.until_ready()
 
     def startup(self):
-        body = struct.pack(">I", 196608) + b"user\0api\0database\0ledger\0\0"
-        self.writer.write(struct.pack(">I", len(body) + 4) + body)
+        self.writer.write(startup_message())
 
     def close(self):
         self.writer.close()
