Review case 9: a crowded discovery leaves a restarted proxy on its old list

Cause: where discovery is asked nothing bounds how long the list of the start is used while calls are turned away.

--- a/review/standins2.py
+++ b/review/standins2.py
@@ -194,7 +194,8 @@
     It answers a call at once with what changed after the version asked for, else with the whole
     list, and writes an empty line every 2 s while nothing changes. While `silent` (discovery is
     down where lists are pushed) it accepts calls and writes nothing; what its open watches and
-    waiting calls are owed is written when it is back.
+    waiting calls are owed is written when it is back. While `crowded`, a call waits for 2 s, too
+    long, and then ends with 503.
     """
 
     def __init__(self, record, servers, name="discovery"):
@@ -206,6 +207,7 @@
             self.entries[server.name] = self.entry(server)
         self.changes = []  # (generation, entry)
         self.silent = False
+        self.crowded = False
         self.changed = asyncio.Condition()
         self.server = None
         self.port = 0
@@ -257,6 +259,12 @@
         after = re.search(r"after=(\d+)", target)
         after = int(after.group(1)) if after else 0
         self.record.write(f"{self.name} is called: {target}")
+        if self.crowded:
+            await asyncio.sleep(2)
+            self.record.write(f"{self.name} turns a call away")
+            writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+            await writer.drain()
+            return
         await self.until_back()
         if "watch=1" not in target:
             body = (json.dumps(self.whole()) + "\n").encode()
