--- a/review/standins2.py
+++ b/review/standins2.py
@@ -211,7 +211,7 @@
         self.changed = asyncio.Condition()
         self.server = None
         self.port = 0
-        self.told = {}  # generation -> time it was first written
+        self.writers = set()
 
     @staticmethod
     def entry(server, lifecycle="active", started=0, cell=2):
@@ -246,13 +246,21 @@
         async with self.changed:
             self.changed.notify_all()
 
+    def close_all(self):
+        """Ends all open calls and watches."""
+        self.record.write(f"{self.name} closes its connections")
+        for writer in list(self.writers):
+            writer.close()
+
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
             await self.call(head.split()[1], writer)
         except (asyncio.IncompleteReadError, ConnectionError, OSError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def call(self, target, writer):
@@ -302,7 +310,6 @@
         else:
             told = self.whole()
         self.chunk(writer, (json.dumps(told) + "\n").encode())
-        self.told.setdefault(self.generation, time.time())
         self.record.write(f"{self.name} writes generation {self.generation} (after {known})")
         return self.generation
 
