--- a/review/10/case.py
+++ b/review/10/case.py
@@ -50,4 +50,4 @@
         if served else []
 
 
-s.main(FOLDER, case, 60)
+s.main(os.path.join(FOLDER, "record.txt"), case, 60)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -55,4 +55,4 @@
             for at, name in late[:5]] + ([f"{len(late)} such sends"] if late else [])
 
 
-s.main(FOLDER, case, 60)
+s.main(os.path.join(FOLDER, "record.txt"), case, 60)
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -26,11 +26,11 @@
 
 
 class Record:
-    """Writes record.txt: a line for each thing sent, answered or run, with seconds since the start."""
+    """Writes a case's record.txt: a line for each thing sent, answered or run, with seconds since the start."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.start = time.time()
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
         self.write(f"TROUBLE={int(TROUBLE)}")
 
     def write(self, text):
@@ -525,9 +525,12 @@
         return name, await self.answer(name)
 
 
-def main(folder, case, limit=110):
-    """Runs `case(record, temporary folder)`, which returns the broken rules as texts; exits as the cases have to."""
-    record = Record(folder)
+def main(path, case, limit=110):
+    """Runs `case(record, temporary folder)`, which returns the broken rules as texts, with its record at `path`.
+
+    Ends all processes that the case started, and exits as the cases have to.
+    """
+    record = Record(path)
     temporary = tempfile.mkdtemp(prefix="sablespur-review-")
     status = 2
     try:
