Reserve the id of a request when its last byte arrives

Cause: Session::submitRequest reserved the id, which it does for one statement of a connection at a time; those behind it stood unparsed in the input buffer. Ruled out: ids released too early (the bad client came before any answer) and ids not compared across connections (the id of the request that is out was refused).

Change: PipelinedRequests scans each whole message of the input once, when it arrives, and reserves its id; the claim passes to the request with its turn and is released when the message is dropped. Holds behind a request, after an error, while input waits for its turn, and behind a startup message.

--- a/src/frontend/postgres/clients.hpp
+++ b/src/frontend/postgres/clients.hpp
@@ -17,6 +17,7 @@
 #include "engine/engine.hpp"
 #include "engine/event.hpp"
 #include "frontend/postgres/input_scheduler.hpp"
+#include "frontend/postgres/open_request_ids.hpp"
 #include "frontend/postgres/session_owner.hpp"
 
 namespace sablespur {
@@ -56,8 +57,7 @@
   void logRejection(const char* code, std::string_view why, const Address& from) override;
   postgres::Key newKey(Session&, std::size_t secretLength) override;
   void cancel(const postgres::Key&) override;
-  bool reserveRequestName(const std::string& name) override { return openRequestNames_.insert(name).second; }
-  void releaseRequestName(const std::string& name) override { openRequestNames_.erase(name); }
+  OpenRequestIds& openRequestIds() override { return openRequestIds_; }
   RequestId request(ResponseHandler&, const balancer::Request&, RequestMessage,
                     std::optional<PermitId>) override;
   void cancelRequest(RequestId) override;
@@ -100,7 +100,7 @@
   std::function<void()> done_;
 
   InputScheduler inputs_;
-  std::unordered_set<std::string> openRequestNames_;  // client-assigned ids of open requests
+  OpenRequestIds openRequestIds_;
   std::unordered_map<std::uint32_t, Session*> keys_;  // by process number of the cancel key
   std::unordered_set<Session*> pausedReads_;          // sessions with reading disabled
   std::unordered_set<Session*> unadmitted_;           // sessions without a permit
--- a/src/frontend/postgres/input_scheduler.cpp
+++ b/src/frontend/postgres/input_scheduler.cpp
@@ -36,10 +36,9 @@
 }
 
 void InputScheduler::processOrSchedule(InputSource& source) {
-  if (waiting_.empty() && hasTimeLeft())
-    processSlice(source);
-  else
-    schedule(source);
+  if (waiting_.empty() && hasTimeLeft()) return processSlice(source);
+  schedule(source);
+  source.onInputDelayed();
 }
 
 void InputScheduler::processSlice(InputSource& source) {
--- a/src/frontend/postgres/input_scheduler.hpp
+++ b/src/frontend/postgres/input_scheduler.hpp
@@ -23,6 +23,8 @@
   // Processes a bounded part of the input and schedules this source again if more is left. May
   // destroy the source.
   virtual void processInput() = 0;
+  // Called when input that has just arrived has to wait for its turn.
+  virtual void onInputDelayed() {}
   // Returns whether processInput() is still to be called.
   bool isScheduled() const { return scheduled_; }
 
--- a/src/frontend/postgres/session.cpp
+++ b/src/frontend/postgres/session.cpp
@@ -35,7 +35,8 @@
       services_(owner.services()),
       descriptor_(services_.budget, DescriptorHolder::Clients),
       bev_(bufferevent_socket_new(services_.base, fd, BEV_OPT_CLOSE_ON_FREE)),
-      client_{from, {}, {}} {
+      client_{from, {}, {}},
+      pipelined_(owner.openRequestIds(), this) {
   startup_.awaitingProxyHeader = awaitProxyHeader;
   protocol_.codec = &kVersion30;
   const int on = 1;
@@ -60,7 +61,7 @@
   if (services_.admission) services_.admission->connectionClosed(client_.permit);
   services_.budget.releaseBytes(extended_.reservation);
   owner_.onSessionDestroyed(*this);
-  releaseRequestName();
+  releaseRequestId();
   releaseMessage();
 }
 
@@ -104,6 +105,7 @@
 void Session::beginClose() {
   if (closing()) return;
   closeState_ = CloseState::Closing;
+  pipelined_.clear();
   setReading(true);
   if (evbuffer_get_length(output()) == 0) shutdownSending();  // otherwise called by onFlushed()
 }
@@ -146,6 +148,7 @@
 
 void Session::startLingeringClose() {
   releaseMessage();
+  pipelined_.clear();
   startup_.login.reset();
   closeState_ = CloseState::Lingering;
   lastActive_ = services_.engine.now();
@@ -250,6 +253,7 @@
 void Session::onInputChanged(evbuffer*, const evbuffer_cb_info* change, void* session) {
   auto& self = *static_cast<Session*>(session);
   self.inputState_.timestamps.onConsumed(change->n_deleted);
+  self.pipelined_.onConsumed(change->n_deleted);
   const std::size_t limit = std::max(kReadAhead, self.inputState_.messageReservation);
   const bool full = change->orig_size + change->n_added >= limit;
   if (change->n_added > 0)
@@ -261,6 +265,16 @@
   if (!inputState_.processing) owner_.scheduleInput(*this);
 }
 
+// Requests that are not processed at once are open from now on all the same.
+void Session::reservePipelinedIds() {
+  if (closing() || startup_.awaitingProxyHeader || startup_.login || evbuffer_get_length(input()) == 0)
+    return;
+  PipelinedRequests::Framing framing = PipelinedRequests::Framing::StartupVersion3;
+  if (protocol_.version == ProtocolVersion::Version3) framing = PipelinedRequests::Framing::Version3;
+  if (protocol_.version == ProtocolVersion::Version2) framing = PipelinedRequests::Framing::Version2;
+  pipelined_.scan(input(), framing);
+}
+
 // Called after an answer. The next pipelined request is processed in a later callback of the event
 // loop rather than within this call, because the current callback has not returned yet.
 void Session::resumeOrDrain() {
@@ -312,6 +326,7 @@
   const bool hasMore = processMessages();
   inputState_.processing = false;
   if (closing()) return;
+  reservePipelinedIds();
   if (hasMore) {
     setReading(!inputIsFull() && !pastAnswerDeadline());
     return scheduleInput();
--- a/src/frontend/postgres/session.hpp
+++ b/src/frontend/postgres/session.hpp
@@ -23,6 +23,7 @@
 #include "frontend/postgres/input_scheduler.hpp"
 #include "frontend/postgres/input_timestamps.hpp"
 #include "frontend/postgres/login.hpp"
+#include "frontend/postgres/pipelined_requests.hpp"
 #include "frontend/postgres/prepared_statements.hpp"
 #include "frontend/postgres/session_owner.hpp"
 #include "protocol/postgres/startup.hpp"
@@ -89,6 +90,7 @@
 
   // Processes up to kMessagesPerSlice messages of the input buffer.
   void processInput() override;
+  void onInputDelayed() override { reservePipelinedIds(); }
   // Returns whether there is unprocessed input in the input buffer or the socket.
   bool hasUnreadInput();
   // Returns whether the input buffer holds nothing but an incomplete message. Input that is still to
@@ -154,9 +156,9 @@
   };
   // The request in progress and the form of its answer.
   struct CurrentRequest {
-    std::optional<RequestId> id;  // of the engine or the AdmissionController
-    std::string name;             // the id assigned by the client, reserved with the owner
-    bool extended = false;        // sent by an Execute message
+    std::optional<RequestId> id;                    // of the engine or the AdmissionController
+    std::optional<PipelinedRequests::Claim> claim;  // of its client-assigned id
+    bool extended = false;                          // sent by an Execute message
     bool sendRowDescription = true;
     std::size_t maxRows = 0;  // 0: no limit
     translation::ResultFormat format;
@@ -183,6 +185,7 @@
   bool processMessages();
   bool inputIsFull();
   void scheduleInput();
+  void reservePipelinedIds();
   void resumeOrDrain();
   void setReading(bool);
 
@@ -239,7 +242,8 @@
   void translateAnswer(const Answer&, std::string_view messages, const std::string& columns);
   void finishRequest();  // called once its answer or error has been written
   void writeError(const translation::ErrorReport&);
-  void releaseRequestName();
+  bool reserveRequestId(std::string_view clientId);  // false if another client's request has it
+  void releaseRequestId();
 
   SessionOwner& owner_;
   const SessionServices& services_;
@@ -251,6 +255,7 @@
   ExtendedProtocol extended_;
   CurrentRequest request_;
   InputState inputState_;
+  PipelinedRequests pipelined_;
   bool firstRequestReceived_ = false;
   CloseState closeState_ = CloseState::Open;
   // When the session was opened, completed its startup, finished its last request or began to
--- a/src/frontend/postgres/session_common.hpp
+++ b/src/frontend/postgres/session_common.hpp
@@ -22,6 +22,9 @@
 // Maximum number of bytes that are buffered before the type and length of a message are known.
 constexpr std::size_t kReadAhead = 16 << 10;
 
+// Bytes at the end of a statement that are searched for its comment.
+constexpr std::size_t kCommentSearchLength = 512;
+
 inline translation::ErrorReport makeErrorReport(const char* severity, const char* code,
                                                 std::string_view text) {
   translation::ErrorReport report;
--- a/src/frontend/postgres/session_messages.cpp
+++ b/src/frontend/postgres/session_messages.cpp
@@ -62,6 +62,7 @@
     handleExtended(head->type, peekInput(length).substr(sizeof bytes));
     return !closing();
   }
+  request_.claim = pipelined_.take();
   evbuffer_drain(input(), sizeof bytes);
   readSimpleQuery(head->bodySize);
   return true;
@@ -70,6 +71,7 @@
 void Session::readSimpleQuery(std::size_t length) {
   if (extended_.skippingUntilSync) {
     evbuffer_drain(input(), length);
+    releaseRequestId();
     return releaseMessage();
   }
   Buffer statement = newBuffer();
@@ -107,6 +109,7 @@
   // Length of the text and its NUL, without the type byte.
   const auto length = static_cast<std::size_t>(end.pos);
   inputState_.messageReceivedAt = inputState_.timestamps.receivedAt(length + 1);
+  request_.claim = pipelined_.take();
   evbuffer_drain(input(), 1);
   Buffer statement = newBuffer();
   evbuffer_remove_buffer(input(), statement.get(), length);
--- a/src/frontend/postgres/session_owner.hpp
+++ b/src/frontend/postgres/session_owner.hpp
@@ -13,6 +13,7 @@
 #include "engine/resource_budget.hpp"
 #include "engine/workers.hpp"
 #include "frontend/admission_controller.hpp"
+#include "frontend/postgres/open_request_ids.hpp"
 #include "protocol/postgres/startup.hpp"
 
 namespace sablespur {
@@ -73,10 +74,8 @@
   // Executes a CancelRequest; has no effect if the key is wrong.
   virtual void cancel(const postgres::Key&) = 0;
 
-  // Reserves the id that the client assigned to a request. Data servers distinguish requests by
-  // this id, so only one open request may have it. Returns false if it is already in use.
-  virtual bool reserveRequestName(const std::string&) = 0;
-  virtual void releaseRequestName(const std::string&) = 0;
+  // The ids of all clients' open requests. Outlives the sessions.
+  virtual OpenRequestIds& openRequestIds() = 0;
   // Passes the request to the AdmissionController if there is one, otherwise directly to the
   // RequestHandler.
   virtual RequestId request(ResponseHandler&, const balancer::Request&, RequestMessage,
--- a/src/frontend/postgres/session_requests.cpp
+++ b/src/frontend/postgres/session_requests.cpp
@@ -11,8 +11,6 @@
 namespace sablespur {
 namespace {
 
-// Bytes at the end of a statement that are searched for its comment.
-constexpr std::size_t kCommentSearchLength = 512;
 // Bytes at the start of a statement that are searched for the quoted key.
 constexpr std::size_t kKeySearchLength = 256;
 constexpr std::size_t kMaxSetLength = 1024;
@@ -22,16 +20,6 @@
 // for short answers.
 constexpr std::size_t kTranslationAllowance = 64 << 10;
 
-// FNV-1a, 64 bits.
-std::uint64_t hashOf(std::string_view text) {
-  std::uint64_t hash = 0xcbf29ce484222325ull;
-  for (const unsigned char byte : text) {
-    hash ^= byte;
-    hash *= 0x100000001b3ull;
-  }
-  return hash;
-}
-
 std::string_view contiguous(evbuffer* buffer) {
   const std::size_t length = evbuffer_get_length(buffer);
   return {reinterpret_cast<const char*>(evbuffer_pullup(buffer, -1)), length};
@@ -104,23 +92,21 @@
   // The client may have disconnected before its connection was accepted or its request was read.
   // libevent reports the disconnect only after the input that precedes it.
   if (clientDisconnected()) return startLingeringClose();
-  std::string name(comment.id);
-  if (!owner_.reserveRequestName(name)) return reject("42710", "this id is that of an open request", false);
-  request_.name = std::move(name);
+  if (!reserveRequestId(comment.id)) return reject("42710", "this id is that of an open request", false);
   const auto& classes = services_.config.classes;
   const auto requestClass = std::find(classes.begin(), classes.end(), comment.className);
   if (requestClass == classes.end()) return reject("42704", "unknown class", false);
   const auto classIndex = static_cast<std::size_t>(requestClass - classes.begin());
 
   const Time now = services_.engine.now();
+  const std::string clientId = tracing() ? std::string(comment.id) : std::string();
   const balancer::Request request = makeRequest(comment, classIndex, statement.get());
   RequestMessage message = makeMessage(comment, tailOffset, std::move(statement));
   if (services_.admission) services_.admission->connectionBusy(client_.permit);
   request_.id = owner_.request(*this, request, std::move(message), client_.permit);
   if (tracing())
-    logEvent(
-        LogLevel::Trace, "request_accepted",
-        {{"r", *request_.id}, {"id", request_.name}, {"left_ms", (request.deadline - now).count() / 1000}});
+    logEvent(LogLevel::Trace, "request_accepted",
+             {{"r", *request_.id}, {"id", clientId}, {"left_ms", (request.deadline - now).count() / 1000}});
 }
 
 balancer::Request Session::makeRequest(const postgres::Comment& comment, std::size_t classIndex,
@@ -143,7 +129,7 @@
   char start[kKeySearchLength];
   const auto length = std::max<ev_ssize_t>(evbuffer_copyout(statement, start, sizeof start), 0);
   const std::string_view key = postgres::parseKey({start, static_cast<std::size_t>(length)});
-  if (!key.empty()) request.session = std::max<std::uint64_t>(hashOf(key), 1);  // 0: no session
+  if (!key.empty()) request.session = std::max<std::uint64_t>(fnv1a64(key), 1);  // 0: no session
   return request;
 }
 
@@ -242,7 +228,7 @@
 }
 
 void Session::finishRequest() {
-  releaseRequestName();
+  releaseRequestId();
   releaseMessage();
   lastActive_ = services_.engine.now();
   inputState_.partialMessageSince.reset();  // recomputed for the next message
@@ -254,9 +240,18 @@
   resumeOrDrain();
 }
 
-void Session::releaseRequestName() {
-  if (!request_.name.empty()) owner_.releaseRequestName(request_.name);
-  request_.name.clear();
+bool Session::reserveRequestId(std::string_view clientId) {
+  if (!request_.claim) {
+    const RequestIdHash id = hashRequestId(clientId);
+    const auto reservation = owner_.openRequestIds().reserve(id, this);
+    request_.claim = PipelinedRequests::Claim{id, reservation == OpenRequestIds::Reservation::Granted};
+  }
+  return request_.claim->isReserved;
+}
+
+void Session::releaseRequestId() {
+  if (request_.claim && request_.claim->isReserved) owner_.openRequestIds().release(request_.claim->id);
+  request_.claim.reset();
 }
 
 }  // namespace sablespur
--- a/tests/session_test.cpp
+++ b/tests/session_test.cpp
@@ -82,6 +82,8 @@
   }
 };
 
+const std::string kCommandComplete = postgres::message('C', std::string("SELECT 1\0", 9));
+
 struct SessionTest : testing::Test {
   EventBase base{event_base_new()};
   Config config = parseConfig(test::configuration({}, 1, {11, 12}));
@@ -351,9 +353,31 @@
   for (int k = 0; k < 5; ++k) runLoopOnce();
   EXPECT_EQ(backend.sent, 1);
 }
+// Guards against a bad client that was served by the id of a request which waited behind another one.
+TEST_F(SessionTest, TheIdOfAPipelinedRequestIsNotServedToAnotherClient) {
+  const auto c = connectClient();
+  const auto other = connectClient();
+  c->write(query("1") + query("2"));
+  ASSERT_TRUE(waitUntil([&] { return backend.outstanding.size() == 1; }));
+  other->write(query("2"));
+  std::string got;
+  EXPECT_TRUE(waitUntil([&] { return (got += other->readAvailable()).find("42710") != std::string::npos; }));
+  EXPECT_EQ(backend.sent, 1);
+  answer(kCommandComplete);
+  EXPECT_TRUE(waitUntil([&] { return backend.sent == 2; })) << "the request that had the id first is served";
+}
+// Guards against the same while the first client's input waits after an error.
+TEST_F(SessionTest, TheIdOfARequestBehindAnErrorIsNotServedToAnotherClient) {
+  const auto c = connectClient();
+  const auto other = connectClient();
+  c->write(postgres::query("SELECT 1") + query("2"));
+  std::string got;
+  ASSERT_TRUE(waitUntil([&] { return (got += c->readAvailable()).find("42601") != std::string::npos; }));
+  other->write(query("2"));
+  EXPECT_TRUE(waitUntil([&] { return (got += other->readAvailable()).find("42710") != std::string::npos; }));
+  EXPECT_TRUE(waitUntil([&] { return backend.sent == 1; }));
+}
 // ---- pipelining, batches and cancels that cross ------------------------------------------------------
-const std::string kCommandComplete = postgres::message('C', std::string("SELECT 1\0", 9));
-
 // The connection is accepted with the rest of the backlog at the moment at which accepting stops.
 TEST_F(SessionTest, AClientAcceptedAsAcceptingStopsHasTimeToSendARequest) {
   std::unique_ptr<ClientSocket> c;
