Limit how long an endpoint list may be used without a confirmation

Cause: CallSchedule decides when to call, and nothing decided what may be done while no call succeeds. KnownList held requests back only where lists are pushed, until 6 s after the start or the first failed call.

Change: ListValidity (pure) decides until when a list may be used: 6 s from the last confirmation or the start, 4 s from SIGHUP, 2 s in the new process of an upgrade, not at all where lists are pushed, and 70% of the drain grace each. Time runs only once the registry could be reached (it answers, or lets an accepted call wait for 1 s); while it is down the list is used on. Balancer::limitList applies it.

--- a/src/app/discovery_source.cpp
+++ b/src/app/discovery_source.cpp
@@ -19,12 +19,15 @@
 class RegistrySource final : public ConfiguredDiscovery {
  public:
   RegistrySource(event_base* base, const Clock& clock, EndpointUpdater& updater, const Config& config)
-      : watch_(base, clock, updater, config.discovery, config.seed) {}
+      : watch_(base, clock, updater, config) {}
   void watch(std::uint64_t after) override { watch_.watch(after); }
   std::optional<RegistryWatch::View> registryView() const override { return watch_.view(); }
   void updateSettings(const Config& config) override {
-    if (checkSourceKind(config, DiscoveryKind::Registry)) watch_.changeAddress(config.discovery);
+    if (checkSourceKind(config, DiscoveryKind::Registry)) watch_.updateSettings(config);
   }
+  void setBesideAnotherProcess() override { watch_.setBesideAnotherProcess(); }
+  void listConfirmedByOtherProcess() override { watch_.listConfirmedByOtherProcess(); }
+  bool isListCurrent() const override { return watch_.isListCurrent(); }
 
  private:
   RegistryWatch watch_;
--- a/src/app/discovery_source.hpp
+++ b/src/app/discovery_source.hpp
@@ -18,6 +18,12 @@
   // Applies new settings. The known endpoints stay until the source has delivered a complete list
   // under the new settings. A change of the kind of source is logged and not applied.
   virtual void updateSettings(const Config&) = 0;
+  // This process has started beside another one of the same proxy. Called before watch().
+  virtual void setBesideAnotherProcess() {}
+  // Another process of this proxy has handed over a list that discovery had confirmed to it.
+  virtual void listConfirmedByOtherProcess() {}
+  // Whether this process would have been told of any change.
+  virtual bool isListCurrent() const { return true; }
   // State of the registry watch; std::nullopt for other kinds of source.
   virtual std::optional<RegistryWatch::View> registryView() const { return std::nullopt; }
   // Reasons why instances are excluded from the endpoint list, by instance name.
--- a/src/app/process_handover.cpp
+++ b/src/app/process_handover.cpp
@@ -34,14 +34,18 @@
 std::string formatEndpointList(const EndpointList& list) {
   Json instances = Json::array();
   for (const DiscoveredEndpoint& endpoint : list.instances) instances.push_back(instanceJson(endpoint));
-  const Json document{
-      {"generation", list.generation}, {"reset", list.reset}, {"instances", std::move(instances)}};
+  const Json document{{"generation", list.generation},
+                      {"reset", list.reset},
+                      {"confirmed", list.isConfirmed},
+                      {"instances", std::move(instances)}};
   return document.dump();
 }
 
-ProcessHandover::ProcessHandover(event_base* base, const Config& config, EndpointUpdater& updater)
+ProcessHandover::ProcessHandover(event_base* base, const Config& config, EndpointUpdater& updater,
+                                 ConfiguredDiscovery& discovery)
     : listFile_(config.handoverListFile),
       updater_(updater),
+      discovery_(discovery),
       listSeen_(versionOfFile(listFile_)),  // of an earlier upgrade: whoever wrote it may have ended long ago
       presence_(config.presenceFile),
       isSuccessor_(presence_.othersRun()),
@@ -68,6 +72,7 @@
   listSeen_ = version;
   try {
     EndpointList list = parseEndpointList(readSharedFile(listFile_, kMaxListBytes).value_or(""));
+    if (list.isConfirmed) discovery_.listConfirmedByOtherProcess();
     const bool isNews = updater_.listCount() == 0 || list.generation > updater_.lastGeneration();
     if (!isNews) return;
     logEvent(LogLevel::Info, "endpoint_list_inherited",
@@ -79,8 +84,9 @@
 }
 
 void ProcessHandover::writeList() {
-  const std::optional<EndpointList> list = updater_.registryList();
+  std::optional<EndpointList> list = updater_.registryList();
   if (!list) return;
+  list->isConfirmed = discovery_.isListCurrent();
   if (replaceSharedFile(listFile_, formatEndpointList(*list), Durability::ProcessCrash)) {
     listsWritten_ = updater_.listCount();
     writeFailing_ = false;
--- a/src/app/process_handover.hpp
+++ b/src/app/process_handover.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 
+#include "app/discovery_source.hpp"
 #include "config/config.hpp"
 #include "engine/endpoint_updater.hpp"
 #include "engine/event.hpp"
@@ -24,14 +25,16 @@
 class ProcessHandover {
  public:
   // Registers this process; has to be constructed before the first client is accepted. The updater
-  // has to outlive it.
-  ProcessHandover(event_base*, const Config&, EndpointUpdater&);
+  // and the source have to outlive it.
+  ProcessHandover(event_base*, const Config&, EndpointUpdater&, ConfiguredDiscovery&);
   // Hands over what was told since the last poll.
   ~ProcessHandover() { poll(); }
   ProcessHandover(const ProcessHandover&) = delete;
   ProcessHandover& operator=(const ProcessHandover&) = delete;
 
   ProcessPresence& presence() { return presence_; }
+  // Whether another process was there first and may still run.
+  bool isSuccessor() const { return isSuccessor_; }
 
  private:
   void poll();
@@ -40,6 +43,7 @@
 
   const std::string listFile_;
   EndpointUpdater& updater_;
+  ConfiguredDiscovery& discovery_;
   std::optional<FileVersion> listSeen_;  // version of the list file that was last read
   ProcessPresence presence_;
   bool isSuccessor_;                // another process was there first and may still run
--- a/src/app/proxy.cpp
+++ b/src/app/proxy.cpp
@@ -34,7 +34,7 @@
       endpointUpdater_(base, engine_.clock(), orElse<EndpointListConsumer>(recovery_, engine_),
                        endpointTablePolicy(config_)),
       discovery_(createDiscoverySource(base, engine_.clock(), endpointUpdater_, config_)),
-      handover_(base, config_, endpointUpdater_),
+      handover_(base, config_, endpointUpdater_, *discovery_),
       recoveryOrEngine_(orElse<RequestHandler>(recovery_, engine_)),
       idempotency_(openStore(base, engine_, recoveryOrEngine_, config_)),
       requestHandler_(orElse<RequestHandler>(idempotency_, recoveryOrEngine_)),
@@ -67,6 +67,7 @@
 }
 
 void Proxy::start() {
+  if (handover_.isSuccessor()) discovery_->setBesideAnotherProcess();
   engine_.start(backends_, *discovery_);
   // The balancer requests the endpoint list only if discovery is pull-based; a source that pushes
   // the list needs a watch as well.
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -148,7 +148,7 @@
   const auto found = context.requests.find(id);
   const Endpoint* const endpoint = context.findEndpoint(to);
   if (found == context.requests.end() || !endpoint || !isUsable(context.settings, *endpoint)) return false;
-  if (context.knownList.isTooOld(context.settings, now)) return false;
+  if (context.isListTooOld()) return false;
   PendingRequest& pending = found->second;
   if (!repeatIsSafe(context, pending)) return false;
   const Group& group = context.groups[endpoint->listed.group];
@@ -171,6 +171,14 @@
   return !showsStaleData(context, *endpoint, attempt, outcome.replicationStatus);
 }
 
+void Balancer::limitList(Time now, std::optional<Time> until) {
+  Context& context = *context_;
+  context.now = now;
+  const bool wasTooOld = context.isListTooOld();
+  context.listUsableUntil = until;
+  if (wasTooOld && !context.isListTooOld()) resumeAllWaiting(context, PrimaryChecks::No);
+}
+
 void Balancer::unseenCommitsPossible(Time now) {
   context_->now = now;
   context_->sessionCommits.assumeUnseenUntil(now);
--- a/src/balancer/balancer.hpp
+++ b/src/balancer/balancer.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "balancer/events.hpp"
@@ -63,6 +64,10 @@
   // The endpoint list or changes to it. The first call is made right after construction.
   void endpointsListed(Time now, ListKind, const std::vector<ListedEndpoint>&);
 
+  // The endpoint list may be used until `until`, unless a later call allows more; std::nullopt:
+  // without limit, as at the start. After that, requests wait and are rejected when their time is up.
+  void limitList(Time now, std::optional<Time> until);
+
   // A client's request. From this call on, the Balancer must give it exactly one final answer.
   void request(Time now, const Request&);
 
--- a/src/balancer/context.hpp
+++ b/src/balancer/context.hpp
@@ -4,13 +4,13 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
 #include "balancer/balancer.hpp"
 #include "balancer/discovery_poller.hpp"
 #include "balancer/fleet_traffic.hpp"
-#include "balancer/known_list.hpp"
 #include "balancer/latency_statistics.hpp"
 #include "balancer/local_hash.hpp"
 #include "balancer/retry_budget.hpp"
@@ -45,6 +45,8 @@
   bool canHealthCheck() const {
     return settings.healthChecksAllowed && settings.loadReportMode != LoadReportMode::None;
   }
+  // Whether the endpoint list may lack changes that this proxy counts as informed of.
+  bool isListTooOld() const { return listUsableUntil && now >= *listUsableUntil; }
   DiscoveryPoller::Environment discoveryEnvironment() const { return {settings, sink, random, now}; }
 
   Settings settings;
@@ -61,15 +63,15 @@
   SessionCommits sessionCommits;
   FleetTraffic traffic;
   DiscoveryPoller discovery;
-  KnownList knownList;
   WorkIndex work;
 
   // Number of lists and list changes received, plus 1: where the number of an
   // update is stored, 0 means none.
   std::uint64_t listUpdates = 1;
-  bool started = false;         // the first list has been received
-  bool gossipReceived = false;  // other proxies share what they observe of endpoints
-  const bool reportsCarryLoad;  // load reports include the number of outstanding requests
+  std::optional<Time> listUsableUntil;  // see Balancer::limitList
+  bool started = false;                 // the first list has been received
+  bool gossipReceived = false;          // other proxies share what they observe of endpoints
+  const bool reportsCarryLoad;          // load reports include the number of outstanding requests
 };
 
 }  // namespace sablespur::balancer
--- a/src/balancer/endpoint_list.cpp
+++ b/src/balancer/endpoint_list.cpp
@@ -100,7 +100,6 @@
 
 void updateEndpoints(Context& context, ListKind kind, const std::vector<ListedEndpoint>& entries) {
   context.discovery.responseReceived(context.discoveryEnvironment(), kind);
-  context.knownList.listReceived(context.now, kind);
   if (kind == ListKind::Failed) return;
   context.traffic.endpointsChanged();
   if (kind != ListKind::Delta) markAbsentGone(context, entries);
--- a/src/balancer/request_dispatch.cpp
+++ b/src/balancer/request_dispatch.cpp
@@ -182,7 +182,7 @@
   const bool mayNotRepeat = pending.possibleExecution && settings.idempotency == Idempotency::NonIdempotent;
   if (attemptsExhausted || mayNotRepeat || context.now >= giveUpAt(context, pending))
     return finishUnserved(context, pending);
-  if (context.knownList.isTooOld(context.settings, context.now)) return waitForEndpoint(context, pending);
+  if (context.isListTooOld()) return waitForEndpoint(context, pending);
   if (settings.requirement == Requirement::Write)
     advanceWrite(context, pending);
   else
--- a/src/balancer/settings.hpp
+++ b/src/balancer/settings.hpp
@@ -70,9 +70,6 @@
   bool cancelAllowed = false;
   bool parallelAttemptsAllowed = false;
   bool retryAfterAllowed = false;
-  // A cached first list may be older than the changes of which discovery counts this proxy as
-  // informed. Discovery is queried at once.
-  bool knownListMayBeOld = false;
   // Only Lifecycle::Draining stops new requests, not Lifecycle::Gone.
   bool removedEndpointsStayUsable = false;
   int maxAttempts = 1;      // per request
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -166,6 +166,7 @@
   DiscoveryKind source = DiscoveryKind::Registry;
   Address discovery;              // address of the registry
   DnsSdSettings dnssd;            // used with DiscoveryKind::DnsSd
+  bool listsArePushed = false;    // an agent on this machine has the registry's lists pushed to it
   EndpointList known;             // at the start; with DiscoveryKind::Fixed the whole list
   std::vector<GroupName> groups;  // named groups only
 };
--- a/src/config/json_config.cpp
+++ b/src/config/json_config.cpp
@@ -172,8 +172,7 @@
   config.known = readEndpointList(jsonField<element>(root, "known", ""), "known.");
   const auto settings = jsonField<element>(root, "settings", "");
   readBalancerSettings(settings, config);
-  // With DiscoveryMode::Automatic the settings bound how long a proxy may use its cached list.
-  config.settings.knownListMayBeOld = config.settings.discoveryMode == balancer::DiscoveryMode::Automatic;
+  config.listsArePushed = config.settings.discoveryMode == balancer::DiscoveryMode::Automatic;
   readNames(settings, config);
   const auto allowed = jsonField<element>(settings, "allowed", "settings.");
   readTimeouts(allowed, config);
--- a/src/discovery/call_schedule.cpp
+++ b/src/discovery/call_schedule.cpp
@@ -204,6 +204,11 @@
   return nullptr;
 }
 
+bool CallSchedule::isFollowing(Time now) const {
+  const Call* const followed = followedCall();
+  return followed && now < followed->progressAt + kWatchSilence;
+}
+
 CallSchedule::Time CallSchedule::nextOpening() const {
   const Call* const followed = followedCall();
   const Time silentAt = followed ? followed->progressAt + kWatchSilence : Time(0);
--- a/src/discovery/call_schedule.hpp
+++ b/src/discovery/call_schedule.hpp
@@ -113,6 +113,8 @@
 
   // Returns when the list was last known to be up to date; `std::nullopt` if never.
   std::optional<Time> confirmedAt() const { return confirmedAt_; }
+  // Whether a watch is open that would have delivered any change until now.
+  bool isFollowing(Time now) const;
   std::size_t openCalls() const { return calls_.size(); }
   // Returns the call to close if a new call needs its descriptor; `std::nullopt` if none is open.
   std::optional<CallId> leastUsefulCall() const;
--- a/src/discovery/endpoint_list.cpp
+++ b/src/discovery/endpoint_list.cpp
@@ -109,6 +109,8 @@
   if (generation < 0) throw BadInput("key " + path + "generation: negative");
   list.generation = static_cast<std::uint64_t>(generation);
   list.reset = jsonField<bool>(object, "reset", path);
+  bool isConfirmed = false;
+  list.isConfirmed = object["confirmed"].get(isConfirmed) == simdjson::SUCCESS && isConfirmed;
   const auto instances = jsonField<simdjson::dom::array>(object, "instances", path);
   list.instances.reserve(instances.size());
   std::string elementPath = path + "instances[";
--- a/src/discovery/endpoint_list.hpp
+++ b/src/discovery/endpoint_list.hpp
@@ -2,12 +2,14 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "balancer/balancer.hpp"
+#include "discovery/list_validity.hpp"
 #include "support/address.hpp"
 
 namespace sablespur {
@@ -31,6 +33,8 @@
   std::uint64_t generation = 0;
   bool reset = false;  // a whole list: endpoints that are not in it have left
   std::vector<DiscoveredEndpoint> instances;
+  // Handed over by another process of this proxy, which had it confirmed by discovery.
+  bool isConfirmed = false;
 };
 
 // Receives lists from a discovery source, first a whole list and then changes, and its failures.
@@ -39,6 +43,9 @@
   virtual ~EndpointListConsumer() = default;
   virtual void endpointsListed(EndpointList) = 0;
   virtual void discoveryFailed(const std::string& why) = 0;
+  // The list may be used until `until`, unless a later call allows more; std::nullopt: without limit.
+  // Instants are those of the process's clock.
+  virtual void listLimited(std::optional<balancer::Time> /*until*/, ListLimit) {}
   // Generation of the list that was last received.
   virtual std::uint64_t generation() const = 0;
 };
--- a/src/discovery/registry/call.cpp
+++ b/src/discovery/registry/call.cpp
@@ -36,6 +36,7 @@
   bufferevent_setcb(
       connection_.get(), [](bufferevent*, void* self) { static_cast<RegistryCall*>(self)->read(); }, nullptr,
       [](bufferevent*, short what, void* self) {
+        if (what & BEV_EVENT_CONNECTED) return static_cast<RegistryCall*>(self)->connected();
         if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
           static_cast<RegistryCall*>(self)->end("connection ended");
       },
@@ -48,6 +49,12 @@
   owner_.reported(*this, report);
 }
 
+void RegistryCall::connected() {
+  Report report;
+  report.isConnected = true;
+  owner_.reported(*this, report);
+}
+
 void RegistryCall::read() {
   Report report;
   feed(report);
--- a/src/discovery/registry/call.hpp
+++ b/src/discovery/registry/call.hpp
@@ -24,6 +24,7 @@
     bool hasEmptyLine = false;          // received the empty line for "unchanged"
     std::optional<std::string> ending;  // why the call ended; `std::nullopt` while it is open
     bool isAnswered = false;            // a response has begun, with any status
+    bool isConnected = false;           // the connection has just come up
     std::optional<std::chrono::seconds> retryAfter;
   };
   // Receives the reports. May destroy the call while handling one.
@@ -48,9 +49,11 @@
   std::uint64_t after() const { return after_; }
   std::size_t bytes() const { return bytes_; }
   std::size_t lists() const { return lists_; }
+  const Address& address() const { return address_; }
 
  private:
   void read();
+  void connected();
   void feed(Report&);
   void parse(const std::string& body, Report&);
   void end(std::string why);
--- a/src/discovery/registry/watch.hpp
+++ b/src/discovery/registry/watch.hpp
@@ -7,7 +7,9 @@
 #include <optional>
 #include <string>
 
+#include "config/config.hpp"
 #include "discovery/call_schedule.hpp"
+#include "discovery/list_validity.hpp"
 #include "discovery/registry/call.hpp"
 #include "engine/clock.hpp"
 #include "engine/interfaces.hpp"
@@ -30,21 +32,40 @@
 
   // The clock and the consumer must outlive the watch. The seed varies the jitter, so that the
   // proxies of a fleet do not call at the same time.
-  RegistryWatch(event_base*, const Clock&, EndpointListConsumer&, const Address&, std::uint64_t seed);
+  RegistryWatch(event_base*, const Clock&, EndpointListConsumer&, const Config&);
   ~RegistryWatch() override;
   // Starts following the list after generation `after`. Has no effect once started: calls are then
   // renewed without further requests.
   void watch(std::uint64_t after) override;
-  // Continues at the new address. The watch at the former address stays open until the new one has
-  // delivered a list.
-  void changeAddress(const Address&);
+  // The settings were read again. If the address is new, continues there; the watch at the former
+  // address stays open until the new one has delivered a list.
+  void updateSettings(const Config&);
+  // This process has started beside another one of the same proxy. Called before watch().
+  void setBesideAnotherProcess() { isBesideAnotherProcess_ = true; }
+  // Another process of this proxy has handed over a list that discovery had confirmed to it.
+  void listConfirmedByOtherProcess();
+  // Whether a watch is open that would have told of any change.
+  bool isListCurrent() const;
   View view() const;
 
  private:
   using CallId = CallSchedule::CallId;
+  struct OpenCall {
+    std::unique_ptr<RegistryCall> call;
+    Clock::Time openedAt{};
+    bool isConnected = false;
+  };
 
   void reported(RegistryCall&, RegistryCall::Report&) override;
   void applyList(CallId, EndpointList);
+  void judgeReachability(const RegistryCall&, const RegistryCall::Report&);
+  void callConnected(CallId);
+  bool isAccepted(const OpenCall&) const;
+  bool isQueued(const OpenCall&) const;
+  void judgeQueuedCalls();
+  void changeAddress(const Address&);
+  ListValidity::StartKind startKind() const;
+  void publishLimit();
   void runSchedule();
   void open(CallReason);
   int openSocket();
@@ -57,17 +78,19 @@
   EndpointListConsumer& consumer_;
   Address address_;
   CallSchedule schedule_;
+  ListValidity validity_;
+  std::optional<Clock::Time> publishedLimit_;
+  const bool listsArePushed_;
+  bool isBesideAnotherProcess_ = false;
+  bool isStarted_ = false;
   std::uint64_t initialGeneration_ = 0;  // of the list known before the first call
   bool hasList_ = false;                 // a call has delivered a list
-  struct OpenCall {
-    std::unique_ptr<RegistryCall> call;
-    Clock::Time openedAt{};
-  };
   std::map<CallId, OpenCall> calls_;
   CallId lastCallId_ = 0;
   std::uint64_t failures_ = 0;
   std::string lastEnding_;
   Event timer_;                 // expires at schedule_.nextDeadline()
+  Event queueTimer_;            // expires when a call has waited for kMinQueueWait
   ReservedDescriptor reserve_;  // descriptor for the next call, held while none is open
 };
 
--- a/src/engine/endpoint_updater.hpp
+++ b/src/engine/endpoint_updater.hpp
@@ -28,6 +28,9 @@
   // Called by a source whose lists have generations.
   void endpointsListed(EndpointList) override;
   void discoveryFailed(const std::string& why) override;
+  void listLimited(std::optional<Clock::Time> until, ListLimit limit) override {
+    consumer_.listLimited(until, limit);
+  }
   std::uint64_t generation() const override { return table_.generation(); }
 
   // Number of lists received with endpointsListed().
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -98,6 +98,10 @@
   events_.emplace_back(engine_event::EndpointsListed{std::move(list)});
 }
 
+void Engine::listLimited(std::optional<Time> until, ListLimit limit) {
+  events_.emplace_back(engine_event::ListLimited{until, limit});
+}
+
 void Engine::discoveryFailed(const std::string&) { events_.emplace_back(engine_event::DiscoveryFailed{}); }
 
 // ---- the turn -------------------------------------------------------------------------------------------
@@ -106,6 +110,7 @@
   now_ = std::max(now_, clock_.now());
   followWallClock();
   advancePositionEpoch();
+  listLimit_.advance(now_);
   handleQueuedEvents();
   fireDueTimers();
   if (now_ - lastExpiryAt_ >= kExpiryInterval) {
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -15,6 +15,7 @@
 #include "engine/endpoint_start_times.hpp"
 #include "engine/event.hpp"
 #include "engine/interfaces.hpp"
+#include "engine/list_limit_monitor.hpp"
 #include "engine/primary_lag_monitor.hpp"
 #include "engine/process_presence.hpp"
 #include "engine/queued_event.hpp"
@@ -54,6 +55,7 @@
   void gossipReceived(const cluster::GossipUpdate&);
   void endpointsListed(EndpointList) override;
   void discoveryFailed(const std::string& why) override;
+  void listLimited(std::optional<Time> until, ListLimit) override;
   std::uint64_t generation() const override { return list_.generation; }
 
   // Suspends or restores an endpoint in the next turn. Returns false if the endpoint was never
@@ -71,6 +73,8 @@
   std::uint64_t sendsToDraining() const { return sendsToDraining_; }
   // Number of session reads for which commits of another process of this proxy had to be assumed.
   std::uint64_t readsWithUnseenCommits() const { return readsWithUnseenCommits_; }
+  // Number of requests rejected while the endpoint list was too old to be used.
+  std::uint64_t rejectionsForListAge() const { return listLimit_.rejections(); }
   // Number of answers withheld from clients because their replication position showed stale data.
   std::uint64_t staleAnswersWithheld() const { return staleAnswersWithheld_; }
   ReferenceClock::Summary referenceClock() const { return reference_.summary(); }
@@ -133,6 +137,7 @@
   void handle(engine_event::HealthCheckEnded&);
   void handle(engine_event::EndpointsListed&);
   void handle(engine_event::DiscoveryFailed&);
+  void handle(engine_event::ListLimited&);
   void handle(engine_event::GossipReceived&);
   void handleGossip(const cluster::GossipUpdate&);
   void handle(engine_event::SuspensionChanged&);
@@ -203,6 +208,7 @@
   EndpointStartTimes startTimes_;
   std::unordered_set<std::string> suspended_;  // by name
   ListState list_;
+  ListLimitMonitor listLimit_;
 
   TimerQueue timers_;
   Event wakeup_;  // wakes the event loop when the first timer is due
--- a/src/engine/engine_actions.cpp
+++ b/src/engine/engine_actions.cpp
@@ -23,6 +23,7 @@
   const auto it = requests_.find(id);
   if (it == requests_.end()) return;
   trace::requestRejected(id, retryAfter);
+  listLimit_.requestRejected(now_);
   if (ResponseHandler* const handler = it->second.handler)
     actions_.emplace_back([handler, retryAfter] { handler->rejected(retryAfter); });
   requests_.erase(it);
--- a/src/engine/engine_events.cpp
+++ b/src/engine/engine_events.cpp
@@ -243,6 +243,11 @@
   balancer_->endpointsListed(now_, ListKind::Failed, {});
 }
 
+void Engine::handle(engine_event::ListLimited& event) {
+  listLimit_.limited(now_, event.until, event.limit);
+  balancer_->limitList(now_, event.until);
+}
+
 void Engine::handle(engine_event::EndpointsListed& event) {
   const bool cached = list_.applied == 0;  // the known list, which start() has queued
   const ListKind received = event.list.reset ? ListKind::Full : ListKind::Delta;
--- a/src/engine/queued_event.hpp
+++ b/src/engine/queued_event.hpp
@@ -1,6 +1,7 @@
 // The events queued for the engine's next turn, one type for each entry point of Engine.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -36,6 +37,10 @@
   EndpointList list;
 };
 struct DiscoveryFailed {};
+struct ListLimited {
+  std::optional<balancer::Time> until;
+  ListLimit limit;
+};
 // The updates themselves are stored in Engine::gossip_, whose storage is reused.
 struct GossipReceived {};
 struct SuspensionChanged {
@@ -46,8 +51,8 @@
   balancer::Settings settings;
 };
 
-using QueuedEvent =
-    std::variant<RequestReceived, ClientDisconnected, ConnectionReady, AttemptEnded, HealthCheckEnded,
-                 EndpointsListed, DiscoveryFailed, GossipReceived, SuspensionChanged, SettingsUpdated>;
+using QueuedEvent = std::variant<RequestReceived, ClientDisconnected, ConnectionReady, AttemptEnded,
+                                 HealthCheckEnded, EndpointsListed, DiscoveryFailed, ListLimited,
+                                 GossipReceived, SuspensionChanged, SettingsUpdated>;
 
 }  // namespace sablespur::engine_event
--- a/src/recovery/coordinator.cpp
+++ b/src/recovery/coordinator.cpp
@@ -113,6 +113,7 @@
 
   void endpointsListed(EndpointList list) override;
   void discoveryFailed(const std::string& why) override { engine_.discoveryFailed(why); }
+  void listLimited(std::optional<Time> until, ListLimit limit) override { engine_.listLimited(until, limit); }
   std::uint64_t generation() const override { return engine_.generation(); }
 
   void statusObserved(const cluster::GossipUpdate&) override;
