See that a client has left behind many unread requests

What callers saw: a client that closes its connection while many of its requests are unread has one of them sent on, later than 0.1 s after the close.

Cause: while a request is out, 16 KiB are read ahead. More than the socket's buffer holds stays with the client's machine, and its FIN behind it, so POLLRDHUP is not set. Only the next answer makes the client's machine reset the connection, and the next request was begun before that answer was written. Ruled out: input read after the end of the stream (nothing came when all fitted).

Change: while a request is out, up to 1 MiB is read ahead in steps of 64 KiB, from half of the memory for long statements. Where the input is still full, the next request is begun only when the answers before it are written.

The test SessionTest.ARequestBehindMuchUnreadInputIsNotSentAfterItsClientLeft (400 KiB and 3 MiB) fails without the change and passes with it.

--- a/src/engine/resource_budget.hpp
+++ b/src/engine/resource_budget.hpp
@@ -67,6 +67,8 @@
     peakBytes_ = std::max(peakBytes_, bytes_);
     return true;
   }
+  // The same for bytes that can be done without: half of the budget is left to others.
+  bool reserveSpareBytes(std::size_t count) { return bytes_ + count <= maxBytes_ / 2 && reserveBytes(count); }
   void releaseBytes(std::size_t count) { bytes_ -= count; }
   std::size_t bytes() const { return bytes_; }
   std::size_t maxBytes() const { return maxBytes_; }
--- a/src/frontend/postgres/session.cpp
+++ b/src/frontend/postgres/session.cpp
@@ -26,6 +26,10 @@
 constexpr int kMessagesPerSlice = 16;
 // No further request is processed while the client has this many bytes of unsent output.
 constexpr std::size_t kMaxUnsentOutput = 16 << 10;
+// Input of one client that is read ahead while its request is out, so that its disconnect is seen
+// behind pipelined requests; in steps of kReadAheadStep.
+constexpr std::size_t kMaxExtraReadAhead = 1 << 20;
+constexpr std::size_t kReadAheadStep = 64 << 10;
 constexpr const char* kInvalidPassword = "28P01";
 
 }  // namespace
@@ -63,6 +67,7 @@
   owner_.onSessionDestroyed(*this);
   releaseRequestId();
   releaseMessage();
+  releaseReadAhead();
 }
 
 // ---- admission ----------------------------------------------------------------------------------------
@@ -159,6 +164,7 @@
 void Session::discardInput() {
   const std::size_t length = evbuffer_get_length(input());
   evbuffer_drain(input(), length);
+  releaseReadAhead();
   inputState_.discarded += length;
   if (inputState_.discarded > kMaxLingerBytes) owner_.onSessionClosed(*this);
 }
@@ -254,8 +260,7 @@
   auto& self = *static_cast<Session*>(session);
   self.inputState_.timestamps.onConsumed(change->n_deleted);
   self.pipelined_.onConsumed(change->n_deleted);
-  const std::size_t limit = std::max(kReadAhead, self.inputState_.messageReservation);
-  const bool full = change->orig_size + change->n_added >= limit;
+  const bool full = change->orig_size + change->n_added >= self.inputLimit();
   if (change->n_added > 0)
     self.inputState_.timestamps.onReceived(change->n_added, self.services_.engine.now(), full);
 }
@@ -293,10 +298,12 @@
   return protocol_.version == ProtocolVersion::Version3 ? readMessageV3() : readMessageV2();
 }
 
-bool Session::inputIsFull() {
-  return evbuffer_get_length(input()) >= std::max(kReadAhead, inputState_.messageReservation);
+std::size_t Session::inputLimit() const {
+  return std::max(kReadAhead, inputState_.messageReservation) + inputState_.extraReadAhead;
 }
 
+bool Session::inputIsFull() { return evbuffer_get_length(input()) >= inputLimit(); }
+
 // libevent keeps calling back while the input is at its high watermark, so reading is disabled until
 // it is below.
 void Session::onReadable() {
@@ -305,9 +312,12 @@
   owner_.processOrScheduleInput(*this);
 }
 
+// While the input is full, the client's disconnect may be hidden behind unread input. Writing the
+// output first shows whether the client is still there.
 bool Session::mayProcessMessage() {
-  return !request_.id && !closing() && !inputState_.paused &&
-         evbuffer_get_length(output()) < kMaxUnsentOutput;
+  if (request_.id || closing() || inputState_.paused) return false;
+  const std::size_t unsent = evbuffer_get_length(output());
+  return inputIsFull() ? unsent == 0 : unsent < kMaxUnsentOutput;
 }
 
 // Returns whether it stopped at kMessagesPerSlice, so that the input may hold more whole messages.
@@ -335,6 +345,8 @@
   if (pastAnswerDeadline()) return rejectRemainder(left);
   if (!inputState_.partialMessageSince && left > 0)
     inputState_.partialMessageSince = inputIsFull() ? services_.engine.now() : partialMessageStart();
+  if (request_.id && inputIsFull()) extendReadAhead();
+  if (left <= kReadAhead) releaseReadAhead();
   setReading(!inputIsFull());
 }
 
@@ -370,7 +382,7 @@
   if (length <= kReadAhead || inputState_.messageReservation > 0) return true;
   if (!services_.budget.reserveBytes(length)) return false;
   inputState_.messageReservation = length;
-  bufferevent_setwatermark(bev_.get(), EV_READ, 0, length);
+  bufferevent_setwatermark(bev_.get(), EV_READ, 0, inputLimit());
   return true;
 }
 
@@ -378,7 +390,21 @@
   if (inputState_.messageReservation == 0) return;
   services_.budget.releaseBytes(inputState_.messageReservation);
   inputState_.messageReservation = 0;
-  bufferevent_setwatermark(bev_.get(), EV_READ, 0, kReadAhead);
+  bufferevent_setwatermark(bev_.get(), EV_READ, 0, inputLimit());
+}
+
+void Session::extendReadAhead() {
+  if (inputState_.extraReadAhead >= kMaxExtraReadAhead) return;
+  if (!services_.budget.reserveSpareBytes(kReadAheadStep)) return;
+  inputState_.extraReadAhead += kReadAheadStep;
+  bufferevent_setwatermark(bev_.get(), EV_READ, 0, inputLimit());
+}
+
+void Session::releaseReadAhead() {
+  if (inputState_.extraReadAhead == 0) return;
+  services_.budget.releaseBytes(inputState_.extraReadAhead);
+  inputState_.extraReadAhead = 0;
+  bufferevent_setwatermark(bev_.get(), EV_READ, 0, inputLimit());
 }
 
 bool Session::reservePrepared(std::size_t bytes) {
--- a/src/frontend/postgres/session.hpp
+++ b/src/frontend/postgres/session.hpp
@@ -149,6 +149,7 @@
     bool processing = false;             // within processInput()
     bool paused = false;                 // after a client's error, until the next idle sweep
     std::size_t messageReservation = 0;  // bytes of the budget reserved for the current message
+    std::size_t extraReadAhead = 0;      // bytes of the budget reserved for pipelined requests
     std::size_t discarded = 0;           // bytes discarded while lingering
     InputTimestamps timestamps;
     Time messageReceivedAt{};                 // time of the last byte of the current message
@@ -183,6 +184,7 @@
   void rejectRemainder(std::size_t length);
   bool mayProcessMessage();
   bool processMessages();
+  std::size_t inputLimit() const;
   bool inputIsFull();
   void scheduleInput();
   void reservePipelinedIds();
@@ -198,6 +200,8 @@
   // resource budget. The reserve functions return false if the budget is exhausted.
   bool reserveMessage(std::size_t length);
   void releaseMessage();
+  void extendReadAhead();
+  void releaseReadAhead();
   bool reservePrepared(std::size_t bytes);
 
   // ---- session_handshake.cpp
--- a/tests/session_test.cpp
+++ b/tests/session_test.cpp
@@ -366,6 +366,32 @@
   answer(kCommandComplete);
   EXPECT_TRUE(waitUntil([&] { return backend.sent == 2; })) << "the request that had the id first is served";
 }
+// Guards against a request that is sent on after its client has left, when so much was unread that the
+// disconnect could not be seen.
+TEST_F(SessionTest, ARequestBehindMuchUnreadInputIsNotSentAfterItsClientLeft) {
+  for (const std::size_t size : {std::size_t{400} << 10, std::size_t{3} << 20}) {
+    SCOPED_TRACE(size);
+    const int before = backend.sent;
+    auto c = connectClient();
+    std::string pipelined;
+    while (pipelined.size() < size) pipelined += query(std::to_string(pipelined.size()), 30000);
+    std::size_t written = 0;
+    for (int k = 0; k < 3000; ++k) {
+      const ssize_t n = ::send(c->fd, pipelined.data() + written, pipelined.size() - written, MSG_DONTWAIT);
+      if (n > 0) written += static_cast<std::size_t>(n);
+      runLoopOnce();
+    }
+    EXPECT_GT(written, std::size_t{200} << 10);
+    ASSERT_EQ(backend.outstanding.size(), 1u);
+    c.reset();
+    for (int k = 0; k < 100; ++k) runLoopOnce();
+    if (!backend.outstanding.empty()) answer(kCommandComplete);
+    for (int k = 0; k < 100; ++k) runLoopOnce();
+    EXPECT_TRUE(backend.outstanding.empty());
+    EXPECT_EQ(backend.sent, before + 1);
+    EXPECT_EQ(budget.bytes(), 0u);
+  }
+}
 // Guards against the same while the first client's input waits after an error.
 TEST_F(SessionTest, TheIdOfARequestBehindAnErrorIsNotServedToAnotherClient) {
   const auto c = connectClient();
