Keep the id of a request reserved after its client has left

What callers saw: a request ran twice when its id came again, on another connection, after its client had left.

Cause: Session's destructor released the id, while a data server may still run the request that was cancelled.

Change: the id of a request that was handed on stays reserved until the request's deadline, for 10 s at most, and 8,192 such ids at most, the oldest are forgotten first. A request that was never handed on frees its id at once, so a client whose request crossed the end of its connection may send it again.

--- a/src/frontend/postgres/open_request_ids.hpp
+++ b/src/frontend/postgres/open_request_ids.hpp
@@ -1,16 +1,19 @@
 // The ids that clients gave to their open requests.
 //
 // Data servers distinguish requests by these ids, so an id has one open request at a time. A request
-// is open from the arrival of its last byte to its answer.
+// is open from the arrival of its last byte to its answer. If its client leaves earlier, a data server
+// may still run it; its id then stays reserved until the request's deadline.
 //
 // Ids are kept as hashes of 64 bits, so that long ids need no more memory than short ones.
 #pragma once
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <string_view>
 #include <unordered_map>
 
+#include "engine/clock.hpp"
 #include "support/fnv.hpp"
 
 namespace sablespur {
@@ -20,22 +23,40 @@
 
 class OpenRequestIds {
  public:
+  using Time = Clock::Time;
   using Owner = const void*;  // a client's connection; only compared
 
   enum class Reservation {
     Granted,
     AlreadyOwn,     // the same owner holds it
-    TakenByAnother  // another owner holds it
+    TakenByAnother  // another owner holds it, or its client has left
   };
 
-  Reservation reserve(RequestIdHash, Owner);
+  // Longest time for which an id stays reserved after its client has left.
+  static constexpr Time kMaxRetention = std::chrono::seconds(10);
+  // Ids of clients that have left; beyond this the oldest is forgotten.
+  static constexpr std::size_t kMaxRetained = 8192;
+
+  Reservation reserve(Time now, RequestIdHash, Owner);
   // Frees a reserved id; no effect on ids that are not reserved.
   void release(RequestIdHash);
+  // The owner of a reserved id has left: keeps the id reserved until `until`.
+  void retain(Time now, RequestIdHash, Time until);
 
   std::size_t size() const { return owners_.size(); }
+  std::size_t retainedCount() const { return retained_.size(); }
 
  private:
-  std::unordered_map<RequestIdHash, Owner> owners_;
+  struct Retained {
+    RequestIdHash id;
+    Time until;
+  };
+
+  void forgetExpired(Time now);
+  void forgetOldest();
+
+  std::unordered_map<RequestIdHash, Owner> owners_;  // null: retained
+  std::deque<Retained> retained_;                    // in the order in which their clients left
 };
 
 }  // namespace sablespur
--- a/src/frontend/postgres/pipelined_requests.cpp
+++ b/src/frontend/postgres/pipelined_requests.cpp
@@ -81,24 +81,24 @@
 
 }  // namespace
 
-void PipelinedRequests::scan(evbuffer* input, Framing framing) {
+void PipelinedRequests::scan(Time now, evbuffer* input, Framing framing) {
   scanned_ = std::max(scanned_, consumed_);
   const std::size_t available = evbuffer_get_length(input);
   while (requests_.size() < kMaxRequests && scanned_ - consumed_ < available)
-    if (!scanMessage(input, framing, scanned_ - consumed_)) return;
+    if (!scanMessage(now, input, framing, scanned_ - consumed_)) return;
 }
 
-bool PipelinedRequests::scanMessage(evbuffer* input, Framing framing, std::size_t offset) {
+bool PipelinedRequests::scanMessage(Time now, evbuffer* input, Framing framing, std::size_t offset) {
   const std::optional<Message> message = messageAt(input, framing, offset);
   if (!message) return false;
   const std::size_t statementAt = offset + message->length - message->statementLength;
-  if (const auto id = requestId(input, statementAt, message->statementLength)) addRequest(*id, offset);
+  if (const auto id = requestId(input, statementAt, message->statementLength)) addRequest(now, *id, offset);
   scanned_ += message->length;
   return true;
 }
 
-void PipelinedRequests::addRequest(RequestIdHash id, std::size_t offset) {
-  const OpenRequestIds::Reservation reservation = ids_.reserve(id, owner_);
+void PipelinedRequests::addRequest(Time now, RequestIdHash id, std::size_t offset) {
+  const OpenRequestIds::Reservation reservation = ids_.reserve(now, id, owner_);
   // An id that the client itself has open is reserved again when the turn of this request has come.
   if (reservation == OpenRequestIds::Reservation::AlreadyOwn) return;
   requests_.push_back({consumed_ + offset, {id, reservation == OpenRequestIds::Reservation::Granted}});
--- a/src/frontend/postgres/pipelined_requests.hpp
+++ b/src/frontend/postgres/pipelined_requests.hpp
@@ -18,6 +18,8 @@
 
 class PipelinedRequests {
  public:
+  using Time = OpenRequestIds::Time;
+
   // How the messages of a client are delimited.
   enum class Framing {
     StartupVersion3,  // a startup message of protocol 3, then as Version3
@@ -43,7 +45,7 @@
 
   // Looks at the messages in the input buffer that have become complete since the last call. The
   // buffer has to begin with a message.
-  void scan(evbuffer* input, Framing);
+  void scan(Time now, evbuffer* input, Framing);
   // Has to be called for all bytes that are removed from the input buffer. Releases the ids of
   // requests that have been removed without having been taken.
   void onConsumed(std::size_t bytes);
@@ -61,8 +63,8 @@
     Claim claim;
   };
 
-  bool scanMessage(evbuffer* input, Framing, std::size_t offset);
-  void addRequest(RequestIdHash, std::size_t offset);
+  bool scanMessage(Time now, evbuffer* input, Framing, std::size_t offset);
+  void addRequest(Time now, RequestIdHash, std::size_t offset);
   void dropFront();
 
   OpenRequestIds& ids_;
--- a/src/frontend/postgres/session.cpp
+++ b/src/frontend/postgres/session.cpp
@@ -61,7 +61,10 @@
 
 Session::~Session() {
   evbuffer_remove_cb(input(), onInputChanged, this);
-  if (request_.id) owner_.cancelRequest(*request_.id);
+  if (request_.id) {
+    owner_.cancelRequest(*request_.id);
+    retainRequestId();
+  }
   if (services_.admission) services_.admission->connectionClosed(client_.permit);
   services_.budget.releaseBytes(extended_.reservation);
   owner_.onSessionDestroyed(*this);
@@ -277,7 +280,7 @@
   PipelinedRequests::Framing framing = PipelinedRequests::Framing::StartupVersion3;
   if (protocol_.version == ProtocolVersion::Version3) framing = PipelinedRequests::Framing::Version3;
   if (protocol_.version == ProtocolVersion::Version2) framing = PipelinedRequests::Framing::Version2;
-  pipelined_.scan(input(), framing);
+  pipelined_.scan(services_.engine.now(), input(), framing);
 }
 
 // Called after an answer. The next pipelined request is processed in a later callback of the event
--- a/src/frontend/postgres/session.hpp
+++ b/src/frontend/postgres/session.hpp
@@ -163,6 +163,7 @@
     bool sendRowDescription = true;
     std::size_t maxRows = 0;  // 0: no limit
     translation::ResultFormat format;
+    Time deadline{};  // if `id` is set
   };
 
   // ---- session.cpp
@@ -248,6 +249,7 @@
   void writeError(const translation::ErrorReport&);
   bool reserveRequestId(std::string_view clientId);  // false if another client's request has it
   void releaseRequestId();
+  void retainRequestId();
 
   SessionOwner& owner_;
   const SessionServices& services_;
--- a/src/frontend/postgres/session_requests.cpp
+++ b/src/frontend/postgres/session_requests.cpp
@@ -103,6 +103,7 @@
   const balancer::Request request = makeRequest(comment, classIndex, statement.get());
   RequestMessage message = makeMessage(comment, tailOffset, std::move(statement));
   if (services_.admission) services_.admission->connectionBusy(client_.permit);
+  request_.deadline = request.deadline;
   request_.id = owner_.request(*this, request, std::move(message), client_.permit);
   if (tracing())
     logEvent(LogLevel::Trace, "request_accepted",
@@ -243,7 +244,7 @@
 bool Session::reserveRequestId(std::string_view clientId) {
   if (!request_.claim) {
     const RequestIdHash id = hashRequestId(clientId);
-    const auto reservation = owner_.openRequestIds().reserve(id, this);
+    const auto reservation = owner_.openRequestIds().reserve(services_.engine.now(), id, this);
     request_.claim = PipelinedRequests::Claim{id, reservation == OpenRequestIds::Reservation::Granted};
   }
   return request_.claim->isReserved;
@@ -254,4 +255,11 @@
   request_.claim.reset();
 }
 
+// The client leaves while a data server may run its request.
+void Session::retainRequestId() {
+  if (!request_.claim) return;
+  owner_.openRequestIds().retain(services_.engine.now(), request_.claim->id, request_.deadline);
+  request_.claim.reset();
+}
+
 }  // namespace sablespur
--- a/tests/pipelined_requests_test.cpp
+++ b/tests/pipelined_requests_test.cpp
@@ -12,6 +12,7 @@
 namespace sablespur {
 namespace {
 
+using namespace std::chrono_literals;
 using Framing = PipelinedRequests::Framing;
 
 std::string statement(const std::string& id) { return "SELECT 1 /* id=" + id + ",c=read,cluster=3 */"; }
@@ -24,7 +25,7 @@
 
   void receive(const std::string& bytes, Framing framing = Framing::Version3) {
     append(input.get(), bytes);
-    requests.scan(input.get(), framing);
+    requests.scan(0s, input.get(), framing);
   }
   void consume(std::size_t bytes) {
     evbuffer_drain(input.get(), bytes);
@@ -50,7 +51,7 @@
     for (const char byte : form.first + form.second) {
       EXPECT_EQ(own.size(), 0u);
       append(buffer.get(), std::string(1, byte));
-      own.scan(buffer.get(), form.framing);
+      own.scan(0s, buffer.get(), form.framing);
     }
     EXPECT_EQ(own.size(), 1u);
     evbuffer_drain(buffer.get(), form.first.size());
@@ -84,5 +85,25 @@
   EXPECT_EQ(requests.size(), PipelinedRequests::kMaxRequests);
 }
 
+// Guards against memory that grows with clients that send a request under a new id and leave.
+TEST(OpenRequestIdsTest, AnIdWhoseClientLeftIsHeldUntilItsDeadlineAndTheirNumberIsBounded) {
+  using Reservation = OpenRequestIds::Reservation;
+  OpenRequestIds ids;
+  const int gone = 0;
+  const int other = 0;
+  EXPECT_EQ(ids.reserve(0s, 1, &gone), Reservation::Granted);
+  ids.retain(1s, 1, 3s);
+  EXPECT_EQ(ids.reserve(2s, 1, &gone), Reservation::TakenByAnother);
+  EXPECT_EQ(ids.reserve(3s, 1, &other), Reservation::Granted);
+  for (RequestIdHash id = 10; id < 10 + 2 * OpenRequestIds::kMaxRetained; ++id) {
+    ids.reserve(4s, id, &gone);
+    ids.retain(4s, id, 3600s);
+  }
+  EXPECT_EQ(ids.retainedCount(), OpenRequestIds::kMaxRetained);
+  EXPECT_EQ(ids.size(), OpenRequestIds::kMaxRetained + 1);
+  ids.reserve(4s + OpenRequestIds::kMaxRetention, 2, &other);
+  EXPECT_EQ(ids.size(), 2u);
+}
+
 }  // namespace
 }  // namespace sablespur
--- a/tests/session_test.cpp
+++ b/tests/session_test.cpp
@@ -366,6 +366,19 @@
   answer(kCommandComplete);
   EXPECT_TRUE(waitUntil([&] { return backend.sent == 2; })) << "the request that had the id first is served";
 }
+// Guards against a request that ran twice, as its id was free as soon as its client had left.
+TEST_F(SessionTest, TheIdOfARequestWhoseClientLeftIsNotServedAgain) {
+  auto c = connectClient();
+  c->write(query("1"));
+  ASSERT_TRUE(waitUntil([&] { return backend.outstanding.size() == 1; }));
+  c.reset();
+  ASSERT_TRUE(waitUntil([&] { return backend.outstanding.empty(); }));
+  const auto other = connectClient();
+  other->write(query("1"));
+  std::string got;
+  EXPECT_TRUE(waitUntil([&] { return (got += other->readAvailable()).find("42710") != std::string::npos; }));
+  EXPECT_EQ(backend.sent, 1);
+}
 // Guards against a request that is sent on after its client has left, when so much was unread that the
 // disconnect could not be seen.
 TEST_F(SessionTest, ARequestBehindMuchUnreadInputIsNotSentAfterItsClientLeft) {
