Move the input of a session into a file of its own

Change: reading, processing and the memory of input are in session_input.cpp; nothing else is changed.

--- a/src/frontend/postgres/session.hpp
+++ b/src/frontend/postgres/session.hpp
@@ -2,7 +2,8 @@
 // request at a time and answers them in order.
 //
 // The implementation is split into
-//  - session.cpp: the connection (reading, draining, closing, idle timeouts);
+//  - session.cpp: the connection (draining, closing, idle timeouts);
+//  - session_input.cpp: its input (reading, processing, memory);
 //  - session_handshake.cpp: from the PROXY header to the end of the login;
 //  - session_messages.cpp: message framing and the extended protocol;
 //  - session_requests.cpp: from a statement to its answer.
@@ -176,9 +177,17 @@
   void startDraining();
   bool pastAnswerDeadline() const { return owner_.shutdownPhase() == ShutdownPhase::AnswerDeadlinePast; }
 
-  static void onInputChanged(evbuffer*, const evbuffer_cb_info*, void* session);
   void onEvent(short what);
   void onFlushed();
+  void setReading(bool);
+
+  void reject(const char* code, std::string_view text, bool fatal);
+  void startLingeringClose();
+  void discardInput();
+  void shutdownSending();
+
+  // ---- session_input.cpp
+  static void onInputChanged(evbuffer*, const evbuffer_cb_info*, void* session);
   void onReadable();
   bool readMessage();
   Time partialMessageStart() const;
@@ -190,12 +199,6 @@
   void scheduleInput();
   void reservePipelinedIds();
   void resumeOrDrain();
-  void setReading(bool);
-
-  void reject(const char* code, std::string_view text, bool fatal);
-  void startLingeringClose();
-  void discardInput();
-  void shutdownSending();
 
   // Memory for messages longer than kReadAhead and for prepared statements is reserved in the
   // resource budget. The reserve functions return false if the budget is exhausted.
