Refuse ids of requests that are open in the other process of an upgrade

What callers saw: during an upgrade, a client at one process was served, or sent on, with the id of a request that was open at the other one.

Cause: each process knows its own ids alone.

Used with `control` only, as only then a second process may start. Not taken: asking the other process over a socket, which would make each request wait for it.

SessionTest.TheIdOfARequestInAnotherProcessOfAn- UpgradeIsNotServed covers both directions and a process that ends without taking its ids back; it needs the class that the fix adds.

--- a/src/app/cli.cpp
+++ b/src/app/cli.cpp
@@ -43,6 +43,7 @@
   config.suspensionsFile = folder + "/sablespur-bans-" + config.name;
   config.presenceFile = folder + "/sablespur-processes-" + config.name;
   config.handoverListFile = folder + "/sablespur-list-" + config.name;
+  config.requestIdsFile = folder + "/sablespur-ids-" + config.name;
 }
 
 int serveOnPlatform() {
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -106,6 +106,7 @@
   // Files that a second process of this proxy shares during an upgrade; empty: none.
   std::string presenceFile;      // see ProcessPresence
   std::string handoverListFile;  // see ProcessHandover
+  std::string requestIdsFile;    // see SharedRequestIds
   LogForm logForm = LogForm::Logfmt;
   LogLevel logLevel = LogLevel::Info;
 };
--- a/src/frontend/postgres/clients.cpp
+++ b/src/frontend/postgres/clients.cpp
@@ -52,6 +52,8 @@
       requestHandler_(requestHandler),
       users_(config.users),
       inputs_(base, engine) {
+  if (!config.requestIdsFile.empty())
+    openRequestIds_.shareWith(&sharedRequestIds_.emplace(config.requestIdsFile));
   Acceptor::ConnectionHandler handler;
   handler.accepted = [this](evutil_socket_t fd, const sockaddr* from) { onAccepted(fd, from); };
   handler.hasRoom = [this] { return hasRoom(); };
--- a/src/frontend/postgres/clients.hpp
+++ b/src/frontend/postgres/clients.hpp
@@ -100,6 +100,7 @@
   std::function<void()> done_;
 
   InputScheduler inputs_;
+  std::optional<SharedRequestIds> sharedRequestIds_;  // only if another process of this proxy may run
   OpenRequestIds openRequestIds_;
   std::unordered_map<std::uint32_t, Session*> keys_;  // by process number of the cancel key
   std::unordered_set<Session*> pausedReads_;          // sessions with reading disabled
--- a/src/frontend/postgres/open_request_ids.cpp
+++ b/src/frontend/postgres/open_request_ids.cpp
@@ -7,11 +7,20 @@
 OpenRequestIds::Reservation OpenRequestIds::reserve(Time now, RequestIdHash id, Owner owner) {
   forgetExpired(now);
   const auto [found, isNew] = owners_.emplace(id, owner);
+  if (isNew && shared_) shared_->publish(id);
+  if (isNew && shared_ && shared_->isOpenElsewhere(id)) {
+    erase(id);
+    return Reservation::TakenByAnother;
+  }
   if (isNew) return Reservation::Granted;
   return found->second == owner ? Reservation::AlreadyOwn : Reservation::TakenByAnother;
 }
 
-void OpenRequestIds::release(RequestIdHash id) { owners_.erase(id); }
+void OpenRequestIds::release(RequestIdHash id) { erase(id); }
+
+void OpenRequestIds::erase(RequestIdHash id) {
+  if (owners_.erase(id) > 0 && shared_) shared_->withdraw(id);
+}
 
 void OpenRequestIds::retain(Time now, RequestIdHash id, Time until) {
   const auto found = owners_.find(id);
@@ -27,7 +36,7 @@
 }
 
 void OpenRequestIds::forgetOldest() {
-  owners_.erase(retained_.front().id);
+  erase(retained_.front().id);
   retained_.pop_front();
 }
 
--- a/src/frontend/postgres/open_request_ids.hpp
+++ b/src/frontend/postgres/open_request_ids.hpp
@@ -14,6 +14,7 @@
 #include <unordered_map>
 
 #include "engine/clock.hpp"
+#include "frontend/postgres/shared_request_ids.hpp"
 #include "support/fnv.hpp"
 
 namespace sablespur {
@@ -29,7 +30,7 @@
   enum class Reservation {
     Granted,
     AlreadyOwn,     // the same owner holds it
-    TakenByAnother  // another owner holds it, or its client has left
+    TakenByAnother  // another owner or process holds it, or its client has left
   };
 
   // Longest time for which an id stays reserved after its client has left.
@@ -37,6 +38,10 @@
   // Ids of clients that have left; beyond this the oldest is forgotten.
   static constexpr std::size_t kMaxRetained = 8192;
 
+  // Also refuses ids that another process of this proxy has published, and publishes those that are
+  // reserved from now on. Null: there is no other process. Has to outlive this object's last call.
+  void shareWith(SharedRequestIds* shared) { shared_ = shared; }
+
   Reservation reserve(Time now, RequestIdHash, Owner);
   // Frees a reserved id; no effect on ids that are not reserved.
   void release(RequestIdHash);
@@ -54,9 +59,11 @@
 
   void forgetExpired(Time now);
   void forgetOldest();
+  void erase(RequestIdHash);
 
   std::unordered_map<RequestIdHash, Owner> owners_;  // null: retained
-  std::deque<Retained> retained_;                    // in the order in which their clients left
+  SharedRequestIds* shared_ = nullptr;
+  std::deque<Retained> retained_;  // in the order in which their clients left
 };
 
 }  // namespace sablespur
--- a/tests/session_test.cpp
+++ b/tests/session_test.cpp
@@ -366,6 +366,28 @@
   answer(kCommandComplete);
   EXPECT_TRUE(waitUntil([&] { return backend.sent == 2; })) << "the request that had the id first is served";
 }
+// Guards against a request whose id is open in the other process of an upgrade, in both directions.
+TEST_F(SessionTest, TheIdOfARequestInAnotherProcessOfAnUpgradeIsNotServed) {
+  char path[] = "/tmp/sablespur-test-XXXXXX";
+  close(mkstemp(path));
+  config.requestIdsFile = path;
+  clients = std::make_unique<Clients>(base.get(), engine, engine, workers, budget, reservedDescriptor,
+                                      nullptr, config);
+  auto otherProcess = std::make_unique<SharedRequestIds>(path);
+  otherProcess->publish(hashRequestId("1"));
+  const auto c = connectClient();
+  c->write(query("1") + query("2"));
+  std::string got;
+  EXPECT_TRUE(waitUntil([&] { return (got += c->readAvailable()).find("42710") != std::string::npos; }));
+  ASSERT_TRUE(waitUntil([&] { return backend.sent == 1; }));
+  EXPECT_TRUE(otherProcess->isOpenElsewhere(hashRequestId("2")));
+  answer(kCommandComplete);
+  EXPECT_FALSE(otherProcess->isOpenElsewhere(hashRequestId("2")));
+  otherProcess.reset();  // the process ends without taking its id back
+  c->write(query("1"));
+  EXPECT_TRUE(waitUntil([&] { return backend.sent == 2; }));
+  unlink(path);
+}
 // Guards against a request that ran twice, as its id was free as soon as its client had left.
 TEST_F(SessionTest, TheIdOfARequestWhoseClientLeftIsNotServedAgain) {
   auto c = connectClient();
